Add the kernel with self-registering plug-ins

Cause: every part needs the same lifecycle, settings, errors, events and clock. Conclusion: plug-ins can be written against fixed interfaces.

--- /dev/null
+++ b/balsamspool/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Kernel: registry, lifecycle, settings, errors, events and clock."""
--- /dev/null
+++ b/balsamspool/kernel/backoff.py
@@ -0,0 +1,81 @@
+"""Retry with jitter and a budget."""
+
+import random
+
+from balsamspool.kernel.clock import now
+
+
+class Backoff:
+    """Exponential backoff with full jitter.
+
+    Args:
+        first: Upper bound of the first delay in seconds.
+        limit: Upper bound of every delay in seconds.
+        rng: Source of randomness.
+    """
+
+    __slots__ = ("_attempts", "_first", "_limit", "_rng")
+
+    def __init__(
+        self, first: float, limit: float, rng: random.Random | None = None
+    ) -> None:
+        self._first = first
+        self._limit = limit
+        self._rng = rng or random.Random()
+        self._attempts = 0
+
+    def next_delay(self) -> float:
+        """Return the next delay in seconds."""
+        bound = min(self._limit, self._first * 2**self._attempts)
+        # 2**30 times any first delay is beyond every limit in use.
+        self._attempts = min(self._attempts + 1, 30)
+        # A lower bound keeps failed attempts from following each other at once.
+        return self._rng.uniform(bound / 4, bound)
+
+    def reset(self) -> None:
+        """Start again with the first delay after a success."""
+        self._attempts = 0
+
+
+class RetryBudget:
+    """Limits retries to a share of first attempts.
+
+    Each first attempt earns ``ratio`` of a retry. ``reserve`` retries a second are
+    always allowed, so that a quiet process can retry too.
+
+    Args:
+        ratio: Retries earned by each first attempt.
+        reserve: Retries a second that need not be earned.
+        burst: Retries that can be saved up.
+    """
+
+    __slots__ = ("_balance", "_burst", "_ratio", "_reserve", "_updated")
+
+    def __init__(
+        self, ratio: float = 0.1, reserve: float = 1.0, burst: float = 10.0
+    ) -> None:
+        self._ratio = ratio
+        self._reserve = reserve
+        self._burst = burst
+        self._balance = burst
+        self._updated: float | None = None
+
+    def record_attempt(self) -> None:
+        """Count a first attempt."""
+        self._balance = min(self._burst, self._balance + self._ratio)
+
+    def try_spend(self) -> bool:
+        """Take one retry from the budget.
+
+        Returns:
+            Whether the retry is allowed.
+        """
+        time = now()
+        if self._updated is not None:
+            earned = (time - self._updated) * self._reserve
+            self._balance = min(self._burst, self._balance + earned)
+        self._updated = time
+        if self._balance < 1.0:
+            return False
+        self._balance -= 1.0
+        return True
--- /dev/null
+++ b/balsamspool/kernel/clock.py
@@ -0,0 +1,45 @@
+"""Time of the event loop.
+
+All intervals and deadlines use the event loop's clock, so that a test can pause it and
+advance it. Wall-clock time appears only in logs.
+"""
+
+import asyncio
+
+
+def now() -> float:
+    """Return the event loop's time in seconds."""
+    return asyncio.get_running_loop().time()
+
+
+class Deadline:
+    """A point in time by which something must be done.
+
+    Args:
+        at: Event loop time in seconds.
+    """
+
+    __slots__ = ("_at",)
+
+    def __init__(self, at: float) -> None:
+        self._at = at
+
+    @property
+    def at(self) -> float:
+        """Event loop time in seconds."""
+        return self._at
+
+    @property
+    def remaining(self) -> float:
+        """Seconds left, at least 0."""
+        return max(0.0, self._at - now())
+
+    @property
+    def expired(self) -> bool:
+        """Whether the deadline has passed."""
+        return now() >= self._at
+
+    @classmethod
+    def after(cls, seconds: float) -> "Deadline":
+        """Return a deadline that many seconds from now."""
+        return cls(now() + seconds)
--- /dev/null
+++ b/balsamspool/kernel/events.py
@@ -0,0 +1,95 @@
+"""Numbered log events.
+
+Each plug-in defines its events in a module ``events.py``. ``docs/events.md`` lists all
+of them; a test compares the page with the registered events.
+"""
+
+import logging
+from dataclasses import dataclass
+from typing import Any
+
+
+@dataclass(frozen=True, slots=True)
+class LogEvent:
+    """One numbered log event.
+
+    Attributes:
+        number: Unique number.
+        name: Short name in kebab case.
+        level: Level of the ``logging`` module.
+        summary: One sentence for operators.
+    """
+
+    number: int
+    name: str
+    level: int
+    summary: str
+
+    def log(self, logger: logging.Logger, **fields: Any) -> None:
+        """Write this event to a logger.
+
+        Args:
+            logger: Logger of the module that reports the event.
+            **fields: Values that belong to this occurrence.
+        """
+        if logger.isEnabledFor(self.level):
+            extra = {"event": self, "fields": fields}
+            logger.log(self.level, "%s", self.summary, extra=extra)
+
+
+_events: dict[int, LogEvent] = {}
+
+
+def log_event(number: int, name: str, level: int, summary: str) -> LogEvent:
+    """Define and register a log event.
+
+    Args:
+        number: Unique number within the range of the plug-in.
+        name: Short name in kebab case.
+        level: Level of the ``logging`` module.
+        summary: One sentence for operators.
+
+    Returns:
+        The registered event.
+
+    Raises:
+        ValueError: If the number is already taken by another event.
+    """
+    event = LogEvent(number, name, level, summary)
+    if _events.setdefault(number, event) != event:
+        raise ValueError(f"log event {number} is already {_events[number].name!r}")
+    return event
+
+
+def registered_events() -> list[LogEvent]:
+    """Return all registered events in order of their number."""
+    return [_events[number] for number in sorted(_events)]
+
+
+PROCESS_STARTED = log_event(
+    1001, "process-started", logging.INFO, "The process has started."
+)
+STOP_REQUESTED = log_event(
+    1002,
+    "stop-requested",
+    logging.INFO,
+    "A signal asked for a graceful stop.",
+)
+STOP_REPEATED = log_event(
+    1003,
+    "stop-repeated",
+    logging.WARNING,
+    "A further stop signal was ignored because a graceful stop is in progress.",
+)
+PROCESS_STOPPED = log_event(
+    1004, "process-stopped", logging.INFO, "The process has stopped."
+)
+TASK_FAILED = log_event(
+    1005, "task-failed", logging.ERROR, "A background task ended with an error."
+)
+PROCESS_RESUMED = log_event(
+    1006,
+    "process-resumed",
+    logging.WARNING,
+    "The process did not run for longer than the pause limit.",
+)
--- /dev/null
+++ b/balsamspool/kernel/keyring.py
@@ -0,0 +1,114 @@
+"""Shared keys that authenticate the traffic between the system's own processes."""
+
+from cryptography.hazmat.primitives.hashes import SHA256
+from cryptography.hazmat.primitives.kdf.hkdf import HKDF
+from msgspec import Struct
+
+from balsamspool.kernel.errors import KEY_UNKNOWN, ResultError
+
+# The key number travels in three bits of a connection ID; 7 is reserved by QUIC-LB.
+MAX_KEY_NUMBER = 6
+SECRET_BYTES = 32
+
+
+class KeySet(Struct, frozen=True, forbid_unknown_fields=True):
+    """Shared secrets as they stand in a text or in settings.
+
+    Attributes:
+        active: Number of the secret that protects what this process sends.
+        secrets: Secrets in hexadecimal digits by number.
+    """
+
+    active: int
+    secrets: dict[str, str]
+
+
+class KeyRing:
+    """Derives one key for each purpose from each shared secret in force.
+
+    Args:
+        keys: The secrets that are in force at the start.
+    """
+
+    __slots__ = ("_active", "_derived", "_secrets", "_version")
+
+    def __init__(self, keys: KeySet) -> None:
+        self._derived: dict[tuple[int, str], bytes] = {}
+        self._version = 0
+        self.replace(keys)
+
+    @property
+    def active(self) -> int:
+        """Number of the key that protects what this process sends."""
+        return self._active
+
+    @property
+    def version(self) -> int:
+        """Counter that grows whenever the keys are replaced."""
+        return self._version
+
+    @property
+    def numbers(self) -> frozenset[int]:
+        """Numbers of all keys in force."""
+        return frozenset(self._secrets)
+
+    def replace(self, keys: KeySet) -> None:
+        """Put other secrets in force.
+
+        Args:
+            keys: The secrets, as checked by the configuration or the settings.
+        """
+        self._active = keys.active
+        self._secrets = {
+            int(number): bytes.fromhex(secret)
+            for number, secret in keys.secrets.items()
+        }
+        self._derived.clear()
+        self._version += 1
+
+    def key(self, number: int, purpose: str, length: int = 32) -> bytes:
+        """Return the key for a purpose.
+
+        Args:
+            number: Number of the shared secret.
+            purpose: Name of the use, such as ``token``.
+            length: Length of the key in bytes.
+
+        Returns:
+            The derived key.
+
+        Raises:
+            ResultError: With code 1004 if the number is not in force.
+        """
+        key = self._derived.get((number, purpose))
+        if key is None:
+            secret = self._secrets.get(number)
+            if secret is None:
+                raise ResultError(KEY_UNKNOWN, f"key number {number} is not in force")
+            info = f"balsamspool {purpose}".encode()
+            key = HKDF(SHA256(), length, salt=None, info=info).derive(secret)
+            self._derived[number, purpose] = key
+        return key
+
+
+def keys_problem(keys: KeySet) -> tuple[str, str] | None:
+    """Check a key set.
+
+    Args:
+        keys: The key set to check.
+
+    Returns:
+        The field and what is wrong with it, or None if the set is valid.
+    """
+    for number, secret in keys.secrets.items():
+        if not number.isdigit() or int(number) > MAX_KEY_NUMBER:
+            return f"secrets.{number}", f"key number is not 0 to {MAX_KEY_NUMBER}"
+        try:
+            size = len(bytes.fromhex(secret))
+        except ValueError:
+            size = 0
+        if size != SECRET_BYTES:
+            return f"secrets.{number}", f"secret is not {SECRET_BYTES} bytes in hex"
+    if str(keys.active) not in keys.secrets:
+        return "active", f"no secret has the number {keys.active}"
+    return None
--- /dev/null
+++ b/balsamspool/kernel/lifecycle.py
@@ -0,0 +1,203 @@
+"""Life of a process: start, run, drain, stop."""
+
+import asyncio
+import logging
+import signal
+from collections.abc import Coroutine
+from enum import Enum
+from typing import Any, TypeVar, cast
+
+from prometheus_client import CollectorRegistry
+
+from balsamspool.kernel.clock import now
+from balsamspool.kernel.events import (
+    PROCESS_RESUMED,
+    PROCESS_STARTED,
+    PROCESS_STOPPED,
+    STOP_REPEATED,
+    STOP_REQUESTED,
+    TASK_FAILED,
+)
+from balsamspool.kernel.identity import Identity, Role
+from balsamspool.kernel.keyring import KeyRing
+from balsamspool.kernel.registry import Plugin, plugins_of
+from balsamspool.kernel.settings import Settings
+
+P = TypeVar("P", bound=Plugin)
+
+_logger = logging.getLogger(__name__)
+
+# A process that did not run for this long may hold an old view of the fleet.
+PAUSE_LIMIT_SECONDS = 1.0
+PAUSE_CHECK_SECONDS = 0.25
+
+
+class ProcessState(Enum):
+    """State of a process, as it reports it to others."""
+
+    STARTING = "starting"
+    ACCEPTING = "accepting"
+    LEAVING = "leaving"
+    STOPPED = "stopped"
+
+
+class Kernel:
+    """Runs the plug-ins of one role.
+
+    Args:
+        role: Role of the process.
+        settings: Checked settings of the process.
+    """
+
+    def __init__(self, role: Role, settings: Settings) -> None:
+        self._settings = settings
+        self._identity = Identity.from_settings(role, settings.process)
+        self._keyring = KeyRing(settings.process.keys)
+        self._metrics = CollectorRegistry()
+        self._state = ProcessState.STARTING
+        self._stop_requested = asyncio.Event()
+        self._failed = False
+        self._pauses = 0
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._plugins: dict[str, Plugin] = {}
+        for entry in plugins_of(role):
+            self._plugins[entry.name] = entry.plugin(self)
+
+    @property
+    def identity(self) -> Identity:
+        """Who this process is."""
+        return self._identity
+
+    @property
+    def settings(self) -> Settings:
+        """Checked settings of the process."""
+        return self._settings
+
+    @property
+    def keyring(self) -> KeyRing:
+        """Shared keys in force."""
+        return self._keyring
+
+    @property
+    def metrics(self) -> CollectorRegistry:
+        """Registry in which plug-ins create their metrics."""
+        return self._metrics
+
+    @property
+    def state(self) -> ProcessState:
+        """State of the process."""
+        return self._state
+
+    @property
+    def pauses(self) -> int:
+        """Number of times the process was found to have been paused."""
+        return self._pauses
+
+    @property
+    def plugins(self) -> dict[str, Plugin]:
+        """Running plug-ins by name, in the order in which they start."""
+        return dict(self._plugins)
+
+    def plugin(self, plugin_type: type[P]) -> P:
+        """Return the plug-in of a type.
+
+        Args:
+            plugin_type: Class of the plug-in.
+
+        Returns:
+            The plug-in.
+
+        Raises:
+            LookupError: If this process does not run such a plug-in.
+        """
+        for plugin in self._plugins.values():
+            if isinstance(plugin, plugin_type):
+                return cast(P, plugin)
+        raise LookupError(f"no plug-in of type {plugin_type.__name__}")
+
+    def spawn(self, work: Coroutine[Any, Any, Any], name: str) -> asyncio.Task[Any]:
+        """Start a background task. Its failure stops the process gracefully.
+
+        Args:
+            work: Coroutine to run.
+            name: Name of the task for logs.
+
+        Returns:
+            The task.
+        """
+        task = asyncio.get_running_loop().create_task(work, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_done)
+        return task
+
+    def request_stop(self) -> None:
+        """Ask for a graceful stop. Further calls have no effect."""
+        if self._stop_requested.is_set():
+            STOP_REPEATED.log(_logger)
+            return
+        STOP_REQUESTED.log(_logger)
+        self._state = ProcessState.LEAVING
+        self._stop_requested.set()
+
+    async def run(self) -> int:
+        """Start, serve until a stop is requested, drain and stop.
+
+        Returns:
+            Exit code: 0 after a graceful stop, 1 after a failure.
+        """
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.request_stop)
+        try:
+            await self.start()
+            await self._stop_requested.wait()
+            await self.drain()
+        finally:
+            await self.stop()
+        return 1 if self._failed else 0
+
+    async def start(self) -> None:
+        """Start all plug-ins in order."""
+        for plugin in self._plugins.values():
+            await plugin.start()
+        if self._state is ProcessState.STARTING:
+            self._state = ProcessState.ACCEPTING
+        self.spawn(self._watch_pauses(), "pause watch")
+        PROCESS_STARTED.log(_logger, role=self._identity.role.value)
+
+    async def drain(self) -> None:
+        """Let all plug-ins finish their work in progress."""
+        self._state = ProcessState.LEAVING
+        async with asyncio.TaskGroup() as group:
+            for plugin in self._plugins.values():
+                group.create_task(plugin.drain())
+
+    async def stop(self) -> None:
+        """Stop all plug-ins in reverse order and cancel background tasks."""
+        for plugin in reversed(list(self._plugins.values())):
+            await plugin.stop()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._state = ProcessState.STOPPED
+        PROCESS_STOPPED.log(_logger)
+
+    def _task_done(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        TASK_FAILED.log(_logger, task=task.get_name(), error=repr(task.exception()))
+        self._failed = True
+        if not self._stop_requested.is_set():
+            self.request_stop()
+
+    async def _watch_pauses(self) -> None:
+        last = now()
+        while True:
+            await asyncio.sleep(PAUSE_CHECK_SECONDS)
+            gap = now() - last
+            last = now()
+            if gap > PAUSE_LIMIT_SECONDS + PAUSE_CHECK_SECONDS:
+                self._pauses += 1
+                PROCESS_RESUMED.log(_logger, seconds=round(gap, 3))
--- /dev/null
+++ b/balsamspool/kernel/registry.py
@@ -0,0 +1,132 @@
+"""Registry of plug-ins.
+
+Every package below ``balsamspool.plugins`` registers its plug-in class when it is
+imported. The kernel never names a plug-in.
+"""
+
+import importlib
+import pkgutil
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeVar
+
+import balsamspool.plugins
+from balsamspool.kernel.errors import PLUGIN_MISSING, ResultError
+from balsamspool.kernel.identity import Role
+from balsamspool.kernel.settings import Section
+
+if TYPE_CHECKING:
+    from balsamspool.kernel.lifecycle import Kernel
+
+
+class Plugin:
+    """Base of all plug-ins.
+
+    Args:
+        kernel: Kernel that runs the plug-in.
+    """
+
+    settings_type: type[Section] = Section
+
+    def __init__(self, kernel: "Kernel") -> None:
+        self._kernel = kernel
+
+    async def start(self) -> None:
+        """Open sockets and start tasks. Plug-ins in ``requires`` have started."""
+
+    async def drain(self) -> None:
+        """Take no new work and return when the work in progress has ended."""
+
+    async def stop(self) -> None:
+        """Release everything. Plug-ins that require this one have stopped."""
+
+    def status(self) -> dict[str, object]:
+        """Return values for the status page of the process."""
+        return {}
+
+
+P = TypeVar("P", bound=Plugin)
+
+
+@dataclass(frozen=True, slots=True)
+class Registration:
+    """A registered plug-in.
+
+    Attributes:
+        name: Name of the plug-in and of its section in the settings.
+        plugin: The plug-in class.
+        roles: Roles of the processes that run it.
+        requires: Names of plug-ins that start before it and stop after it.
+    """
+
+    name: str
+    plugin: type[Plugin]
+    roles: frozenset[Role]
+    requires: tuple[str, ...]
+
+
+_registrations: dict[str, Registration] = {}
+
+
+def register(
+    name: str, roles: Iterable[Role], requires: Iterable[str] = ()
+) -> Callable[[type[P]], type[P]]:
+    """Register a plug-in class.
+
+    Args:
+        name: Name of the plug-in and of its section in the settings.
+        roles: Roles of the processes that run it.
+        requires: Names of plug-ins that start before it.
+
+    Returns:
+        A class decorator.
+    """
+
+    def decorate(plugin: type[P]) -> type[P]:
+        entry = Registration(name, plugin, frozenset(roles), tuple(requires))
+        if _registrations.setdefault(name, entry).plugin is not plugin:
+            raise ValueError(f"plug-in {name!r} is already registered")
+        return plugin
+
+    return decorate
+
+
+def load_plugins() -> None:
+    """Import every package below ``balsamspool.plugins``."""
+    package = balsamspool.plugins
+    for module in pkgutil.iter_modules(package.__path__, f"{package.__name__}."):
+        importlib.import_module(module.name)
+
+
+def plugins_of(role: Role) -> list[Registration]:
+    """Return the plug-ins of a role in the order in which they start.
+
+    Args:
+        role: Role of the process.
+
+    Returns:
+        Registrations, each after those that it requires.
+
+    Raises:
+        ResultError: With code 1003 if a required plug-in is not registered.
+    """
+    ordered: dict[str, Registration] = {}
+    for name in sorted(_registrations):
+        if role in _registrations[name].roles:
+            _append_with_requirements(name, role, ordered, ())
+    return list(ordered.values())
+
+
+def _append_with_requirements(
+    name: str, role: Role, ordered: dict[str, Registration], path: tuple[str, ...]
+) -> None:
+    if name in ordered:
+        return
+    entry = _registrations.get(name)
+    if entry is None or role not in entry.roles or name in path:
+        raise ResultError(
+            PLUGIN_MISSING, f"plug-in {name!r}, required by {path!r}, cannot be started"
+        )
+    for required in entry.requires:
+        _append_with_requirements(required, role, ordered, (*path, name))
+    ordered[name] = entry
--- /dev/null
+++ b/balsamspool/kernel/settings.py
@@ -0,0 +1,145 @@
+"""Settings of a process: one JSON object with a section for each plug-in."""
+
+import ipaddress
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+
+from balsamspool.kernel.errors import (
+    SETTINGS_INVALID,
+    SETTINGS_UNREADABLE,
+    ResultError,
+)
+from balsamspool.kernel.keyring import KeySet, keys_problem
+
+Port = Annotated[int, Meta(ge=1, le=65535)]
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+
+
+class Section(Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of the settings of one plug-in."""
+
+    def problem(self) -> tuple[str, str] | None:
+        """Return the field and what is wrong with it, or None if all is valid."""
+        return None
+
+
+class ProcessSettings(Section, frozen=True):
+    """Settings of the process itself.
+
+    Attributes:
+        instance: Name of the instance, unique in the fleet.
+        failure_domain: Failure domain in which the instance runs.
+        address: IPv4 address of the instance.
+        data_port: UDP port for datagrams between entries and agents.
+        peer_port: TCP port for messages between processes.
+        admin_port: TCP port for metrics, health and status.
+        keys: Shared keys that hold until a configuration is in force.
+        log_level: Lowest level that is logged.
+    """
+
+    instance: Name
+    failure_domain: Name
+    address: str
+    data_port: Port
+    peer_port: Port
+    admin_port: Port
+    keys: KeySet
+    log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
+
+    def problem(self) -> tuple[str, str] | None:
+        """Return the field and what is wrong with it, or None if all is valid."""
+        try:
+            ipaddress.IPv4Address(self.address)
+        except ValueError:
+            return "address", f"{self.address!r} is not an IPv4 address"
+        found = keys_problem(self.keys)
+        return (f"keys.{found[0]}", found[1]) if found else None
+
+
+class Settings:
+    """Checked settings of one process.
+
+    Args:
+        process: Settings of the process itself.
+        sections: Settings of each plug-in by its name.
+    """
+
+    __slots__ = ("_process", "_sections")
+
+    def __init__(
+        self, process: ProcessSettings, sections: Mapping[str, Section]
+    ) -> None:
+        self._process = process
+        self._sections = dict(sections)
+
+    @property
+    def process(self) -> ProcessSettings:
+        """Settings of the process itself."""
+        return self._process
+
+    def section(self, name: str) -> Any:
+        """Return the settings of the plug-in with this name."""
+        return self._sections[name]
+
+
+def read_settings(path: Path, types: Mapping[str, type[Section]]) -> Settings:
+    """Read and check a settings file.
+
+    Args:
+        path: Path of the JSON file.
+        types: Type of the section of each plug-in by its name.
+
+    Returns:
+        The checked settings.
+
+    Raises:
+        ResultError: With code 1001 if the file cannot be read, 1002 if a field is
+            wrong.
+    """
+    try:
+        document = msgspec.json.decode(path.read_bytes())
+    except (OSError, ValueError) as error:
+        raise ResultError(SETTINGS_UNREADABLE, f"{path}: {error}") from error
+    return check_settings(document, types)
+
+
+def check_settings(document: Any, types: Mapping[str, type[Section]]) -> Settings:
+    """Check settings that were read from JSON.
+
+    Args:
+        document: The decoded JSON document.
+        types: Type of the section of each plug-in by its name.
+
+    Returns:
+        The checked settings.
+
+    Raises:
+        ResultError: With code 1002 and the field if a field is unknown or wrong.
+    """
+    if not isinstance(document, dict):
+        raise ResultError(SETTINGS_INVALID, "the settings are not a JSON object")
+    unknown = sorted(set(document) - set(types) - {"process"})
+    if unknown:
+        raise ResultError(SETTINGS_INVALID, f"field {unknown[0]!r} is unknown")
+    process = _check_section("process", document.get("process", {}), ProcessSettings)
+    sections = {
+        name: _check_section(name, document.get(name, {}), section_type)
+        for name, section_type in types.items()
+    }
+    return Settings(process, sections)
+
+
+def _check_section(name: str, value: Any, section_type: type[Section]) -> Any:
+    try:
+        section = msgspec.convert(value, section_type)
+    except msgspec.ValidationError as error:
+        raise ResultError(SETTINGS_INVALID, f"field {name!r}: {error}") from error
+    found = section.problem()
+    if found is not None:
+        field, reason = found
+        raise ResultError(SETTINGS_INVALID, f"field '{name}.{field}': {reason}")
+    return section
--- /dev/null
+++ b/balsamspool/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Programs: they name a role and start the kernel."""
--- /dev/null
+++ b/balsamspool/programs/entry.py
@@ -0,0 +1,21 @@
+"""Program ``balsamspool-entry``."""
+
+from fire import Fire
+
+from balsamspool.kernel.identity import Role
+from balsamspool.programs._runner import run_role
+
+
+def run(settings: str, check: bool = False) -> None:
+    """Run the entry.
+
+    Args:
+        settings: Path of the JSON settings file.
+        check: Only check the settings, then exit with 0 or 2.
+    """
+    run_role(Role.ENTRY, settings, check)
+
+
+def main() -> None:
+    """Read the command line and run."""
+    Fire(run)
