Serve requests end to end through separate processes

Cause: nothing ran; the shape needs one path from caller to backend server. Measured before: no request could be served.

--- a/balsamspool/kernel/registry.py
+++ b/balsamspool/kernel/registry.py
@@ -31,6 +31,11 @@
     def __init__(self, kernel: "Kernel") -> None:
         self._kernel = kernel
 
+    @property
+    def ready(self) -> bool:
+        """Whether the plug-in has what it needs to do its work."""
+        return True
+
     async def start(self) -> None:
         """Open sockets and start tasks. Plug-ins in ``requires`` have started."""
 
--- /dev/null
+++ b/balsamspool/plugins/configuration/codes.py
@@ -0,0 +1,13 @@
+"""Result codes of the configuration plug-in."""
+
+from balsamspool.kernel.errors import result_code
+
+TEXT_MALFORMED = result_code(
+    1101, "text-malformed", "The configuration text is not valid JSON."
+)
+TEXT_INVALID = result_code(
+    1102, "text-invalid", "A field of the configuration text is unknown or wrong."
+)
+NO_CONFIGURATION = result_code(
+    1103, "no-configuration", "No configuration is in force yet."
+)
--- /dev/null
+++ b/balsamspool/plugins/forwarding/_quic_header.py
@@ -0,0 +1,38 @@
+"""The part of a QUIC header that routing needs; see RFC 8999."""
+
+from balsamspool.plugins.routing.flow import FlowKey, Packet
+from balsamspool.plugins.routing.token import TOKEN_BYTES
+
+LONG_HEADER_BIT = 0x80
+# A client pads every datagram with an Initial packet to this size (RFC 9000, 14.1).
+MIN_OPENING_BYTES = 1200
+_CONNECTION_ID_LENGTH_AT = 5
+_CONNECTION_ID_AT = 6
+MAX_CONNECTION_ID_BYTES = 20
+
+
+def read_packet(flow: FlowKey, datagram: bytes) -> Packet | None:
+    """Read what routing needs from a QUIC datagram.
+
+    Args:
+        flow: Flow of the datagram.
+        datagram: Datagram from a caller.
+
+    Returns:
+        The facts about the packet, or None if it is not QUIC.
+    """
+    if not datagram:
+        return None
+    if datagram[0] & LONG_HEADER_BIT:
+        if len(datagram) <= _CONNECTION_ID_AT:
+            return None
+        length = datagram[_CONNECTION_ID_LENGTH_AT]
+        connection_id = datagram[_CONNECTION_ID_AT : _CONNECTION_ID_AT + length]
+        if length > MAX_CONNECTION_ID_BYTES or len(connection_id) != length:
+            return None
+        opens = len(datagram) >= MIN_OPENING_BYTES
+        return Packet(flow, connection_id, opens)
+    connection_id = datagram[1 : 1 + TOKEN_BYTES]
+    if len(connection_id) != TOKEN_BYTES:
+        return None
+    return Packet(flow, connection_id, opens=False)
--- /dev/null
+++ b/balsamspool/plugins/forwarding/envelope.py
@@ -0,0 +1,85 @@
+"""Datagrams between entries and agents."""
+
+from dataclasses import dataclass
+
+from balsamspool.plugins.membership import Signal
+
+
+@dataclass(frozen=True, slots=True)
+class Forward:
+    """A caller's datagram on its way to an agent.
+
+    Attributes:
+        service: Number of the service at whose address it arrived.
+        caller_address: IPv4 address of the caller.
+        caller_port: UDP port of the caller.
+        hops: Number of agents that handed it over.
+        payload: The caller's datagram.
+    """
+
+    service: int
+    caller_address: str
+    caller_port: int
+    hops: int
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class TracedForward:
+    """A caller's datagram that opens a flow, with the trace that began at the entry.
+
+    Attributes:
+        forward: The datagram.
+        trace_id: Trace ID of 16 bytes.
+        span_id: Span ID of 8 bytes.
+    """
+
+    forward: Forward
+    trace_id: bytes
+    span_id: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Return:
+    """An agent's datagram on its way to a caller.
+
+    Attributes:
+        service: Number of the service from whose address it is sent.
+        caller_address: IPv4 address of the caller.
+        caller_port: UDP port of the caller.
+        signal: What the agent says of itself.
+        payload: The datagram for the caller.
+    """
+
+    service: int
+    caller_address: str
+    caller_port: int
+    signal: Signal
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Asks for a sign of life.
+
+    Attributes:
+        sequence: Number that the reply repeats.
+    """
+
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeReply:
+    """Answers a probe.
+
+    Attributes:
+        sequence: Number of the probe.
+        signal: What the instance says of itself.
+    """
+
+    sequence: int
+    signal: Signal
+
+
+Envelope = Forward | TracedForward | Return | Probe | ProbeReply
--- /dev/null
+++ b/balsamspool/plugins/forwarding/events.py
@@ -0,0 +1,12 @@
+"""Log events of the forwarding plug-ins."""
+
+import logging
+
+from balsamspool.kernel.events import log_event
+
+ADDRESS_OPENED = log_event(
+    1401, "service-address-opened", logging.INFO, "A service address is open."
+)
+ADDRESS_CLOSED = log_event(
+    1402, "service-address-closed", logging.INFO, "A service address was closed."
+)
--- /dev/null
+++ b/balsamspool/plugins/membership/__init__.py
@@ -0,0 +1,7 @@
+"""Membership plug-in: the instances of the fleet and what they say of themselves."""
+
+from balsamspool.plugins.membership.instance import Instance, ListedState
+from balsamspool.plugins.membership.plugin import MembershipPlugin
+from balsamspool.plugins.membership.signals import Signal
+
+__all__ = ["Instance", "ListedState", "MembershipPlugin", "Signal"]
--- /dev/null
+++ b/balsamspool/plugins/platform/client.py
@@ -0,0 +1,95 @@
+"""HTTP client of the platform's configuration service."""
+
+from dataclasses import dataclass
+
+import msgspec
+from aiohttp import ClientError, ClientSession, ClientTimeout
+from msgspec import Struct
+
+from balsamspool.kernel.errors import ResultError
+from balsamspool.plugins.platform.codes import (
+    PLATFORM_MALFORMED,
+    PLATFORM_UNAVAILABLE,
+)
+
+# The platform holds values up to a megabyte; JSON escapes may double the size.
+MAX_ANSWER_BYTES = 2 * 1024 * 1024 + 1024
+# Added to the wait of a watch, for the way there and back.
+ANSWER_MARGIN_SECONDS = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformValue:
+    """A published value.
+
+    Attributes:
+        revision: Revision of the value; a higher one is newer.
+        value: The published text.
+    """
+
+    revision: int
+    value: str
+
+
+@dataclass(frozen=True, slots=True)
+class Unchanged:
+    """The value did not change during the wait."""
+
+
+class _Answer(Struct, frozen=True):
+    revision: int
+    value: str
+
+
+class PlatformClient:
+    """Reads values from the platform.
+
+    Args:
+        session: HTTP session.
+        address: Base URL of the platform.
+    """
+
+    __slots__ = ("_address", "_session")
+
+    def __init__(self, session: ClientSession, address: str) -> None:
+        self._session = session
+        self._address = address
+
+    async def watch(
+        self, name: str, after: int, wait: float
+    ) -> PlatformValue | Unchanged:
+        """Wait for a value whose revision differs from a known one.
+
+        Args:
+            name: Name of the value.
+            after: Known revision, 0 for none.
+            wait: Longest wait in seconds; 0 reads at once.
+
+        Returns:
+            The value, or Unchanged when the wait ended.
+
+        Raises:
+            ResultError: With code 2201 if the platform does not answer, 2202 if its
+                answer cannot be read.
+        """
+        url = f"{self._address}/values/{name}?after={after}&wait={wait:.2f}"
+        timeout = ClientTimeout(total=wait + ANSWER_MARGIN_SECONDS)
+        try:
+            async with self._session.get(url, timeout=timeout) as response:
+                if response.status == 204:
+                    return Unchanged()
+                if response.status != 200:
+                    detail = f"{url} answered with status {response.status}"
+                    raise ResultError(PLATFORM_UNAVAILABLE, detail)
+                body = await response.content.read(MAX_ANSWER_BYTES)
+                while chunk := await response.content.read(MAX_ANSWER_BYTES):
+                    body += chunk
+                    if len(body) > MAX_ANSWER_BYTES:
+                        raise ResultError(PLATFORM_MALFORMED, f"{url}: too large")
+        except (TimeoutError, ClientError, OSError) as error:
+            raise ResultError(PLATFORM_UNAVAILABLE, f"{url}: {error!r}") from error
+        try:
+            answer = msgspec.json.decode(body, type=_Answer)
+        except msgspec.DecodeError as error:
+            raise ResultError(PLATFORM_MALFORMED, f"{url}: {error}") from error
+        return PlatformValue(answer.revision, answer.value)
--- /dev/null
+++ b/balsamspool/plugins/routing/token.py
@@ -0,0 +1,123 @@
+"""Routing token in the connection ID, after the QUIC-LB draft."""
+
+import struct
+from dataclasses import dataclass
+from ipaddress import IPv4Address
+from typing import Any
+
+from cryptography.hazmat.primitives.ciphers import Cipher
+from cryptography.hazmat.primitives.ciphers.algorithms import AES
+from cryptography.hazmat.primitives.ciphers.modes import ECB
+
+from balsamspool.kernel.errors import ResultError
+from balsamspool.kernel.keyring import KeyRing
+
+TOKEN_BYTES = 17
+INCARNATION_BYTES = 3
+MAX_SERIAL = (1 << 24) - 1
+
+_PURPOSE = "token"
+_KEY_BYTES = 16
+# The five low bits of the first octet hold the length of what follows.
+_LENGTH_BITS = TOKEN_BYTES - 1
+_BLOCK = struct.Struct("!4sHH3s3s2s")
+_CHECK = b"\x00\x00"
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingToken:
+    """What a connection ID says about the flow it belongs to.
+
+    Attributes:
+        address: IPv4 address of the agent that ends the flow.
+        data_port: UDP port of the agent.
+        service: Number of the service.
+        incarnation: Random bytes of the agent's start.
+        serial: Counter of the agent, so that every token differs.
+    """
+
+    address: str
+    data_port: int
+    service: int
+    incarnation: bytes
+    serial: int
+
+
+class TokenCodec:
+    """Encodes and decodes routing tokens.
+
+    Args:
+        keyring: Shared keys.
+    """
+
+    __slots__ = ("_ciphers", "_keyring", "_version")
+
+    def __init__(self, keyring: KeyRing) -> None:
+        self._keyring = keyring
+        self._version = -1
+        # A reused AES context encrypts a block in 0.7 µs, a new one takes 20 µs.
+        self._ciphers: dict[int, tuple[Any, Any]] = {}
+
+    def encode(self, token: RoutingToken) -> bytes:
+        """Return the connection ID for a token, with the active key.
+
+        Args:
+            token: The token to encode.
+
+        Returns:
+            A connection ID of 17 bytes.
+        """
+        number = self._keyring.active
+        block = _BLOCK.pack(
+            IPv4Address(token.address).packed,
+            token.data_port,
+            token.service,
+            token.incarnation,
+            token.serial.to_bytes(3, "big"),
+            _CHECK,
+        )
+        encryptor, _ = self._contexts(number)
+        return bytes([number << 5 | _LENGTH_BITS]) + encryptor.update(block)
+
+    def decode(self, connection_id: bytes) -> RoutingToken | None:
+        """Read a token from a connection ID.
+
+        Args:
+            connection_id: Connection ID as it stands in a packet.
+
+        Returns:
+            The token, or None if the connection ID is not one of ours.
+        """
+        if len(connection_id) != TOKEN_BYTES:
+            return None
+        first = connection_id[0]
+        if first & 0x1F != _LENGTH_BITS:
+            return None
+        try:
+            _, decryptor = self._contexts(first >> 5)
+        except ResultError:
+            return None
+        block = decryptor.update(connection_id[1:])
+        address, port, service, incarnation, serial, check = _BLOCK.unpack(block)
+        if check != _CHECK:
+            return None
+        return RoutingToken(
+            address=str(IPv4Address(address)),
+            data_port=port,
+            service=service,
+            incarnation=incarnation,
+            serial=int.from_bytes(serial, "big"),
+        )
+
+    def _contexts(self, number: int) -> tuple[Any, Any]:
+        if self._version != self._keyring.version:
+            self._ciphers.clear()
+            self._version = self._keyring.version
+        contexts = self._ciphers.get(number)
+        if contexts is None:
+            key = self._keyring.key(number, _PURPOSE, _KEY_BYTES)
+            # Each block is unique and is encrypted alone, so ECB reveals nothing.
+            cipher = Cipher(AES(key), ECB())
+            contexts = (cipher.encryptor(), cipher.decryptor())
+            self._ciphers[number] = contexts
+        return contexts
--- /dev/null
+++ b/balsamspool/plugins/telemetry/admin.py
@@ -0,0 +1,75 @@
+"""Admin pages of a process over HTTP."""
+
+import msgspec
+from aiohttp import web
+from prometheus_client import generate_latest
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
+from balsamspool.kernel.identity import Role
+from balsamspool.kernel.lifecycle import Kernel, ProcessState
+from balsamspool.kernel.registry import Plugin, register
+
+
+@register("telemetry", roles=[Role.ENTRY, Role.AGENT])
+class TelemetryPlugin(Plugin):
+    """Serves ``/metrics``, ``/healthz``, ``/readyz`` and ``/status``.
+
+    Args:
+        kernel: Kernel that runs the plug-in.
+    """
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Open the admin port."""
+        application = web.Application()
+        application.router.add_get("/metrics", self._metrics)
+        application.router.add_get("/healthz", self._health)
+        application.router.add_get("/readyz", self._ready)
+        application.router.add_get("/status", self._status)
+        self._runner = web.AppRunner(application, access_log=None)
+        await self._runner.setup()
+        identity = self._kernel.identity
+        site = web.TCPSite(self._runner, identity.address, identity.admin_port)
+        await site.start()
+
+    async def stop(self) -> None:
+        """Close the admin port."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        body = generate_latest(self._kernel.metrics)
+        return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def _ready(self, request: web.Request) -> web.Response:
+        waiting = [
+            name for name, plugin in self._kernel.plugins.items() if not plugin.ready
+        ]
+        accepting = self._kernel.state is ProcessState.ACCEPTING
+        if accepting and not waiting:
+            return web.Response(text="ready\n")
+        state = self._kernel.state.value
+        return web.Response(status=503, text=f"{state}, waiting for {waiting}\n")
+
+    async def _status(self, request: web.Request) -> web.Response:
+        identity = self._kernel.identity
+        body = {
+            "instance": identity.instance,
+            "role": identity.role.value,
+            "failure_domain": identity.failure_domain,
+            "incarnation": identity.incarnation.hex(),
+            "state": self._kernel.state.value,
+            "pauses": self._kernel.pauses,
+            "plugins": {
+                name: plugin.status() for name, plugin in self._kernel.plugins.items()
+            },
+        }
+        return web.Response(
+            body=msgspec.json.encode(body), content_type="application/json"
+        )
--- /dev/null
+++ b/balsamspool/requests/request.py
@@ -0,0 +1,34 @@
+"""A caller's request, independent of the protocol that carried it."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from balsamspool.kernel.clock import Deadline
+
+Headers = list[tuple[str, str]]
+
+
+@dataclass(slots=True)
+class Request:
+    """One request.
+
+    Attributes:
+        method: HTTP method.
+        path: Path with query.
+        headers: Header fields in lower case, without those of the connection.
+        body: Chunks of the body.
+        deadline: Time by which the caller wants the answer, None until classified.
+        trace_context: Value of ``traceparent`` for the next hop, empty for none.
+    """
+
+    method: str
+    path: str
+    headers: Headers
+    body: AsyncIterator[bytes]
+    deadline: Deadline | None = None
+    trace_context: str = ""
+    relayed: bool = field(default=False)
+
+    def header(self, name: str) -> str | None:
+        """Return the first header field with a name in lower case, or None."""
+        return next((value for key, value in self.headers if key == name), None)
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,374 @@
+"""Runs a whole small fleet on loopback: stand-ins in this process, programs as others.
+
+Only tests, the demonstration and benchmarks use it. The programs themselves start no
+process.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from asyncio.subprocess import Process
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from aiohttp import ClientError, ClientSession, ClientTimeout, web
+
+from standins.backend_server import BackendServerStandIn
+from standins.certificate import write_certificate
+from standins.fabric import Fabric
+from standins.platform import PlatformStandIn
+
+ADDRESS = "127.0.0.1"
+START_SECONDS = 20.0
+STOP_SECONDS = 20.0
+SECRET = "5a" * 32
+
+
+def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    """Return a port that is free now."""
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((ADDRESS, 0))
+        return probe.getsockname()[1]
+
+
+@dataclass(slots=True)
+class ServicePlan:
+    """One service of the fleet.
+
+    Attributes:
+        name: Name of the service.
+        number: Number of the service.
+        hosts: Number of hosts.
+        routes: Routes as they stand in the configuration text.
+        options: Further fields of the service in the text, such as ``limits``.
+    """
+
+    name: str
+    number: int
+    hosts: int
+    routes: list[dict[str, Any]]
+    options: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Host:
+    """An agent with its backend server, or an entry without one.
+
+    Attributes:
+        instance: Name of the instance.
+        listed: Record in the platform's instance list.
+        settings_path: Settings file of the program.
+        process: The running program, None while it is stopped.
+        backend_server: The backend server stand-in, None for an entry.
+        runner: Web server of the backend server stand-in.
+        log_path: File with the program's log.
+    """
+
+    instance: str
+    listed: dict[str, Any]
+    settings_path: Path
+    log_path: Path
+    process: Process | None = None
+    backend_server: BackendServerStandIn | None = None
+    runner: web.AppRunner | None = None
+
+    @property
+    def admin_url(self) -> str:
+        """Base URL of the program's admin pages."""
+        return f"http://{self.listed['address']}:{self.listed['admin_port']}"
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal to the program."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    async def stop(self) -> int:
+        """Stop the program gracefully and return its exit code."""
+        assert self.process is not None
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(STOP_SECONDS):
+            return await self.process.wait()
+
+    async def kill(self) -> None:
+        """Kill the program."""
+        assert self.process is not None
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        await self.process.wait()
+
+
+class Fleet:
+    """A running fleet.
+
+    Args:
+        folder: Folder for settings and logs.
+        services: Services to run.
+        failure_domains: Names over which instances are spread.
+    """
+
+    def __init__(
+        self, folder: Path, services: list[ServicePlan], failure_domains: list[str]
+    ) -> None:
+        self.folder = folder
+        self.services = {plan.name: plan for plan in services}
+        self.failure_domains = failure_domains
+        self.platform = PlatformStandIn()
+        self.entries: dict[str, Host] = {}
+        self.agents: dict[str, Host] = {}
+        self.fabrics: dict[str, Fabric] = {}
+        self.addresses: dict[str, tuple[str, int]] = {}
+        self.text: dict[str, Any] = {}
+        self._runners: list[web.AppRunner] = []
+        self._platform_port = 0
+        self._counter = 0
+        self._certificate, self._key = write_certificate(folder)
+
+    @property
+    def platform_url(self) -> str:
+        """Base URL of the platform stand-in."""
+        return f"http://{ADDRESS}:{self._platform_port}"
+
+    async def start(self, entries: int) -> None:
+        """Start the stand-ins, then all programs, and wait until they are ready."""
+        self._platform_port = free_port()
+        runner = await _serve(self.platform.application(), self._platform_port)
+        self._runners.append(runner)
+        for name in self.services:
+            self.addresses[name] = (ADDRESS, free_port(socket.SOCK_DGRAM))
+        self.text = self._first_text()
+        await self.publish_text()
+        for _ in range(entries):
+            await self.add_entry(publish=False)
+        for plan in self.services.values():
+            for _ in range(plan.hosts):
+                await self.add_agent(plan.name, publish=False)
+        await self.publish_list()
+        for name, address in self.addresses.items():
+            fabric = Fabric(self.entry_addresses(name))
+            await fabric.open(address)
+            self.fabrics[name] = fabric
+        for host in [*self.entries.values(), *self.agents.values()]:
+            await self.wait_ready(host)
+
+    async def close(self) -> None:
+        """Stop everything that was started."""
+        for host in [*self.entries.values(), *self.agents.values()]:
+            if host.process is not None:
+                await host.kill()
+        for fabric in self.fabrics.values():
+            fabric.close()
+        for runner in self._runners:
+            await runner.cleanup()
+
+    def entry_addresses(self, service: str) -> list[tuple[str, int]]:
+        """Return the local addresses of the running entries for a service."""
+        found = []
+        for entry in self.entries.values():
+            settings = json.loads(entry.settings_path.read_text())
+            host, port = settings["forwarding"]["listen"][service].split(":")
+            found.append((host, int(port)))
+        return found
+
+    def refresh_fabrics(self) -> None:
+        """Make the fabric spray over the entries that are known now."""
+        for name, fabric in self.fabrics.items():
+            fabric.entries = self.entry_addresses(name)
+
+    async def publish_text(self) -> int:
+        """Publish the configuration text and return its revision."""
+        text = json.dumps(self.text, indent=2)
+        return await self.platform.publish("configuration", text)
+
+    async def publish_list(self) -> int:
+        """Publish the instance list and return its revision."""
+        hosts = [*self.entries.values(), *self.agents.values()]
+        return await self.platform.publish(
+            "instances", json.dumps([host.listed for host in hosts])
+        )
+
+    async def add_entry(self, publish: bool = True) -> Host:
+        """Start another entry."""
+        listed = self._listed("entry", None)
+        listen = {
+            name: f"{ADDRESS}:{free_port(socket.SOCK_DGRAM)}" for name in self.services
+        }
+        settings = self._settings(listed) | {
+            "forwarding": {"listen": listen, "linger_seconds": 1.0}
+        }
+        host = await self._launch("balsamspool-entry", listed, settings)
+        self.entries[host.instance] = host
+        if publish:
+            await self.publish_list()
+            await self.wait_ready(host)
+            self.refresh_fabrics()
+        return host
+
+    async def add_agent(self, service: str, publish: bool = True) -> Host:
+        """Start another host of a service: a backend server and its agent."""
+        listed = self._listed("agent", service)
+        server = BackendServerStandIn(listed["instance"])
+        port = free_port()
+        runner = await _serve(server.application(), port)
+        self._runners.append(runner)
+        settings = self._settings(listed) | {
+            "serving": {"service": service},
+            "backend": {"host": ADDRESS, "port": port},
+            "frontend": {
+                "certificate": str(self._certificate),
+                "private_key": str(self._key),
+            },
+        }
+        host = await self._launch("balsamspool-agent", listed, settings)
+        host.backend_server, host.runner = server, runner
+        self.agents[host.instance] = host
+        if publish:
+            await self.publish_list()
+            await self.wait_ready(host)
+        return host
+
+    async def restart(self, host: Host) -> None:
+        """Start the program of a stopped host again, with the same settings."""
+        program = f"balsamspool-{host.listed['role']}"
+        host.process = await self._start_program(program, host)
+        await self.wait_ready(host)
+
+    async def wait_ready(self, host: Host) -> None:
+        """Wait until a program says that it is ready."""
+        timeout = ClientTimeout(total=2)
+        async with (
+            asyncio.timeout(START_SECONDS),
+            ClientSession(timeout=timeout) as session,
+        ):
+            while True:
+                try:
+                    async with session.get(host.admin_url + "/readyz") as answer:
+                        if answer.status == 200:
+                            return
+                except (ClientError, TimeoutError):
+                    pass
+                if host.process is not None and host.process.returncode is not None:
+                    log = host.log_path.read_text()[-2000:]
+                    raise RuntimeError(f"{host.instance} has ended: {log}")
+                await asyncio.sleep(0.05)
+
+    async def status(self, host: Host) -> dict[str, Any]:
+        """Return the status of a program."""
+        async with (
+            ClientSession(timeout=ClientTimeout(total=5)) as session,
+            session.get(host.admin_url + "/status") as answer,
+        ):
+            return msgspec.json.decode(await answer.read())
+
+    def _first_text(self) -> dict[str, Any]:
+        services = {}
+        for plan in self.services.values():
+            host, port = self.addresses[plan.name]
+            services[plan.name] = {
+                "number": plan.number,
+                "address": f"{host}:{port}",
+                "routes": plan.routes,
+            } | plan.options
+        return {
+            "format": 1,
+            "operator": "stand-in",
+            "services": services,
+            "keys": {"active": 1, "secrets": {"1": SECRET}},
+            "host_networks": ["127.0.0.0/8"],
+        }
+
+    def _listed(self, role: str, service: str | None) -> dict[str, Any]:
+        self._counter += 1
+        domain = self.failure_domains[self._counter % len(self.failure_domains)]
+        listed = {
+            "instance": f"{service or role}-{self._counter}",
+            "role": role,
+            "state": "live",
+            "failure_domain": domain,
+            "address": ADDRESS,
+            "data_port": free_port(socket.SOCK_DGRAM),
+            "peer_port": free_port(),
+            "admin_port": free_port(),
+        }
+        return listed | ({"service": service} if service else {})
+
+    def _settings(self, listed: dict[str, Any]) -> dict[str, Any]:
+        process = {
+            key: listed[key]
+            for key in (
+                "instance",
+                "failure_domain",
+                "address",
+                "data_port",
+                "peer_port",
+                "admin_port",
+            )
+        }
+        process |= {"keys": {"active": 1, "secrets": {"1": SECRET}}}
+        return {
+            "process": process,
+            "platform": {"addresses": [self.platform_url], "watch_seconds": 5.0},
+        }
+
+    async def _launch(
+        self, program: str, listed: dict[str, Any], settings: dict[str, Any]
+    ) -> Host:
+        instance = listed["instance"]
+        path = self.folder / f"{instance}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        host = Host(instance, listed, path, self.folder / f"{instance}.log")
+        host.process = await self._start_program(program, host)
+        return host
+
+    async def _start_program(self, program: str, host: Host) -> Process:
+        executable = Path(sys.executable).parent / program
+        with host.log_path.open("ab") as log:
+            return await asyncio.create_subprocess_exec(
+                str(executable),
+                f"--settings={host.settings_path}",
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"PYTHONUNBUFFERED": "1"},
+            )
+
+
+async def _serve(application: web.Application, port: int) -> web.AppRunner:
+    runner = web.AppRunner(application, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, ADDRESS, port).start()
+    return runner
+
+
+@asynccontextmanager
+async def run_fleet(
+    services: list[ServicePlan],
+    entries: int = 2,
+    failure_domains: tuple[str, ...] = ("hall-a", "hall-b"),
+) -> AsyncIterator[Fleet]:
+    """Run a fleet and stop it afterwards.
+
+    Args:
+        services: Services to run.
+        entries: Number of entries.
+        failure_domains: Names over which instances are spread.
+
+    Yields:
+        The running fleet.
+    """
+    with tempfile.TemporaryDirectory(prefix="balsamspool-") as folder:
+        fleet = Fleet(Path(folder), services, list(failure_domains))
+        try:
+            await fleet.start(entries)
+            yield fleet
+        finally:
+            await fleet.close()
