--- a/balsamspool/programs/agent.py
+++ b/balsamspool/programs/agent.py
@@ -19,3 +19,7 @@
 def main() -> None:
     """Read the command line and run."""
     Fire(run)
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import json
-import os
 import signal
 import socket
 import sys
@@ -27,6 +26,7 @@
 from standins.platform import PlatformStandIn
 
 ADDRESS = "127.0.0.1"
+ROOT = Path(__file__).resolve().parent.parent
 START_SECONDS = 20.0
 STOP_SECONDS = 20.0
 SECRET = "5a" * 32
@@ -205,7 +205,7 @@
         settings = self._settings(listed) | {
             "forwarding": {"listen": listen, "linger_seconds": 1.0}
         }
-        host = await self._launch("balsamspool-entry", listed, settings)
+        host = await self._launch(listed, settings)
         self.entries[host.instance] = host
         if publish:
             await self.publish_list()
@@ -228,7 +228,7 @@
                 "private_key": str(self._key),
             },
         }
-        host = await self._launch("balsamspool-agent", listed, settings)
+        host = await self._launch(listed, settings)
         host.backend_server, host.runner = server, runner
         self.agents[host.instance] = host
         if publish:
@@ -238,8 +238,7 @@
 
     async def restart(self, host: Host) -> None:
         """Start the program of a stopped host again, with the same settings."""
-        program = f"balsamspool-{host.listed['role']}"
-        host.process = await self._start_program(program, host)
+        host.process = await self._start_program(host)
         await self.wait_ready(host)
 
     async def wait_ready(self, host: Host) -> None:
@@ -319,26 +318,26 @@
             "platform": {"addresses": [self.platform_url], "watch_seconds": 5.0},
         }
 
-    async def _launch(
-        self, program: str, listed: dict[str, Any], settings: dict[str, Any]
-    ) -> Host:
+    async def _launch(self, listed: dict[str, Any], settings: dict[str, Any]) -> Host:
         instance = listed["instance"]
         path = self.folder / f"{instance}.json"
         path.write_text(json.dumps(settings, indent=2))
         host = Host(instance, listed, path, self.folder / f"{instance}.log")
-        host.process = await self._start_program(program, host)
+        host.process = await self._start_program(host)
         return host
 
-    async def _start_program(self, program: str, host: Host) -> Process:
-        executable = Path(sys.executable).parent / program
+    async def _start_program(self, host: Host) -> Process:
+        module = f"balsamspool.programs.{host.listed['role']}"
         with host.log_path.open("ab") as log:
             return await asyncio.create_subprocess_exec(
-                str(executable),
+                sys.executable,
+                "-m",
+                module,
                 f"--settings={host.settings_path}",
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                env=os.environ | {"PYTHONUNBUFFERED": "1"},
+                cwd=ROOT,
             )
 
 
