--- a/balsamspool/plugins/mesh/_codec.py
+++ b/balsamspool/plugins/mesh/_codec.py
@@ -1,6 +1,6 @@
 """Encoding of mesh messages.
 
-A frame is: version, key number (one octet each), msgpack of the header and the body, tag
+A frame is: version, key number (one octet each), msgpack of header and body, tag
 of 16 octets. The tag is a keyed BLAKE2s over all that precedes it.
 """
 
