--- a/balsamspool/programs/_runner.py
+++ b/balsamspool/programs/_runner.py
@@ -9,8 +9,8 @@
 from typing import Any, TypeVar
 
 # uvloop bundles a libuv with io_uring code, which the platform does not permit. libuv
-# 1.48 reads this variable when the loop is made. libuv 1.52, in uvloop 0.23, opens a ring
-# whatever the variable says, so uvloop is pinned.
+# 1.48 reads this variable when the loop is made. libuv 1.52, in uvloop 0.23, opens a
+# ring whatever the variable says, so uvloop is pinned.
 os.environ["UV_USE_IO_URING"] = "0"
 
 import uvloop  # noqa: E402
