--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -128,6 +128,8 @@
         self.fabrics: dict[str, Fabric] = {}
         self.addresses: dict[str, tuple[str, int]] = {}
         self.text: dict[str, Any] = {}
+        # Sections that are added to the settings of every program.
+        self.extra_settings: dict[str, Any] = {}
         self._runners: list[web.AppRunner] = []
         self._platform_port = 0
         self._counter = 0
@@ -271,7 +273,7 @@
             return msgspec.json.decode(await answer.read())
 
     async def _start_platform(self, port: int) -> None:
-        self._runners.append(await _serve(self.platform.application(), port))
+        self._runners.append(await serve(self.platform.application(), port))
 
     async def _start_fabric(self, service: str, address: tuple[str, int]) -> None:
         fabric = Fabric(self.entry_addresses(service))
@@ -282,7 +284,7 @@
         self, name: str, port: int
     ) -> BackendServerStandIn | None:
         server = BackendServerStandIn(name)
-        self._runners.append(await _serve(server.application(), port))
+        self._runners.append(await serve(server.application(), port))
         return server
 
     def _first_text(self) -> dict[str, Any]:
@@ -333,7 +335,7 @@
         return {
             "process": process,
             "platform": {"addresses": [self.platform_url], "watch_seconds": 5.0},
-        }
+        } | self.extra_settings
 
     async def _launch(self, listed: dict[str, Any], settings: dict[str, Any]) -> Host:
         instance = listed["instance"]
@@ -365,7 +367,8 @@
         )
 
 
-async def _serve(application: web.Application, port: int) -> web.AppRunner:
+async def serve(application: web.Application, port: int) -> web.AppRunner:
+    """Serve an HTTP application on a port of the loopback address."""
     runner = web.AppRunner(application, shutdown_timeout=0.1)
     await runner.setup()
     await web.TCPSite(runner, ADDRESS, port).start()
@@ -377,6 +380,7 @@
     services: list[ServicePlan],
     entries: int = 2,
     failure_domains: tuple[str, ...] = ("hall-a", "hall-b"),
+    extra_settings: dict[str, Any] | None = None,
 ) -> AsyncIterator[Fleet]:
     """Run a fleet and stop it afterwards.
 
@@ -384,12 +388,14 @@
         services: Services to run.
         entries: Number of entries.
         failure_domains: Names over which instances are spread.
+        extra_settings: Sections that are added to the settings of every program.
 
     Yields:
         The running fleet.
     """
     with tempfile.TemporaryDirectory(prefix="balsamspool-") as folder:
         fleet = Fleet(Path(folder), services, list(failure_domains))
+        fleet.extra_settings = extra_settings or {}
         try:
             await fleet.start(entries)
             yield fleet
