--- a/balsamspool/kernel/keyring.py
+++ b/balsamspool/kernel/keyring.py
@@ -10,6 +10,8 @@
 MAX_KEY_NUMBER = 6
 SECRET_BYTES = 32
 
+_KEY_NUMBERS = frozenset(str(number) for number in range(MAX_KEY_NUMBER + 1))
+
 
 class KeySet(Struct, frozen=True, forbid_unknown_fields=True):
     """Shared secrets as they stand in a text or in settings.
@@ -30,9 +32,10 @@
         keys: The secrets that are in force at the start.
     """
 
-    __slots__ = ("_active", "_derived", "_secrets", "_version")
+    __slots__ = ("_active", "_derived", "_initial", "_secrets", "_version")
 
     def __init__(self, keys: KeySet) -> None:
+        self._initial = _read_secrets(keys)
         self._derived: dict[tuple[int, str], bytes] = {}
         self._version = 0
         self.replace(keys)
@@ -59,10 +62,7 @@
             keys: The secrets, as checked by the configuration or the settings.
         """
         self._active = keys.active
-        self._secrets = {
-            int(number): bytes.fromhex(secret)
-            for number, secret in keys.secrets.items()
-        }
+        self._secrets = _read_secrets(keys)
         self._derived.clear()
         self._version += 1
 
@@ -85,11 +85,36 @@
             secret = self._secrets.get(number)
             if secret is None:
                 raise ResultError(KEY_UNKNOWN, f"key number {number} is not in force")
-            info = f"balsamspool {purpose}".encode()
-            key = HKDF(SHA256(), length, salt=None, info=info).derive(secret)
+            key = _derive(secret, purpose, length)
             self._derived[number, purpose] = key
         return key
 
+    def all_keys(self, purpose: str, length: int = 32) -> list[tuple[int, bytes]]:
+        """Return the keys for a purpose from every secret in force or at the start.
+
+        Only the exchange of the configuration uses these: a process that was started
+        with older keys has no other way to learn the text with the newer ones.
+
+        Args:
+            purpose: Name of the use.
+            length: Length of the keys in bytes.
+
+        Returns:
+            Pairs of key number and key. A number appears twice if its secret in force
+            differs from the one at the start.
+        """
+        secrets = {*self._secrets.items(), *self._initial.items()}
+        return [(n, _derive(secret, purpose, length)) for n, secret in sorted(secrets)]
+
+
+def _read_secrets(keys: KeySet) -> dict[int, bytes]:
+    return {int(n): bytes.fromhex(secret) for n, secret in keys.secrets.items()}
+
+
+def _derive(secret: bytes, purpose: str, length: int) -> bytes:
+    info = f"balsamspool {purpose}".encode()
+    return HKDF(SHA256(), length, salt=None, info=info).derive(secret)
+
 
 def keys_problem(keys: KeySet) -> tuple[str, str] | None:
     """Check a key set.
@@ -101,7 +126,8 @@
         The field and what is wrong with it, or None if the set is valid.
     """
     for number, secret in keys.secrets.items():
-        if not number.isdigit() or int(number) > MAX_KEY_NUMBER:
+        # "01" would be a second name of 1, and int() refuses some Unicode digits.
+        if number not in _KEY_NUMBERS:
             return f"secrets.{number}", f"key number is not 0 to {MAX_KEY_NUMBER}"
         try:
             size = len(bytes.fromhex(secret))
--- a/balsamspool/plugins/configuration/codes.py
+++ b/balsamspool/plugins/configuration/codes.py
@@ -11,3 +11,11 @@
 NO_CONFIGURATION = result_code(
     1103, "no-configuration", "No configuration is in force yet."
 )
+TEXT_TOO_LARGE = result_code(
+    1104, "text-too-large", "The configuration text is larger than one megabyte."
+)
+NUMBER_REUSED = result_code(
+    1105,
+    "number-reused",
+    "The text gives a service number or key number another meaning.",
+)
--- a/balsamspool/plugins/mesh/_codec.py
+++ b/balsamspool/plugins/mesh/_codec.py
@@ -2,6 +2,12 @@
 
 A frame is: version, key number (one octet each), msgpack of header and body, tag
 of 16 octets. The tag is a keyed BLAKE2s over all that precedes it.
+
+A frame that exchanges configuration (message numbers 10 to 19) is: version, number of
+tags, tags of key number and 16 octets, msgpack of header and body. It has a tag for
+every key that the sender knows, from its settings or from the text in force, and one
+that verifies is enough. So processes that were started before and after a rotation of
+keys can exchange the text as long as they share one key.
 """
 
 from hashlib import blake2s
@@ -17,9 +23,12 @@
 from balsamspool.plugins.mesh.message import Message, PeerAddress, number_of, type_of
 
 VERSION = 1
+EXCHANGE_VERSION = 2
+EXCHANGE_NUMBERS = range(10, 20)
 TAG_BYTES = 16
 
 _PURPOSE = "mesh"
+_EXCHANGE_PURPOSE = "configuration"
 _HEAD_BYTES = 2
 
 
@@ -61,8 +70,11 @@
             message_id=self._next_id,
             body=msgspec.Raw(msgspec.msgpack.encode(body)),
         )
+        content = msgspec.msgpack.encode(frame)
+        if frame.number in EXCHANGE_NUMBERS:
+            return self._seal_exchange(content)
         number = self._keyring.active
-        data = bytes((VERSION, number)) + msgspec.msgpack.encode(frame)
+        data = bytes((VERSION, number)) + content
         return data + self._tag(number, data)
 
     def open(self, data: bytes) -> Message | None:
@@ -74,13 +86,13 @@
         Returns:
             The message, or None if the frame is not authentic or not well formed.
         """
-        if len(data) < _HEAD_BYTES + TAG_BYTES or data[0] != VERSION:
-            return None
-        content, tag = data[:-TAG_BYTES], data[-TAG_BYTES:]
         try:
-            if not compare_digest(self._tag(data[1], content), tag):
+            content = self._verified(data)
+            if content is None:
+                return None
+            frame = msgspec.msgpack.decode(content, type=_Frame)
+            if (frame.number in EXCHANGE_NUMBERS) != (data[0] == EXCHANGE_VERSION):
                 return None
-            frame = msgspec.msgpack.decode(content[_HEAD_BYTES:], type=_Frame)
             body_type = type_of(frame.number)
             if body_type is None:
                 return None
@@ -95,6 +107,42 @@
             body=body,
         )
 
+    def _verified(self, data: bytes) -> bytes | None:
+        if len(data) < _HEAD_BYTES + TAG_BYTES:
+            return None
+        match data[0]:
+            case 1:
+                content, tag = data[:-TAG_BYTES], data[-TAG_BYTES:]
+                genuine = compare_digest(self._tag(data[1], content), tag)
+                return content[_HEAD_BYTES:] if genuine else None
+            case 2:
+                return self._verified_exchange(data)
+            case _:
+                return None
+
+    def _seal_exchange(self, content: bytes) -> bytes:
+        tags = self._exchange_tags(content)
+        return bytes((EXCHANGE_VERSION, len(tags))) + b"".join(tags) + content
+
+    def _verified_exchange(self, data: bytes) -> bytes | None:
+        size = 1 + TAG_BYTES
+        end = _HEAD_BYTES + data[1] * size
+        content = data[end:]
+        known = self._exchange_tags(content)
+        for start in range(_HEAD_BYTES, end, size):
+            tag = data[start : start + size]
+            if any(compare_digest(tag, other) for other in known):
+                return content
+        return None
+
+    def _exchange_tags(self, content: bytes) -> list[bytes]:
+        # The tags cover a hash, so a large text is read once, not once for each key.
+        digest = blake2s(content).digest()
+        return [
+            bytes((number,)) + blake2s(digest, digest_size=TAG_BYTES, key=key).digest()
+            for number, key in self._keyring.all_keys(_EXCHANGE_PURPOSE)
+        ]
+
     def _tag(self, number: int, data: bytes) -> bytes:
         key = self._keyring.key(number, _PURPOSE)
         return blake2s(data, digest_size=TAG_BYTES, key=key).digest()
