Exchange the text between peers, spread platform calls, hold leaving signals

Cause: text and list came from the platform alone, 4,740 readers called it at once after a start, change or outage, and a leaving signal lapsed after 3 s. Change: peers offer, request and reply text and list; every call waits for a window that is sized for the fleet; a leaving signal holds until an incarnation or the list contradicts it; texts that a subscriber cannot apply are taken back.

--- a/balsamspool/plugins/configuration/checker.py
+++ b/balsamspool/plugins/configuration/checker.py
@@ -98,12 +98,36 @@
     try:
         document = msgspec.convert(raw, Text)
     except msgspec.ValidationError as error:
-        raise _located(text, raw, _type_problem(raw, str(error))) from error
+        problem = _type_problem(raw, str(error))
+        raise located_error(text, raw, problem) from error
     for problem in _problems(document):
-        raise _located(text, raw, problem)
+        raise located_error(text, raw, problem)
     return document
 
 
+def located_error(
+    text: str, raw: Any, problem: Problem, code: ResultCode = TEXT_INVALID
+) -> TextError:
+    """Return the error for a problem, with line and value.
+
+    Args:
+        text: Valid JSON text.
+        raw: The decoded text, as plain values.
+        problem: What is wrong.
+        code: Result code of the error.
+    """
+    value = raw
+    for step in problem.path:
+        try:
+            value = value[step]
+        except (KeyError, IndexError, TypeError):
+            value = None
+            break
+    shown = "" if _is_secret(problem.path) else _shown(value)
+    line = line_of(text, problem.path)
+    return TextError(code, line, dotted(problem.path), shown, problem.reason)
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Split ``IPv4:port``.
 
@@ -151,19 +175,6 @@
         raise TextError(TEXT_MALFORMED, 1, "", "", str(error)) from error
 
 
-def _located(text: str, raw: Any, problem: Problem) -> TextError:
-    value = raw
-    for step in problem.path:
-        try:
-            value = value[step]
-        except (KeyError, IndexError, TypeError):
-            value = None
-            break
-    shown = "" if _is_secret(problem.path) else _shown(value)
-    line = line_of(text, problem.path)
-    return TextError(TEXT_INVALID, line, dotted(problem.path), shown, problem.reason)
-
-
 def _is_secret(path: Path) -> bool:
     # An error is logged and shown in status, where a secret must not appear.
     return path[:2] == ("keys", "secrets") or path == ("keys",)
--- a/balsamspool/plugins/configuration/compare.py
+++ b/balsamspool/plugins/configuration/compare.py
@@ -68,7 +68,11 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyReplaced:
-    """A key number has another secret, so processes would reject each other."""
+    """A key number has another secret, so flows that use it break.
+
+    Not refused: a process that missed some revisions would take a number that was
+    freed and used again for this, and could never move on.
+    """
 
     number: int
 
@@ -156,8 +160,6 @@
             return f"service {service!r} moves from number {before} to {after}"
         case NumberReused(number, before, after):
             return f"number {number} changes from service {before!r} to {after!r}"
-        case KeyReplaced(number):
-            return f"key number {number} has another secret"
         case _:
             return None
 
--- a/balsamspool/plugins/configuration/events.py
+++ b/balsamspool/plugins/configuration/events.py
@@ -19,3 +19,21 @@
     logging.ERROR,
     "An invalid text was refused; the last valid one stays in force.",
 )
+CONFIGURATION_CONFLICT = log_event(
+    1104,
+    "configuration-conflict",
+    logging.ERROR,
+    "A different text with the revision in force was ignored.",
+)
+CONFIGURATION_REVERTED = log_event(
+    1105,
+    "configuration-reverted",
+    logging.ERROR,
+    "A part of the process could not apply a text; the last one is in force again.",
+)
+RESTORE_FAILED = log_event(
+    1106,
+    "configuration-restore-failed",
+    logging.ERROR,
+    "A part of the process could not go back to the last text.",
+)
--- /dev/null
+++ b/balsamspool/plugins/configuration/peers.py
@@ -0,0 +1,98 @@
+"""The peers with which a process exchanges text."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from balsamspool.plugins.mesh import PeerAddress
+
+FANOUT = 6
+
+
+@dataclass(frozen=True, slots=True)
+class ListedPeer:
+    """A process that the instance list names.
+
+    Attributes:
+        address: Where its mesh socket listens.
+        failure_domain: Its failure domain.
+    """
+
+    address: PeerAddress
+    failure_domain: str
+
+
+class PeerSample:
+    """Keeps a small random sample of the fleet.
+
+    The sample changes only when a member leaves the list, because each new peer costs a
+    connection. Half of it is in the own failure domain, so a process that is cut off
+    together with its domain still has peers.
+
+    Args:
+        own: Where the mesh socket of this process listens.
+        failure_domain: Failure domain of this process.
+        seeds: Peers from the settings, used while the list names too few.
+        rng: Source of randomness.
+    """
+
+    __slots__ = ("_failure_domain", "_listed", "_own", "_rng", "_sample", "_seeds")
+
+    def __init__(
+        self,
+        own: PeerAddress,
+        failure_domain: str,
+        seeds: Iterable[PeerAddress],
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._failure_domain = failure_domain
+        self._seeds = [seed for seed in seeds if seed != own]
+        self._rng = rng
+        self._listed: dict[PeerAddress, str] = {}
+        self._sample: list[PeerAddress] = []
+        self._fill()
+
+    @property
+    def members(self) -> tuple[PeerAddress, ...]:
+        """The peers of the sample."""
+        return tuple(self._sample)
+
+    def learn(self, peers: Iterable[ListedPeer]) -> None:
+        """Replace what is known of the fleet.
+
+        Args:
+            peers: All listed processes.
+        """
+        self._listed = {
+            peer.address: peer.failure_domain
+            for peer in peers
+            if peer.address != self._own
+        }
+        self._fill()
+
+    def _fill(self) -> None:
+        kept = [peer for peer in self._sample if peer in self._listed]
+        near = self._candidates(kept, own_domain=True)
+        far = self._candidates(kept, own_domain=False)
+        near_count = sum(self._is_near(peer) for peer in kept)
+        kept += near[: max(0, FANOUT // 2 - near_count)]
+        rest = [*far, *near[max(0, FANOUT // 2 - near_count) :]]
+        kept += rest[: max(0, FANOUT - len(kept))]
+        seeds = [seed for seed in self._seeds if seed not in kept]
+        self._rng.shuffle(seeds)
+        self._sample = kept + seeds[: max(0, FANOUT - len(kept))]
+
+    def _candidates(
+        self, kept: list[PeerAddress], *, own_domain: bool
+    ) -> list[PeerAddress]:
+        found = [
+            peer
+            for peer in self._listed
+            if self._is_near(peer) is own_domain and peer not in kept
+        ]
+        self._rng.shuffle(found)
+        return found
+
+    def _is_near(self, peer: PeerAddress) -> bool:
+        return self._listed[peer] == self._failure_domain
--- a/balsamspool/plugins/configuration/store.py
+++ b/balsamspool/plugins/configuration/store.py
@@ -2,8 +2,15 @@
 
 from dataclasses import dataclass
 
+import msgspec
+
 from balsamspool.kernel.errors import ResultError
-from balsamspool.plugins.configuration.checker import check_text
+from balsamspool.plugins.configuration.checker import (
+    Problem,
+    check_text,
+    located_error,
+)
+from balsamspool.plugins.configuration.codes import NUMBER_REUSED
 from balsamspool.plugins.configuration.digest import text_digest
 from balsamspool.plugins.configuration.text import Text
 
@@ -27,14 +34,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
-    """The offered text is now in force."""
+    """The offered text is now in force.
+
+    Attributes:
+        configuration: The new configuration.
+        previous: The configuration before, None for the first one.
+    """
 
     configuration: Configuration
+    previous: Configuration | None
 
 
 @dataclass(frozen=True, slots=True)
 class Known:
-    """The offered revision is the one in force."""
+    """The offered text is in force, or was refused before."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,30 +61,49 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """The offered text differs from the one in force but has the same revision.
+
+    Attributes:
+        revision: The offered revision.
+        digest: Digest of the offered text.
+    """
+
+    revision: int
+    digest: str
+
+
 @dataclass(frozen=True, slots=True)
 class Invalid:
     """The offered text is not valid.
 
     Attributes:
         revision: The offered revision.
+        digest: Digest of the offered text.
         detail: What is wrong.
     """
 
     revision: int
+    digest: str
     detail: str
 
 
-OfferResult = Accepted | Known | Stale | Invalid
+OfferResult = Accepted | Known | Stale | Conflict | Invalid
 
 
 class ConfigurationStore:
     """Holds the configuration in force and refuses to go back."""
 
-    __slots__ = ("_current", "_rejected")
+    __slots__ = ("_current", "_names", "_numbers", "_rejected")
 
     def __init__(self) -> None:
         self._current: Configuration | None = None
         self._rejected: Invalid | None = None
+        # Every meaning that was in force since the start. A removed service keeps its
+        # number, because packets with an old token may still be on their way.
+        self._names: dict[int, str] = {}
+        self._numbers: dict[str, int] = {}
 
     @property
     def current(self) -> Configuration | None:
@@ -104,20 +136,64 @@
         Returns:
             What was done with the text.
         """
-        if revision < self.revision:
+        if revision < max(1, self.revision):
             return Stale(revision)
-        if revision == self.revision:
+        digest = text_digest(text)
+        if self._current is not None and revision == self.revision:
+            known = digest == self._current.digest
+            return Known() if known else Conflict(revision, digest)
+        if self._is_refused(revision, digest):
             return Known()
-        if self._rejected is not None and revision == self._rejected.revision:
-            return self._rejected
         try:
             document = check_text(text)
+            self._check_numbers(text, document)
         except ResultError as error:
-            invalid = Invalid(revision, error.detail)
-            if revision > self.seen_revision:
-                self._rejected = invalid
-            return invalid
-        self._current = Configuration(revision, text, text_digest(text), document)
-        if self._rejected is not None and self._rejected.revision < revision:
+            return self._refuse(Invalid(revision, digest, str(error)))
+        previous = self._current
+        self._current = Configuration(revision, text, digest, document)
+        if self._rejected is not None and self._rejected.revision <= revision:
             self._rejected = None
-        return Accepted(self._current)
+        return Accepted(self._current, previous)
+
+    def confirm(self, configuration: Configuration) -> None:
+        """Record that every part of the process has applied a configuration."""
+        for name, service in configuration.document.services.items():
+            self._names[service.number] = name
+            self._numbers[name] = service.number
+
+    def revert(self, accepted: Accepted, detail: str) -> None:
+        """Go back to the previous configuration before the new one was in use.
+
+        Args:
+            accepted: The configuration that could not be applied.
+            detail: Why it could not be applied.
+        """
+        failed = accepted.configuration
+        self._current = accepted.previous
+        self._refuse(Invalid(failed.revision, failed.digest, detail))
+
+    def _is_refused(self, revision: int, digest: str) -> bool:
+        refused = self._rejected
+        return refused is not None and (revision, digest) == (
+            refused.revision,
+            refused.digest,
+        )
+
+    def _refuse(self, invalid: Invalid) -> Invalid:
+        if invalid.revision >= self.seen_revision:
+            self._rejected = invalid
+        return invalid
+
+    def _check_numbers(self, text: str, document: Text) -> None:
+        for name, service in document.services.items():
+            meaning = self._names.get(service.number, name)
+            number = self._numbers.get(name, service.number)
+            if meaning != name:
+                reason = f"the number means service {meaning!r} in an earlier revision"
+            elif number != service.number:
+                reason = f"the service has number {number} in an earlier revision"
+            else:
+                continue
+            problem = Problem(("services", name, "number"), reason)
+            raw = msgspec.json.decode(text)
+            raise located_error(text, raw, problem, NUMBER_REUSED)
--- a/balsamspool/plugins/membership/instance.py
+++ b/balsamspool/plugins/membership/instance.py
@@ -1,10 +1,12 @@
 """An instance of the fleet as the platform lists it."""
 
+import ipaddress
 from enum import Enum
 
 from msgspec import Struct
 
 from balsamspool.kernel.identity import Role
+from balsamspool.kernel.settings import Name, Port
 
 
 class ListedState(Enum):
@@ -29,12 +31,27 @@
         service: Name of the service, agents only.
     """
 
-    instance: str
+    instance: Name
     role: Role
     state: ListedState
-    failure_domain: str
+    failure_domain: Name
     address: str
-    data_port: int
-    peer_port: int
-    admin_port: int
-    service: str | None = None
+    data_port: Port
+    peer_port: Port
+    admin_port: Port
+    service: Name | None = None
+
+    @property
+    def endpoint(self) -> tuple[str, int]:
+        """Address and port for datagrams."""
+        return self.address, self.data_port
+
+    def problem(self) -> str | None:
+        """Return what is wrong with the record, or None."""
+        try:
+            ipaddress.IPv4Address(self.address)
+        except ValueError:
+            return f"address {self.address!r} is not an IPv4 address"
+        if self.role is Role.AGENT and self.service is None:
+            return "an agent without a service"
+        return None
--- /dev/null
+++ b/balsamspool/plugins/membership/listing.py
@@ -0,0 +1,79 @@
+"""Reads the platform's instance list."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from balsamspool.plugins.membership.instance import Instance
+
+# Twice the growth target of 4,740 instances.
+MAX_INSTANCES = 10_000
+MAX_LIST_BYTES = 2_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """A list that can be used.
+
+    Attributes:
+        instances: Valid records by name of the instance.
+        faults: What is wrong with each record that was left out.
+    """
+
+    instances: dict[str, Instance]
+    faults: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """A list of which nothing can be used.
+
+    Attributes:
+        detail: What is wrong.
+    """
+
+    detail: str
+
+
+def read_list(text: str) -> Listing | Unreadable:
+    """Read an instance list.
+
+    A wrong record is left out and does not hold back the others: otherwise one faulty
+    host could freeze the view of the whole fleet.
+
+    Args:
+        text: JSON array of records.
+
+    Returns:
+        The usable records, or why there are none.
+    """
+    if len(text) > MAX_LIST_BYTES:
+        return Unreadable(f"{len(text)} characters are more than {MAX_LIST_BYTES}")
+    try:
+        records = msgspec.json.decode(text, type=list[msgspec.Raw])
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        return Unreadable(str(error))
+    if len(records) > MAX_INSTANCES:
+        return Unreadable(f"{len(records)} records are more than {MAX_INSTANCES}")
+    instances: dict[str, Instance] = {}
+    endpoints: set[tuple[str, int]] = set()
+    faults: list[str] = []
+    for index, record in enumerate(records):
+        try:
+            instance = msgspec.json.decode(record, type=Instance)
+        except msgspec.DecodeError as error:
+            faults.append(f"record {index}: {error}")
+            continue
+        fault = instance.problem()
+        if instance.instance in instances:
+            fault = f"instance {instance.instance!r} is listed twice"
+        elif instance.endpoint in endpoints:
+            fault = f"{instance.address}:{instance.data_port} is listed twice"
+        if fault is not None:
+            faults.append(f"record {index}: {fault}")
+            continue
+        instances[instance.instance] = instance
+        endpoints.add(instance.endpoint)
+    if records and not instances:
+        return Unreadable(f"no record is valid; {faults[0]}")
+    return Listing(instances, tuple(faults))
--- a/balsamspool/plugins/membership/plugin.py
+++ b/balsamspool/plugins/membership/plugin.py
@@ -2,17 +2,35 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable
 
-import msgspec
+from prometheus_client import Counter
 
+from balsamspool.kernel.clock import now
 from balsamspool.kernel.identity import Role
 from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.kernel.registry import Plugin, register
-from balsamspool.plugins.configuration import ConfigurationPlugin
-from balsamspool.plugins.membership.events import LIST_INVALID, LIST_STALE
-from balsamspool.plugins.membership.instance import Instance, ListedState
-from balsamspool.plugins.membership.signals import Signal, SignalBoard, SignalState
+from balsamspool.plugins.configuration import Configuration, ConfigurationPlugin
+from balsamspool.plugins.configuration.digest import text_digest
+from balsamspool.plugins.configuration.exchange import Exchange, Holding, MessageTypes
+from balsamspool.plugins.configuration.peers import ListedPeer
+from balsamspool.plugins.membership.events import (
+    LIST_CONFLICT,
+    LIST_INVALID,
+    LIST_STALE,
+    RECORDS_LEFT_OUT,
+)
+from balsamspool.plugins.membership.instance import Instance
+from balsamspool.plugins.membership.listing import Listing, Unreadable, read_list
+from balsamspool.plugins.membership.messages import (
+    InstanceListOffer,
+    InstanceListReply,
+    InstanceListRequest,
+)
+from balsamspool.plugins.membership.signals import Signal
+from balsamspool.plugins.membership.view import View
+from balsamspool.plugins.mesh import MeshPlugin, PeerAddress
 from balsamspool.plugins.platform import PlatformPlugin, PlatformValue
 
 _logger = logging.getLogger(__name__)
@@ -23,7 +41,7 @@
 @register(
     "membership",
     roles=[Role.ENTRY, Role.AGENT],
-    requires=["platform", "configuration"],
+    requires=["platform", "configuration", "mesh"],
 )
 class MembershipPlugin(Plugin):
     """Combines the platform's list with direct signals.
@@ -34,11 +52,29 @@
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
-        self._revision = 0
-        self._instances: dict[str, Instance] = {}
-        self._board = SignalBoard()
+        self._view = View()
+        self._holding = Holding(0, "")
+        self._text = ""
+        self._taken_at = 0.0
+        self._faults: tuple[str, ...] = ()
+        self._last_conflict: tuple[int, str] | None = None
         self._subscribers: list[Callable[[], None]] = []
         self._ready = asyncio.Event()
+        self._platform = kernel.plugin(PlatformPlugin)
+        self._configuration = kernel.plugin(ConfigurationPlugin)
+        self._exchange = Exchange(
+            kernel.plugin(MeshPlugin),
+            MessageTypes(InstanceListOffer, InstanceListRequest, InstanceListReply),
+            self._configuration.peers,
+            self,
+            random.Random(),
+        )
+        self._ignored = Counter(
+            "balsamspool_membership_ignored_lists",
+            "Instance lists that were not taken over",
+            ["reason"],
+            registry=kernel.metrics,
+        )
 
     @property
     def ready(self) -> bool:
@@ -48,70 +84,141 @@
     @property
     def instances(self) -> list[Instance]:
         """All listed instances."""
-        return list(self._instances.values())
+        return self._view.instances
 
     async def start(self) -> None:
-        """Watch the platform."""
-        platform = self._kernel.plugin(PlatformPlugin)
-        platform.watch(VALUE_NAME, lambda: self._revision, self._on_value)
+        """Ask peers, then watch the platform."""
+        self._configuration.subscribe(self._on_configuration)
+        self._kernel.spawn(self._run(), "instance list exchange")
 
     def status(self) -> dict[str, object]:
-        """Return the revision of the list and the number of instances."""
-        return {"revision": self._revision, "instances": len(self._instances)}
+        """Return revision and age of the list and what is wrong with it."""
+        return {
+            "revision": self._holding.revision,
+            "digest": self._holding.digest,
+            "revision_age_seconds": round(now() - self._taken_at, 1)
+            if self._holding.revision
+            else None,
+            "instances": len(self._view.instances),
+            "faults": list(self._faults[:5]),
+            "refused_revision": self._holding.refused[0] or None,
+        }
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call a function after each change of the list."""
         self._subscribers.append(callback)
 
-    def note(self, address: str, data_port: int, signal: Signal) -> None:
-        """Record what the instance at an address said of itself."""
-        self._board.note(address, data_port, signal)
+    def note(
+        self, address: str, data_port: int, signal: Signal, incarnation: bytes = b""
+    ) -> None:
+        """Record what the instance at an address said of itself.
+
+        Args:
+            address: IPv4 address of the instance.
+            data_port: UDP port of the instance.
+            signal: What it said.
+            incarnation: Its incarnation, empty if the message did not carry one.
+        """
+        self._view.note(address, data_port, signal, incarnation)
 
     def hosts(self, service: str) -> list[Instance]:
         """Return the agents of a service that may take new work."""
-        return [
-            instance
-            for instance in self._instances.values()
-            if instance.role is Role.AGENT
-            and instance.service == service
-            and self.accepts(instance)
-        ]
+        return self._view.accepting(Role.AGENT, service)
 
     def entries(self) -> list[Instance]:
         """Return the entries that may carry return datagrams."""
-        return [
-            instance
-            for instance in self._instances.values()
-            if instance.role is Role.ENTRY and self.accepts(instance)
-        ]
+        return self._view.accepting(Role.ENTRY)
 
     def accepts(self, instance: Instance) -> bool:
         """Return whether an instance takes new work, as far as is known."""
-        configuration = self._kernel.plugin(ConfigurationPlugin)
-        if configuration.ready:
-            draining = configuration.current.document.draining_hosts
-            if instance.instance in draining:
-                return False
-        if instance.state is ListedState.LEAVING:
-            return False
-        signal = self._board.latest(instance.address, instance.data_port)
-        return signal is None or signal.state is SignalState.ACCEPTING
+        return self._view.accepts(instance)
 
     def signal(self, instance: Instance) -> Signal | None:
         """Return the latest signal of an instance, or None."""
-        return self._board.latest(instance.address, instance.data_port)
-
-    def _on_value(self, value: PlatformValue) -> None:
-        if value.revision < self._revision:
-            LIST_STALE.log(_logger, offered=value.revision, known=self._revision)
+        return self._view.signal(instance)
+
+    def holding(self) -> Holding:
+        """Return what this process has of the list."""
+        return self._holding
+
+    def held_text(self) -> str:
+        """Return the list as the platform published it."""
+        return self._text
+
+    def wants_text(self) -> bool:
+        """Return whether the platform does not bring the list.
+
+        The list of 4,740 instances is about a megabyte and changes 700 times a day. To
+        take it from peers as well would double what it costs.
+        """
+        return not self._platform.reachable(VALUE_NAME)
+
+    def receive(self, revision: int, text: str) -> None:
+        """Take over a list if it is newer and can be read.
+
+        Args:
+            revision: Revision given by the platform.
+            text: The list.
+        """
+        holding = self._holding
+        digest = text_digest(text)
+        if revision < max(1, holding.revision):
+            self._ignored.labels("stale").inc()
+            LIST_STALE.log(_logger, offered=revision, known=holding.revision)
             return
-        try:
-            instances = msgspec.json.decode(value.value, type=list[Instance])
-        except msgspec.DecodeError as error:
-            LIST_INVALID.log(_logger, revision=value.revision, detail=str(error))
+        if revision == holding.revision:
+            if digest != holding.digest:
+                self.note_conflict(revision, digest)
             return
-        self._revision = value.revision
-        self._instances = {instance.instance: instance for instance in instances}
+        if (revision, digest) == holding.refused:
+            return
+        match read_list(text):
+            case Unreadable(detail):
+                self._ignored.labels("invalid").inc()
+                LIST_INVALID.log(_logger, revision=revision, detail=detail)
+                refused = max(holding.refused, (revision, digest))
+                self._holding = Holding(holding.revision, holding.digest, refused)
+            case Listing(instances, faults):
+                self._text = text
+                self._holding = Holding(revision, digest)
+                self._take_over(instances, faults)
+
+    def note_conflict(self, revision: int, digest: str) -> None:
+        """Count a different list with the known revision, and log a new one."""
+        self._ignored.labels("conflict").inc()
+        if self._last_conflict != (revision, digest):
+            self._last_conflict = (revision, digest)
+            LIST_CONFLICT.log(_logger, revision=revision, digest=digest)
+
+    async def _run(self) -> None:
+        await self._exchange.ask()
+        self._platform.watch(VALUE_NAME, self._seen_revision, self._on_value)
+        await self._exchange.run(lambda: self._kernel.pauses)
+
+    def _seen_revision(self) -> int:
+        return max(self._holding.revision, self._holding.refused[0])
+
+    def _on_value(self, value: PlatformValue) -> None:
+        self.receive(value.revision, value.value)
+
+    def _take_over(
+        self, instances: dict[str, Instance], faults: tuple[str, ...]
+    ) -> None:
+        self._taken_at = now()
+        self._faults = faults
+        if faults:
+            RECORDS_LEFT_OUT.log(_logger, count=len(faults), first=faults[0])
+        self._view.replace(instances)
+        self._platform.learn_readers(len(instances))
+        self._configuration.learn_peers(
+            ListedPeer(PeerAddress(i.address, i.peer_port), i.failure_domain)
+            for i in instances.values()
+        )
         self._ready.set()
         for callback in self._subscribers:
             callback()
+        if self.wants_text():
+            self._exchange.announce()
+
+    def _on_configuration(self, configuration: Configuration) -> None:
+        self._view.drain(configuration.document.draining_hosts)
--- a/balsamspool/plugins/membership/signals.py
+++ b/balsamspool/plugins/membership/signals.py
@@ -7,6 +7,12 @@
 
 # Signals arrive at least once a second where there is traffic.
 SIGNAL_LIFETIME_SECONDS = 3.0
+# A datagram sent before the leaving one can arrive after it, but not this much later.
+REORDER_SECONDS = 3.0
+# Four times the growth target of 4,740 instances, for addresses that were replaced.
+MAX_SIGNALS = 20_000
+
+Endpoint = tuple[str, int]
 
 
 class SignalState(Enum):
@@ -29,21 +35,66 @@
     load: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Noted:
+    signal: Signal
+    incarnation: bytes
+    at: float
+
+
 class SignalBoard:
-    """Keeps the newest signal of each instance for a short time."""
+    """Keeps the newest signal of each instance.
+
+    A signal counts for a short time, except that ``leaving`` holds until a later
+    incarnation or the list contradicts it, because no process returns from leaving.
+    """
 
     __slots__ = ("_signals",)
 
     def __init__(self) -> None:
-        self._signals: dict[tuple[str, int], tuple[Signal, float]] = {}
-
-    def note(self, address: str, data_port: int, signal: Signal) -> None:
-        """Record a signal of the instance at an address."""
-        self._signals[address, data_port] = (signal, now())
+        self._signals: dict[Endpoint, _Noted] = {}
+
+    def note(
+        self, address: str, data_port: int, signal: Signal, incarnation: bytes = b""
+    ) -> None:
+        """Record a signal of the instance at an address.
+
+        Args:
+            address: IPv4 address of the instance.
+            data_port: UDP port of the instance.
+            signal: What it said.
+            incarnation: Its incarnation, empty if the message did not carry one.
+        """
+        endpoint = (address, data_port)
+        before = self._signals.get(endpoint)
+        if before is not None and _outdated(before, signal, incarnation):
+            return
+        # Moved to the end, so that the first entry is the one not heard of for longest.
+        self._signals.pop(endpoint, None)
+        self._signals[endpoint] = _Noted(signal, incarnation, now())
+        if len(self._signals) > MAX_SIGNALS:
+            del self._signals[next(iter(self._signals))]
 
     def latest(self, address: str, data_port: int) -> Signal | None:
         """Return the signal of an instance unless it is too old."""
-        found = self._signals.get((address, data_port))
-        if found is None or now() - found[1] > SIGNAL_LIFETIME_SECONDS:
+        noted = self._signals.get((address, data_port))
+        if noted is None:
             return None
-        return found[0]
+        if noted.signal.state is SignalState.LEAVING:
+            return noted.signal
+        fresh = now() - noted.at <= SIGNAL_LIFETIME_SECONDS
+        return noted.signal if fresh else None
+
+    def forget(self, address: str, data_port: int) -> None:
+        """Drop the signal of an address, which now belongs to another process."""
+        self._signals.pop((address, data_port), None)
+
+
+def _outdated(before: _Noted, signal: Signal, incarnation: bytes) -> bool:
+    left = before.signal.state is SignalState.LEAVING
+    if not left or signal.state is SignalState.LEAVING:
+        return False
+    if incarnation and before.incarnation:
+        return incarnation == before.incarnation
+    # Without an incarnation only time tells a late datagram from a new process.
+    return now() - before.at <= REORDER_SECONDS
--- /dev/null
+++ b/balsamspool/plugins/membership/view.py
@@ -0,0 +1,92 @@
+"""The view of the fleet: the platform's list and direct signals."""
+
+from collections.abc import Collection
+
+from balsamspool.kernel.identity import Role
+from balsamspool.plugins.membership.instance import Instance, ListedState
+from balsamspool.plugins.membership.signals import Signal, SignalBoard, SignalState
+
+
+class View:
+    """Decides which instances take new work.
+
+    It only decides about new work. An instance whose record vanished, or that is
+    leaving, is still reached by flows whose token names it.
+    """
+
+    __slots__ = ("_board", "_draining", "_gone", "_instances")
+
+    def __init__(self) -> None:
+        self._board = SignalBoard()
+        self._instances: dict[str, Instance] = {}
+        # Leaving signals whose record was absent or leaving in a later list. If such a
+        # record is live again, the list speaks of a new process.
+        self._gone: set[tuple[str, int]] = set()
+        self._draining: frozenset[str] = frozenset()
+
+    @property
+    def instances(self) -> list[Instance]:
+        """All listed instances."""
+        return list(self._instances.values())
+
+    def drain(self, hosts: Collection[str]) -> None:
+        """Set the instances that the configuration text takes out of use."""
+        self._draining = frozenset(hosts)
+
+    def replace(self, instances: dict[str, Instance]) -> None:
+        """Take over a newer list.
+
+        Args:
+            instances: Records by name of the instance.
+        """
+        before = {i.endpoint: i for i in self._instances.values()}
+        after = {i.endpoint: i for i in instances.values()}
+        for endpoint in before.keys() | after.keys():
+            old, new = before.get(endpoint), after.get(endpoint)
+            if new is None or new.state is ListedState.LEAVING:
+                if self._has_left(endpoint):
+                    self._gone.add(endpoint)
+            elif endpoint in self._gone or (
+                old is not None and old.instance != new.instance
+            ):
+                self._board.forget(*endpoint)
+                self._gone.discard(endpoint)
+        # A signal that is no longer held needs no mark.
+        self._gone = {endpoint for endpoint in self._gone if self._has_left(endpoint)}
+        self._instances = instances
+
+    def note(
+        self, address: str, data_port: int, signal: Signal, incarnation: bytes = b""
+    ) -> None:
+        """Record what the instance at an address said of itself."""
+        self._board.note(address, data_port, signal, incarnation)
+
+    def signal(self, instance: Instance) -> Signal | None:
+        """Return the latest signal of an instance, or None."""
+        return self._board.latest(*instance.endpoint)
+
+    def accepting(self, role: Role, service: str | None = None) -> list[Instance]:
+        """Return the instances of a role, and of a service, that take new work."""
+        return [
+            instance
+            for instance in self._instances.values()
+            if instance.role is role
+            and instance.service == service
+            and self.accepts(instance)
+        ]
+
+    def accepts(self, instance: Instance) -> bool:
+        """Return whether an instance takes new work, as far as is known."""
+        if instance.instance in self._draining:
+            return False
+        match self._board.latest(*instance.endpoint):
+            case Signal(SignalState.LEAVING):
+                return False
+            case Signal(SignalState.ACCEPTING):
+                return True
+            case _:
+                return instance.state is ListedState.LIVE
+
+    def _has_left(self, endpoint: tuple[str, int]) -> bool:
+        signal = self._board.latest(*endpoint)
+        return signal is not None and signal.state is SignalState.LEAVING
--- a/balsamspool/plugins/platform/client.py
+++ b/balsamspool/plugins/platform/client.py
@@ -16,6 +16,8 @@
 MAX_ANSWER_BYTES = 2 * 1024 * 1024 + 1024
 # Added to the wait of a watch, for the way there and back.
 ANSWER_MARGIN_SECONDS = 3.0
+# An address that does not even connect must not hold up the change to the next one.
+CONNECT_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +75,9 @@
                 answer cannot be read.
         """
         url = f"{self._address}/values/{name}?after={after}&wait={wait:.2f}"
-        timeout = ClientTimeout(total=wait + ANSWER_MARGIN_SECONDS)
+        timeout = ClientTimeout(
+            total=wait + ANSWER_MARGIN_SECONDS, sock_connect=CONNECT_SECONDS
+        )
         try:
             async with self._session.get(url, timeout=timeout) as response:
                 if response.status == 204:
--- a/balsamspool/plugins/platform/events.py
+++ b/balsamspool/plugins/platform/events.py
@@ -16,3 +16,9 @@
     logging.INFO,
     "A watch on the platform works again.",
 )
+PLATFORM_STALE = log_event(
+    2203,
+    "platform-stale",
+    logging.WARNING,
+    "The platform answered a watch with a revision that this process cannot use.",
+)
--- a/balsamspool/plugins/platform/plugin.py
+++ b/balsamspool/plugins/platform/plugin.py
@@ -1,34 +1,36 @@
 """Plug-in that watches published values, one task for each value."""
 
-import asyncio
 import logging
 import random
-from collections.abc import Callable
 from typing import Annotated
 
 from aiohttp import ClientSession
 from msgspec import Meta
+from prometheus_client import Counter
 
-from balsamspool.kernel.backoff import Backoff
-from balsamspool.kernel.errors import ResultError
 from balsamspool.kernel.identity import Role
 from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.kernel.settings import Section
-from balsamspool.plugins.platform.client import (
-    PlatformClient,
-    PlatformValue,
-    Unchanged,
+from balsamspool.plugins.platform.client import PlatformClient
+from balsamspool.plugins.platform.events import (
+    PLATFORM_STALE,
+    WATCH_FAILED,
+    WATCH_RESTORED,
+)
+from balsamspool.plugins.platform.pace import Pace
+from balsamspool.plugins.platform.watcher import (
+    Failed,
+    KnownRevision,
+    OnValue,
+    Reached,
+    Unusable,
+    Watcher,
+    WatchReport,
 )
-from balsamspool.plugins.platform.events import WATCH_FAILED, WATCH_RESTORED
 
 _logger = logging.getLogger(__name__)
 
-FIRST_RETRY_SECONDS = 0.5
-RETRY_LIMIT_SECONDS = 5.0
-
-OnValue = Callable[[PlatformValue], None]
-
 
 class PlatformSettings(Section, frozen=True):
     """Settings of the platform plug-in.
@@ -36,10 +38,13 @@
     Attributes:
         addresses: Base URLs of the platform's configuration service.
         watch_seconds: Longest wait of one watch in seconds.
+        readers: Processes that read the platform, until the instance list tells. Calls
+            are spread so that so many processes stay below the platform's limit.
     """
 
     addresses: Annotated[list[str], Meta(min_length=1)]
     watch_seconds: Annotated[float, Meta(gt=0, le=300)] = 25.0
+    readers: Annotated[int, Meta(ge=1, le=100_000)] = 200
 
 
 @register("platform", roles=[Role.ENTRY, Role.AGENT])
@@ -56,7 +61,14 @@
         super().__init__(kernel)
         self._settings: PlatformSettings = kernel.settings.section("platform")
         self._session: ClientSession | None = None
+        self._pace = Pace(self._settings.readers, random.Random())
         self._reachable: dict[str, bool] = {}
+        self._watches = Counter(
+            "balsamspool_platform_watches",
+            "Watches that ended",
+            ["value", "result"],
+            registry=kernel.metrics,
+        )
 
     async def start(self) -> None:
         """Open the HTTP session."""
@@ -69,10 +81,22 @@
 
     def status(self) -> dict[str, object]:
         """Return whether the last watch of each value succeeded."""
-        return {"reachable": dict(self._reachable)}
+        return {"reachable": dict(self._reachable), "readers": self._pace.readers}
+
+    def reachable(self, name: str) -> bool:
+        """Return whether the last watch of a value succeeded."""
+        return self._reachable.get(name, False)
+
+    def learn_readers(self, count: int) -> None:
+        """Set the number of processes that read the platform.
+
+        Args:
+            count: Number of listed instances.
+        """
+        self._pace.readers = max(count, self._settings.readers)
 
     def watch(
-        self, name: str, known_revision: Callable[[], int], on_value: OnValue
+        self, name: str, known_revision: KnownRevision, on_value: OnValue
     ) -> None:
         """Start the task that watches a value.
 
@@ -81,44 +105,30 @@
             known_revision: Returns the revision that this process already has.
             on_value: Called with each value that differs from the known revision.
         """
-        work = self._watch(name, known_revision, on_value)
-        self._kernel.spawn(work, f"platform watch {name}")
-
-    async def _watch(
-        self, name: str, known_revision: Callable[[], int], on_value: OnValue
-    ) -> None:
         assert self._session is not None
         addresses = list(self._settings.addresses)
         random.shuffle(addresses)
-        clients = [PlatformClient(self._session, address) for address in addresses]
-        backoff = Backoff(FIRST_RETRY_SECONDS, RETRY_LIMIT_SECONDS)
-        attempt = 0
-        while True:
-            client = clients[attempt % len(clients)]
-            # Jitter keeps the watches of a fleet from ending at the same moment.
-            wait = self._settings.watch_seconds * random.uniform(0.7, 1.0)
-            try:
-                answer = await client.watch(name, known_revision(), wait)
-            except ResultError as error:
-                self._note(name, reachable=False, detail=error.detail)
-                attempt += 1
-                await asyncio.sleep(backoff.next_delay())
-                continue
-            self._note(name, reachable=True)
-            backoff.reset()
-            match answer:
-                case PlatformValue():
-                    on_value(answer)
-                    if answer.revision < known_revision():
-                        # A stale platform would answer the next watch at once.
-                        await asyncio.sleep(backoff.next_delay())
-                case Unchanged():
-                    pass
-
-    def _note(self, name: str, *, reachable: bool, detail: str = "") -> None:
+        watcher = Watcher(
+            [PlatformClient(self._session, address) for address in addresses],
+            self._pace,
+            self._settings.watch_seconds,
+            lambda report: self._note(name, report),
+        )
+        work = watcher.run(name, known_revision, on_value)
+        self._kernel.spawn(work, f"platform watch {name}")
+
+    def _note(self, name: str, report: WatchReport) -> None:
         before = self._reachable.get(name)
-        self._reachable[name] = reachable
-        if not reachable and before is not False:
-            WATCH_FAILED.log(_logger, value=name, detail=detail)
-        elif reachable and before is False:
+        match report:
+            case Reached():
+                result, self._reachable[name] = "answered", True
+            case Unusable(revision, known):
+                result, self._reachable[name] = "unusable", True
+                PLATFORM_STALE.log(_logger, value=name, offered=revision, known=known)
+            case Failed(detail):
+                result, self._reachable[name] = "failed", False
+                if before is not False:
+                    WATCH_FAILED.log(_logger, value=name, detail=detail)
+        self._watches.labels(name, result).inc()
+        if before is False and self._reachable[name]:
             WATCH_RESTORED.log(_logger, value=name)
--- /dev/null
+++ b/tests/test_platform_watch.py
@@ -0,0 +1,127 @@
+"""Watches of the platform by a whole fleet, on a paused clock."""
+
+import asyncio
+import random
+
+from balsamspool.kernel.errors import ResultError
+from balsamspool.plugins.platform.client import PlatformValue, Unchanged
+from balsamspool.plugins.platform.codes import PLATFORM_UNAVAILABLE
+from balsamspool.plugins.platform.pace import Pace
+from balsamspool.plugins.platform.watcher import Watcher
+from standins.platform import PlatformStandIn
+from tests._clock import PausedClockTestCase
+
+READERS = 4_740
+CALL_LIMIT = 2_000
+
+
+class DirectClient:
+    """Calls the stand-in without HTTP."""
+
+    def __init__(self, platform):
+        self.platform = platform
+
+    async def watch(self, name, after, wait):
+        try:
+            served = await self.platform.read(name, after, wait)
+        except ConnectionError as error:
+            raise ResultError(PLATFORM_UNAVAILABLE, str(error)) from error
+        return PlatformValue(*served) if served else Unchanged()
+
+
+class Reader:
+    """Keeps the highest revision, like the configuration store."""
+
+    def __init__(self):
+        self.revision = 0
+
+    def on_value(self, value):
+        self.revision = max(self.revision, value.revision)
+
+
+class PlatformWatchTest(PausedClockTestCase):
+    async def asyncSetUp(self):
+        self.tasks = []
+        self.reports = []
+
+    async def asyncTearDown(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def watch(self, platforms, name, pace):
+        reader = Reader()
+        clients = [DirectClient(platform) for platform in platforms]
+        watcher = Watcher(clients, pace, 25.0, self.reports.append)
+        work = watcher.run(name, lambda: reader.revision, reader.on_value)
+        self.tasks.append(asyncio.create_task(work))
+        return reader
+
+    async def test_fleet_stays_below_the_call_limit(self):
+        """Guards against storms at a start, after a change and after an outage."""
+        platform = PlatformStandIn()
+        for name in ("configuration", "instances"):
+            await platform.publish(name, "first")
+        pace = Pace(READERS, random.Random(11))
+        readers = [
+            self.watch([platform], name, pace)
+            for name in ("configuration", "instances")
+            for _ in range(READERS)
+        ]
+        peaks = {}
+
+        async def phase(name, seconds):
+            platform.peak_rate = 0
+            await asyncio.sleep(seconds)
+            peaks[name] = platform.peak_rate
+
+        await phase("start", 30)
+        for name in ("configuration", "instances"):
+            await platform.publish(name, "second")
+        await phase("change", 30)
+        platform.down = True
+        await platform.wake()
+        await phase("outage", 45)
+        platform.down = False
+        for name in ("configuration", "instances"):
+            await platform.publish(name, "third")
+        await phase("restored", 30)
+        for name in ("configuration", "instances"):
+            platform.hidden_revisions[name] = 1
+        await platform.wake()
+        await phase("stale", 40)
+        self.assertLessEqual(max(peaks.values()), CALL_LIMIT, peaks)
+        self.assertEqual({reader.revision for reader in readers}, {3})
+
+    async def test_watch_fails_over_and_leaves_a_stale_address(self):
+        """Guards against a process that stays with a dead or stale address."""
+        dead, fresh = PlatformStandIn(), PlatformStandIn()
+        dead.down = True
+        await fresh.publish("configuration", "first")
+        reader = self.watch([dead, fresh], "configuration", Pace(10, random.Random(1)))
+        await asyncio.sleep(3)
+        self.assertEqual(reader.revision, 1)
+        await fresh.publish("configuration", "second")
+        await asyncio.sleep(1)
+        self.assertEqual(reader.revision, 2)
+        # The address in use goes back a revision while the other one has a new one.
+        dead.down = False
+        for text in ("first", "second", "third"):
+            await dead.publish("configuration", text)
+        fresh.hidden_revisions["configuration"] = 1
+        await fresh.wake()
+        await asyncio.sleep(10)
+        self.assertEqual(reader.revision, 3)
+
+    async def test_stale_platform_causes_no_tight_loop(self):
+        """Guards against endless calls when every answer is an older revision."""
+        platform = PlatformStandIn()
+        for text in ("first", "second"):
+            await platform.publish("configuration", text)
+        self.watch([platform], "configuration", Pace(10, random.Random(1)))
+        await asyncio.sleep(5)
+        platform.hidden_revisions["configuration"] = 1
+        await platform.wake()
+        before = platform.calls
+        await asyncio.sleep(60)
+        self.assertLess(platform.calls - before, 60)
