Ask another peer for a text whose reply is missing

Cause: in a simulation with 300 processes and 5% lost messages, some still had the earlier revision 8 s after a change. Change: a reply is awaited for 1 s, then another peer that offered the revision is asked; for 3 s after a change offers are repeated each half second.

--- a/balsamspool/plugins/configuration/exchange.py
+++ b/balsamspool/plugins/configuration/exchange.py
@@ -16,16 +16,19 @@
 from balsamspool.kernel.backoff import RetryBudget
 from balsamspool.kernel.clock import Deadline, now
 from balsamspool.plugins.configuration.digest import text_digest
-from balsamspool.plugins.configuration.peers import PeerSample
+from balsamspool.plugins.configuration.peers import FANOUT, PeerSample
 from balsamspool.plugins.mesh import MeshPlugin, Message, PeerAddress
 
 # An offer with its TCP overhead takes about 300 bytes, so both directions of the
 # periodic offers of two texts stay below 0.5 KB/s of the 9 KB/s for control.
-OFFER_SECONDS = (2.0, 4.0)
+OFFER_SECONDS = (1.5, 3.0)
+# For this long after a change, a process offers every half second, in case that the
+# first offer to a peer was lost.
+CHANGED_SECONDS = 3.0
 # A starting process waits this long for offers, then for the text.
 GATHER_SECONDS = 0.3
 ASK_SECONDS = 1.0
-REPLY_SECONDS = 2.0
+REPLY_SECONDS = 1.0
 # A process that many peers ask at once must not spend its whole line on replies.
 REPLIES_PER_SECOND = 4.0
 REPLY_BURST = 8.0
@@ -142,8 +145,10 @@
 
     __slots__ = (
         "_budget",
+        "_changed_at",
         "_gathered",
         "_heard",
+        "_higher",
         "_mesh",
         "_peers",
         "_pending",
@@ -167,6 +172,9 @@
         self._rng = rng
         self._budget = RetryBudget(0.0, REPLIES_PER_SECOND, REPLY_BURST)
         self._pending: _Pending | None = None
+        # Peers that offered a higher revision, newest offer last.
+        self._higher: dict[PeerAddress, Any] = {}
+        self._changed_at: float | None = None
         self._gathered: list[tuple[PeerAddress, Any]] | None = None
         self._heard = asyncio.Event()
         mesh.subscribe(types.offer, self._on_offer)
@@ -180,7 +188,7 @@
             return
         deadline = Deadline.after(ASK_SECONDS)
         self._gathered = []
-        self.announce()
+        self._offer_to_all()
         await self._wait_until(self._all_answered, Deadline.after(GATHER_SECONDS))
         offers = sorted(self._gathered, key=lambda item: -item[1].revision)
         self._gathered = None
@@ -206,13 +214,35 @@
             if pauses() != seen:
                 seen = pauses()
                 await self.ask()
-            if now() >= next_offer:
+            self._request_again()
+            if now() >= next_offer or self._is_recent():
                 next_offer = now() + self._rng.uniform(*OFFER_SECONDS)
                 if self._peers.members:
                     self._offer_to(self._rng.choice(self._peers.members))
 
     def announce(self) -> None:
-        """Offer the revision to every peer of the sample."""
+        """Offer a changed revision to every peer of the sample."""
+        self._changed_at = now()
+        self._offer_to_all()
+
+    def _is_recent(self) -> bool:
+        changed_at = self._changed_at
+        return changed_at is not None and now() - changed_at < CHANGED_SECONDS
+
+    def _request_again(self) -> None:
+        """Ask another peer if the one that was asked did not reply."""
+        pending = self._pending
+        if pending is None or not pending.deadline.expired:
+            return
+        self._pending = None
+        revision = self._source.holding().revision
+        while self._higher:
+            peer, offer = self._higher.popitem()
+            if offer.revision > revision:
+                self._request(peer, offer)
+                return
+
+    def _offer_to_all(self) -> None:
         for peer in self._peers.members:
             self._offer_to(peer)
 
@@ -243,6 +273,7 @@
             case Ask():
                 if self._source.wants_text():
                     self._request(message.sender, offer)
+                    self._remember(message.sender, offer)
             case OfferBack():
                 self._offer_to(message.sender)
             case Differs():
@@ -251,6 +282,12 @@
                 pass
         self._heard.set()
 
+    def _remember(self, peer: PeerAddress, offer: Any) -> None:
+        self._higher.pop(peer, None)
+        self._higher[peer] = offer
+        if len(self._higher) > FANOUT:
+            del self._higher[next(iter(self._higher))]
+
     def _request(self, peer: PeerAddress, offer: Any) -> None:
         pending = self._pending
         waiting = pending is not None and not pending.deadline.expired
