--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,181 @@
+"""The view of the fleet: list records against direct signals."""
+
+import asyncio
+import json
+from unittest import TestCase
+
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from balsamspool.kernel.identity import Role
+from balsamspool.kernel.keyring import KeyRing, KeySet
+from balsamspool.plugins.membership.listing import (
+    MAX_INSTANCES,
+    Listing,
+    Unreadable,
+    read_list,
+)
+from balsamspool.plugins.membership.signals import Signal, SignalState
+from balsamspool.plugins.membership.view import View
+from balsamspool.plugins.routing.flow import FlowKey, Packet
+from balsamspool.plugins.routing.router import Deliver, Router
+from balsamspool.plugins.routing.token import RoutingToken, TokenCodec
+from tests._clock import PausedClockLoop, PausedClockTestCase
+
+ACCEPTING = Signal(SignalState.ACCEPTING, 0)
+LEAVING = Signal(SignalState.LEAVING, 0)
+HOST = ("10.0.0.1", 4_000)
+
+
+def record(number=1, **changes):
+    """Return a list record of an agent."""
+    return {
+        "instance": f"portal-{number}",
+        "role": "agent",
+        "state": "live",
+        "failure_domain": "a",
+        "address": f"10.0.0.{number}",
+        "data_port": 4_000,
+        "peer_port": 4_001,
+        "admin_port": 4_002,
+        "service": "portal",
+    } | changes
+
+
+class ListTest(PausedClockTestCase):
+    def test_wrong_records_are_left_out(self):
+        """Guards against one faulty record that freezes the view of the fleet."""
+        wrong = [
+            record(2, address="x"),
+            record(3, data_port=0),
+            record(4, service=None),
+            record(5, state="odd"),
+            record(1, address="10.0.0.9"),
+            record(6, address="10.0.0.1"),
+            7,
+        ]
+        listing = read_list(json.dumps([record(1), *wrong]))
+        self.assertIsInstance(listing, Listing)
+        self.assertEqual(list(listing.instances), ["portal-1"])
+        self.assertEqual(len(listing.faults), len(wrong))
+
+    def test_unusable_lists_are_refused(self):
+        """Guards against a broken list that empties the view."""
+        too_many = json.dumps([1] * (MAX_INSTANCES + 1))
+        too_large = json.dumps([record()]) + " " * 2_000_000
+        for text in ("{", "{}", too_many, too_large, json.dumps([{"a": 1}])):
+            self.assertIsInstance(read_list(text), Unreadable, text[:40])
+
+
+class ViewTest(PausedClockTestCase):
+    def setUp(self):
+        self.view = View()
+
+    def publish(self, *records):
+        listing = read_list(json.dumps(records))
+        self.view.replace(listing.instances)
+
+    def hosts(self):
+        return [host.instance for host in self.view.accepting(Role.AGENT, "portal")]
+
+    async def test_signals_go_before_the_list(self):
+        """Guards against decisions by a lagging list while the host itself speaks."""
+        self.publish(record(1), record(2, state="leaving"))
+        self.assertEqual(self.hosts(), ["portal-1"])
+        self.view.note("10.0.0.2", 4_000, ACCEPTING)
+        self.assertEqual(self.hosts(), ["portal-1", "portal-2"])
+        self.advance(3.1)
+        self.assertEqual(self.hosts(), ["portal-1"])
+
+    async def test_leaving_holds_against_a_lagging_list(self):
+        """Guards against new work for a leaving host whose signals have ceased."""
+        self.publish(record(1))
+        self.view.note(*HOST, LEAVING)
+        self.advance(60)
+        self.assertEqual(self.hosts(), [])
+        self.publish(record(1), record(2))
+        self.assertEqual(self.hosts(), ["portal-2"])
+
+    async def test_late_datagram_does_not_undo_leaving(self):
+        """Guards against a reordered datagram that brings back a leaving host."""
+        self.publish(record(1))
+        self.view.note(*HOST, LEAVING, b"one")
+        self.advance(10)
+        self.view.note(*HOST, ACCEPTING, b"one")
+        self.assertEqual(self.hosts(), [])
+        self.view.note(*HOST, ACCEPTING, b"two")
+        self.assertEqual(self.hosts(), ["portal-1"])
+
+    async def test_late_datagram_without_incarnation(self):
+        """Guards against reordering where the message names no incarnation."""
+        self.publish(record(1))
+        self.view.note(*HOST, LEAVING)
+        self.advance(1)
+        self.view.note(*HOST, ACCEPTING)
+        self.assertEqual(self.hosts(), [])
+        self.advance(3)
+        self.view.note(*HOST, ACCEPTING)
+        self.assertEqual(self.hosts(), ["portal-1"])
+
+    async def test_new_list_record_ends_leaving(self):
+        """Guards against a replaced host that never gets work."""
+        for gone in ([], [record(1, state="leaving")]):
+            self.publish(record(1))
+            self.view.note(*HOST, LEAVING)
+            self.publish(*gone)
+            self.publish(record(1))
+            self.assertEqual(self.hosts(), ["portal-1"])
+        self.view.note(*HOST, LEAVING)
+        self.publish(record(1, instance="portal-9"))
+        self.assertEqual(self.hosts(), ["portal-9"])
+
+    async def test_draining_host_takes_no_new_work(self):
+        """Guards against a drained host that its own signal puts back in use."""
+        self.publish(record(1), record(2))
+        self.view.note(*HOST, ACCEPTING)
+        self.view.drain(["portal-1"])
+        self.assertEqual(self.hosts(), ["portal-2"])
+        self.view.drain([])
+        self.assertEqual(self.hosts(), ["portal-1", "portal-2"])
+
+    async def test_vanished_host_keeps_its_flows(self):
+        """Guards against open flows that break when a list record vanishes."""
+        codec = TokenCodec(KeyRing(KeySet(1, {"1": "ab" * 32})))
+        router = Router(codec)
+        router.set_networks(["10.0.0.0/8"])
+        self.publish(record(1))
+        token = RoutingToken(*HOST, service=1, incarnation=b"abc", serial=1)
+        self.publish()
+        self.assertEqual(self.hosts(), [])
+        flow = FlowKey(1, "192.0.2.7", 5_000)
+        packet = Packet(flow, codec.encode(token), opens=False)
+        self.assertEqual(router.route(packet, []), Deliver(*HOST, opens=False))
+
+
+class ReorderTest(TestCase):
+    @seed(13)
+    @settings(max_examples=200, deadline=None, database=None)
+    @given(
+        st.lists(st.sampled_from(["accepting", "leaving", "list", "wait"]), max_size=25)
+    )
+    def test_leaving_holds_in_any_order(self, steps):
+        """Guards against any order of events that gives a leaving host new work."""
+        with asyncio.Runner(loop_factory=PausedClockLoop) as runner:
+            runner.run(self.follow(steps))
+
+    async def follow(self, steps):
+        view, left = View(), False
+        instances = read_list(json.dumps([record(1)])).instances
+        view.replace(instances)
+        for step in steps:
+            match step:
+                case "accepting":
+                    view.note(*HOST, ACCEPTING, b"one")
+                case "leaving":
+                    view.note(*HOST, LEAVING, b"one")
+                    left = True
+                case "wait":
+                    asyncio.get_running_loop().advance(2.0)
+                case "list":
+                    view.replace(dict(instances))
+            self.assertEqual(view.accepts(instances["portal-1"]), not left)
