--- /dev/null
+++ b/balsamspool/plugins/routing/handover.py
@@ -0,0 +1,266 @@
+"""Decides which agent takes a flow: this one, a peer or none."""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from balsamspool.plugins.routing.rendezvous import Candidate, choose
+
+MAX_HOPS = 2
+MEMORY_ENTRIES = 65_536
+MEMORY_SECONDS = 10.0
+MAX_EARLIER_TABLES = 4
+# Load at which all slots are busy; below it a peer would serve no sooner.
+BUSY_LOAD = 128
+# Reports are up to a second old. A smaller difference could be gone on arrival.
+LOAD_MARGIN = 32
+
+
+class OwnState(Enum):
+    """Whether this agent can take new flows."""
+
+    ACCEPTING = "accepting"
+    LEAVING = "leaving"
+    FULL = "connection-limit"
+
+
+class RefuseReason(Enum):
+    """Why no agent takes a flow."""
+
+    LAST_HOST = "last-host"
+    CONNECTION_LIMIT = "connection-limit"
+    HOP_LIMIT = "hop-limit"
+    UNKNOWN_FLOW = "unknown-flow"
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Another agent of the service that takes new flows.
+
+    Attributes:
+        host: The agent.
+        load: Its reported load, 0 to 255.
+    """
+
+    host: Candidate
+    load: int
+
+
+@dataclass(frozen=True, slots=True)
+class OwnHost:
+    """What this agent knows of itself.
+
+    Attributes:
+        name: Name of this agent instance.
+        state: Whether it can take new flows.
+        load: Its load, 0 to 255.
+    """
+
+    name: str
+    state: OwnState
+    load: int
+
+
+@dataclass(frozen=True, slots=True)
+class Accept:
+    """Open the flow here."""
+
+
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """Pass the packet on to a peer.
+
+    Attributes:
+        peer: The peer.
+    """
+
+    peer: Candidate
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Open the flow nowhere.
+
+    Attributes:
+        reason: Why no agent takes it.
+    """
+
+    reason: RefuseReason
+
+
+HandoverDecision = Accept | HandOver | Refuse
+
+
+class HandoverMemory:
+    """Remembers for a short time to which peer each flow was handed over.
+
+    Args:
+        limit: Largest number of entries; the oldest is dropped first.
+        seconds: Lifetime of an entry after its last use in seconds.
+    """
+
+    __slots__ = ("_entries", "_limit", "_seconds")
+
+    def __init__(
+        self, limit: int = MEMORY_ENTRIES, seconds: float = MEMORY_SECONDS
+    ) -> None:
+        self._limit = limit
+        self._seconds = seconds
+        self._entries: OrderedDict[bytes, tuple[Candidate, float]] = OrderedDict()
+
+    def __len__(self) -> int:
+        """Return the number of entries."""
+        return len(self._entries)
+
+    def find(self, key: bytes, time: float) -> Candidate | None:
+        """Return the peer of a flow and extend the lifetime of its entry.
+
+        Args:
+            key: Encoded flow key.
+            time: Event loop time in seconds.
+
+        Returns:
+            The peer, or None if none is remembered.
+        """
+        self._expire(time)
+        found = self._entries.get(key)
+        if found is None:
+            return None
+        self.note(key, found[0], time)
+        return found[0]
+
+    def note(self, key: bytes, peer: Candidate, time: float) -> None:
+        """Remember the peer of a flow."""
+        self._expire(time)
+        self._entries[key] = (peer, time + self._seconds)
+        self._entries.move_to_end(key)
+        if len(self._entries) > self._limit:
+            self._entries.popitem(last=False)
+
+    def forget(self, key: bytes) -> None:
+        """Drop the entry of a flow."""
+        self._entries.pop(key, None)
+
+    def _expire(self, time: float) -> None:
+        # Each use moves an entry to the end, so the entries are in order of expiry.
+        while self._entries:
+            key = next(iter(self._entries))
+            if self._entries[key][1] > time:
+                return
+            del self._entries[key]
+
+
+class Handover:
+    """Decides on opening packets.
+
+    Args:
+        memory: Remembers earlier decisions.
+    """
+
+    __slots__ = ("_memory",)
+
+    def __init__(self, memory: HandoverMemory | None = None) -> None:
+        self._memory = memory if memory is not None else HandoverMemory()
+
+    def decide(
+        self, key: bytes, own: OwnHost, peers: Sequence[Peer], hops: int, time: float
+    ) -> HandoverDecision:
+        """Decide which agent takes a flow.
+
+        Args:
+            key: Encoded flow key.
+            own: This agent.
+            peers: Other agents of the service that take new flows.
+            hops: Number of agents that already handed the packet over.
+            time: Event loop time in seconds.
+
+        Returns:
+            Accept, HandOver or Refuse.
+        """
+        others = [peer for peer in peers if peer.host.name != own.name]
+        known = self._memory.find(key, time)
+        if known is not None and hops == 0 and _is_listed(known, others):
+            return HandOver(known)
+        if known is not None:
+            # The packet came back, or the peer has left: that peer is no choice.
+            self._memory.forget(key)
+            others = [peer for peer in others if peer.host.name != known.name]
+        decision = self._decide_anew(key, own, others, hops)
+        if isinstance(decision, HandOver):
+            self._memory.note(key, decision.peer, time)
+        return decision
+
+    def _decide_anew(
+        self, key: bytes, own: OwnHost, others: Sequence[Peer], hops: int
+    ) -> HandoverDecision:
+        match own.state:
+            case OwnState.ACCEPTING:
+                # Only the first agent compares loads, so that agents with different
+                # reports do not pass a flow back and forth.
+                if hops > 0 or own.load < BUSY_LOAD:
+                    return Accept()
+                lighter = [p.host for p in others if p.load + LOAD_MARGIN <= own.load]
+                chosen = choose(key, lighter)
+                return Accept() if chosen is None else HandOver(chosen)
+            case OwnState.LEAVING:
+                return _move(key, others, hops, RefuseReason.LAST_HOST)
+            case OwnState.FULL:
+                return _move(key, others, hops, RefuseReason.CONNECTION_LIMIT)
+
+
+class TableHistory:
+    """The newest tables of one service, for flows whose packets carry no token.
+
+    Args:
+        limit: Number of earlier tables that are kept.
+    """
+
+    __slots__ = ("_limit", "_tables")
+
+    def __init__(self, limit: int = MAX_EARLIER_TABLES) -> None:
+        self._limit = limit
+        self._tables: list[tuple[Candidate, ...]] = []
+
+    def note(self, table: Sequence[Candidate]) -> None:
+        """Record the table in force if it differs from the last one."""
+        newest = tuple(table)
+        if not self._tables or self._tables[0] != newest:
+            self._tables.insert(0, newest)
+            del self._tables[self._limit + 1 :]
+
+    def follow(self, key: bytes, own: str, hops: int) -> HandOver | Refuse:
+        """Find the agent that may know a flow that this one does not know.
+
+        Args:
+            key: Encoded flow key.
+            own: Name of this agent instance.
+            hops: Number of agents that already passed the packet on.
+
+        Returns:
+            HandOver to the newest choice of another agent, or Refuse.
+        """
+        if hops >= MAX_HOPS:
+            return Refuse(RefuseReason.HOP_LIMIT)
+        choices = [choose(key, table) for table in self._tables]
+        tried = {own}
+        if hops > 0 and choices and choices[0] is not None:
+            # The packet has already been at the choice of the table in force.
+            tried.add(choices[0].name)
+        for choice in choices:
+            if choice is not None and choice.name not in tried:
+                return HandOver(choice)
+        return Refuse(RefuseReason.UNKNOWN_FLOW)
+
+
+def _is_listed(host: Candidate, peers: Sequence[Peer]) -> bool:
+    return any(peer.host.name == host.name for peer in peers)
+
+
+def _move(
+    key: bytes, others: Sequence[Peer], hops: int, reason: RefuseReason
+) -> HandOver | Refuse:
+    if hops >= MAX_HOPS:
+        return Refuse(RefuseReason.HOP_LIMIT)
+    chosen = choose(key, [peer.host for peer in others])
+    return Refuse(reason) if chosen is None else HandOver(chosen)
--- a/balsamspool/plugins/routing/plugin.py
+++ b/balsamspool/plugins/routing/plugin.py
@@ -1,14 +1,37 @@
 """Plug-in that offers the routing decision over the current view."""
 
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from balsamspool.kernel.clock import now
 from balsamspool.kernel.identity import Role
 from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.plugins.configuration import Configuration, ConfigurationPlugin
-from balsamspool.plugins.membership import MembershipPlugin
+from balsamspool.plugins.membership import Instance, MembershipPlugin
 from balsamspool.plugins.routing.flow import Packet
 from balsamspool.plugins.routing.rendezvous import Candidate
 from balsamspool.plugins.routing.router import Decision, Router
 from balsamspool.plugins.routing.token import TokenCodec
+from balsamspool.plugins.routing.weights import HostAges, HostReport, weight_of
+
+# Direct signals change the view without a notice, so a table is rebuilt at this age.
+TABLE_SECONDS = 0.1
+
+
+@dataclass(slots=True)
+class _Table:
+    """Candidates of one service.
+
+    Attributes:
+        ages: How long each host has been taking new flows.
+        candidates: Hosts that take new flows.
+        expires: Event loop time in seconds at which it is rebuilt.
+    """
+
+    ages: HostAges
+    candidates: list[Candidate]
+    expires: float
 
 
 @register(
@@ -27,7 +50,9 @@
         super().__init__(kernel)
         self._codec = TokenCodec(kernel.keyring)
         self._router = Router(self._codec)
+        self._membership = kernel.plugin(MembershipPlugin)
         self._service_names: dict[int, str] = {}
+        self._tables: dict[int, _Table] = {}
 
     @property
     def codec(self) -> TokenCodec:
@@ -35,29 +60,71 @@
         return self._codec
 
     async def start(self) -> None:
-        """Follow the configuration."""
+        """Follow the configuration and the instance list."""
         self._kernel.plugin(ConfigurationPlugin).subscribe(self._on_configuration)
+        self._membership.subscribe(self._expire_tables)
 
-    def route(self, packet: Packet) -> Decision:
+    def route(
+        self, packet: Packet, avoided: Collection[tuple[str, int]] = ()
+    ) -> Decision:
         """Decide where a packet goes.
 
         Args:
             packet: Facts about the packet.
+            avoided: Addresses of hosts that get new flows only if no other is left.
 
         Returns:
             Deliver or Drop.
         """
-        return self._router.route(packet, self._candidates(packet.flow.service))
+        # Only an opening packet needs the table.
+        candidates = self.candidates(packet.flow.service) if packet.opens else ()
+        return self._router.route(packet, candidates, avoided)
+
+    def candidates(self, service: int) -> list[Candidate]:
+        """Return the weighted hosts of a service that take new flows.
 
-    def _candidates(self, service: int) -> list[Candidate]:
+        Args:
+            service: Number of the service.
+
+        Returns:
+            The hosts, none if the service is not configured.
+        """
         name = self._service_names.get(service)
         if name is None:
             return []
-        membership = self._kernel.plugin(MembershipPlugin)
-        return [
-            Candidate(host.instance, host.address, host.data_port)
-            for host in membership.hosts(name)
+        time = now()
+        table = self._tables.get(service)
+        if table is None:
+            table = self._tables[service] = _Table(HostAges(), [], time)
+        if time >= table.expires:
+            self._rebuild(table, name, time)
+        return table.candidates
+
+    def _rebuild(self, table: _Table, service: str, time: float) -> None:
+        hosts = self._membership.hosts(service)
+        table.ages.update([host.instance for host in hosts], time)
+        table.candidates = [
+            Candidate(
+                host.instance,
+                host.address,
+                host.data_port,
+                weight_of(self._report(host, table.ages.age(host.instance, time))),
+            )
+            for host in hosts
         ]
+        table.expires = time + TABLE_SECONDS
+
+    def _report(self, host: Instance, age: float | None) -> HostReport:
+        signal = self._membership.signal(host)
+        return HostReport(
+            listed_weight=getattr(host, "weight", 1.0),
+            load=None if signal is None else signal.load,
+            age=age,
+        )
+
+    def _expire_tables(self) -> None:
+        for table in self._tables.values():
+            table.expires = 0.0
 
     def _on_configuration(self, configuration: Configuration) -> None:
         document = configuration.document
@@ -65,3 +132,6 @@
         self._service_names = {
             service.number: name for name, service in document.services.items()
         }
+        for number in set(self._tables) - set(self._service_names):
+            del self._tables[number]
+        self._expire_tables()
--- a/balsamspool/plugins/routing/router.py
+++ b/balsamspool/plugins/routing/router.py
@@ -1,6 +1,6 @@
 """The routing decision."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from ipaddress import IPv4Address, IPv4Network
@@ -66,12 +66,18 @@
         parsed = [IPv4Network(network) for network in networks]
         self._networks = [(int(n.network_address), int(n.netmask)) for n in parsed]
 
-    def route(self, packet: Packet, candidates: Sequence[Candidate]) -> Decision:
+    def route(
+        self,
+        packet: Packet,
+        candidates: Sequence[Candidate],
+        avoided: Collection[tuple[str, int]] = (),
+    ) -> Decision:
         """Decide where a packet goes.
 
         Args:
             packet: Facts about the packet.
             candidates: Hosts of the packet's service that take new flows.
+            avoided: Addresses of hosts that get new flows only if no other is left.
 
         Returns:
             Deliver or Drop.
@@ -85,9 +91,13 @@
             return Deliver(token.address, token.data_port, opens=False)
         if not packet.opens:
             return Drop(DropReason.NO_TOKEN)
-        chosen = choose(packet.flow.encode(), candidates)
+        key = packet.flow.encode()
+        chosen = choose(key, candidates)
         if chosen is None:
             return Drop(DropReason.NO_HOST)
+        if avoided and (chosen.address, chosen.data_port) in avoided:
+            left = [c for c in candidates if (c.address, c.data_port) not in avoided]
+            chosen = choose(key, left) or chosen
         return Deliver(chosen.address, chosen.data_port, opens=True)
 
     def _is_host(self, address: str) -> bool:
