Probe agents and entries, retry service addresses, trace opening packets

Cause: a silent agent kept getting new flows, answers went only through the entry of the last packet, and a service address withdrawn while its socket was being opened stayed open.

The entry sends TracedForward for an opening packet when a sampled span exists. Unsendable, oversized and replayed datagrams are dropped and counted.

Conclusion: the front end still has to call open_route and ReturnRoute.

--- a/balsamspool/plugins/forwarding/entry.py
+++ b/balsamspool/plugins/forwarding/entry.py
@@ -1,14 +1,14 @@
 """Entry front end: callers' datagrams to agents and back."""
 
 import asyncio
-import logging
 from asyncio import DatagramProtocol, DatagramTransport
 
 from msgspec import field
+from opentelemetry.trace import get_tracer
 from prometheus_client import Counter
 
 from balsamspool.kernel.identity import Role
-from balsamspool.kernel.lifecycle import Kernel
+from balsamspool.kernel.lifecycle import Kernel, ProcessState
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.kernel.settings import Name, Section
 from balsamspool.plugins.configuration import Configuration, ConfigurationPlugin
@@ -16,20 +16,23 @@
 from balsamspool.plugins.forwarding._codec import EnvelopeCodec
 from balsamspool.plugins.forwarding._quic_header import read_packet
 from balsamspool.plugins.forwarding.envelope import (
+    Envelope,
     Forward,
     Probe,
     ProbeReply,
     Return,
     TracedForward,
 )
-from balsamspool.plugins.forwarding.events import ADDRESS_CLOSED, ADDRESS_OPENED
+from balsamspool.plugins.forwarding.probe import HostProbes
+from balsamspool.plugins.forwarding.service_sockets import ServiceSockets
 from balsamspool.plugins.membership import MembershipPlugin, Signal
 from balsamspool.plugins.membership.signals import SignalState
 from balsamspool.plugins.routing import Deliver, Drop, FlowKey, RoutingPlugin
 
-_logger = logging.getLogger(__name__)
+Address = tuple[str, int]
 
-ServiceAddress = tuple[str, int]
+# The largest UDP payload over IPv4, less what `TracedForward` adds.
+MAX_PAYLOAD_BYTES = 65_507 - 44
 
 
 class EntrySettings(Section, frozen=True):
@@ -67,8 +70,9 @@
         self._routing = kernel.plugin(RoutingPlugin)
         self._membership = kernel.plugin(MembershipPlugin)
         self._agents: DatagramTransport | None = None
-        self._services: dict[int, DatagramTransport] = {}
-        self._addresses: dict[int, ServiceAddress] = {}
+        self._sockets = ServiceSockets(kernel, self.caller_datagram)
+        self._probes = HostProbes()
+        self._tracer = get_tracer("balsamspool")
         self._forwarded = Counter(
             "balsamspool_forwarding_datagrams",
             "Datagrams passed on",
@@ -98,20 +102,18 @@
 
     async def stop(self) -> None:
         """Close all sockets."""
-        for transport in self._services.values():
-            transport.close()
+        self._sockets.close()
         if self._agents is not None:
             self._agents.close()
 
     def status(self) -> dict[str, object]:
-        """Return the open service addresses."""
+        """Return the service addresses and the agents that do not answer."""
         return {
-            "addresses": {str(n): f"{a}:{p}" for n, (a, p) in self._addresses.items()}
+            "addresses": self._sockets.status(),
+            "silent_agents": sorted(f"{a}:{p}" for a, p in self._probes.avoided()),
         }
 
-    def caller_datagram(
-        self, service: int, datagram: bytes, caller: ServiceAddress
-    ) -> None:
+    def caller_datagram(self, service: int, datagram: bytes, caller: Address) -> None:
         """Pass a caller's datagram on to the agent of its flow.
 
         Args:
@@ -123,15 +125,21 @@
         if packet is None:
             self._dropped.labels("not-quic").inc()
             return
-        match self._routing.route(packet):
-            case Deliver(address, data_port):
+        if len(datagram) > MAX_PAYLOAD_BYTES:
+            self._dropped.labels("too-long").inc()
+            return
+        match self._routing.route(packet, self._probes.avoided()):
+            case Deliver(address, data_port, opens):
                 forward = Forward(service, *caller, 0, datagram)
-                self._send_to_agent(self._codec.seal(forward), (address, data_port))
+                if opens:
+                    self._forward_opening(forward, (address, data_port))
+                else:
+                    self._send_to_agent(forward, (address, data_port))
                 self._forwarded.labels("to-agent").inc()
             case Drop(reason):
                 self._dropped.labels(reason.value).inc()
 
-    def agent_datagram(self, datagram: bytes, sender: ServiceAddress) -> None:
+    def agent_datagram(self, datagram: bytes, sender: Address) -> None:
         """Handle a datagram from an agent.
 
         Args:
@@ -140,77 +148,70 @@
         """
         match self._codec.open(datagram):
             case Return(service, address, port, signal, payload):
-                self._membership.note(*sender, signal)
+                self._note(sender, signal)
                 self._send_to_caller(service, payload, (address, port))
             case Probe(sequence):
-                reply = ProbeReply(sequence, self._signal())
-                self._send_to_agent(self._codec.seal(reply), sender)
-            case ProbeReply(_, signal):
-                self._membership.note(*sender, signal)
+                self._send_to_agent(ProbeReply(sequence, self._signal()), sender)
+            case ProbeReply(sequence, signal):
+                if self._probes.replied(sender, sequence):
+                    self._note(sender, signal)
+                else:
+                    self._dropped.labels("unexpected-reply").inc()
             case Forward() | TracedForward():
                 self._dropped.labels("unexpected-kind").inc()
             case None:
                 self._dropped.labels("not-authentic").inc()
 
+    def _forward_opening(self, forward: Forward, agent: Address) -> None:
+        with self._tracer.start_as_current_span("entry.forward") as span:
+            context = span.get_span_context()
+            span.set_attribute("balsamspool.service", forward.service)
+            if context.is_valid and context.trace_flags.sampled:
+                trace_id = context.trace_id.to_bytes(16, "big")
+                span_id = context.span_id.to_bytes(8, "big")
+                self._send_to_agent(TracedForward(forward, trace_id, span_id), agent)
+            else:
+                self._send_to_agent(forward, agent)
+        probe = self._probes.opening(agent)
+        if probe is not None:
+            self._send_to_agent(probe, agent)
+
+    def _note(self, agent: Address, signal: Signal) -> None:
+        self._probes.heard(agent)
+        self._membership.note(*agent, signal)
+
     def _signal(self) -> Signal:
-        leaving = self._kernel.state.value != "accepting"
+        leaving = self._kernel.state is not ProcessState.ACCEPTING
         state = SignalState.LEAVING if leaving else SignalState.ACCEPTING
         return Signal(state, 0)
 
-    def _send_to_agent(self, datagram: bytes, agent: ServiceAddress) -> None:
+    def _send_to_agent(self, envelope: Envelope, agent: Address) -> None:
         if self._agents is not None:
-            self._agents.sendto(datagram, agent)
+            self._send(self._agents, self._codec.seal(envelope), agent)
 
-    def _send_to_caller(
-        self, service: int, payload: bytes, caller: ServiceAddress
-    ) -> None:
-        transport = self._services.get(service)
+    def _send_to_caller(self, service: int, payload: bytes, caller: Address) -> None:
+        transport = self._sockets.transport(service)
         if transport is None:
             self._dropped.labels("unknown-service").inc()
             return
-        transport.sendto(payload, caller)
-        self._forwarded.labels("to-caller").inc()
+        if self._send(transport, payload, caller):
+            self._forwarded.labels("to-caller").inc()
+
+    def _send(self, transport: DatagramTransport, data: bytes, to: Address) -> bool:
+        try:
+            transport.sendto(data, to)
+        except (OSError, ValueError):
+            # An address such as port 0 cannot be sent to.
+            self._dropped.labels("unsendable").inc()
+            return False
+        return True
 
     def _on_configuration(self, configuration: Configuration) -> None:
-        wanted: dict[int, ServiceAddress] = {}
+        wanted: dict[int, Address] = {}
         for name, service in configuration.document.services.items():
             local = self._settings.listen.get(name, service.address)
             wanted[service.number] = split_address(local)
-        for number in list(self._services):
-            if wanted.get(number) != self._addresses[number]:
-                self._close_service(number)
-        for number, address in wanted.items():
-            if number not in self._services and number not in self._addresses:
-                self._addresses[number] = address
-                work = self._open_service(number, address)
-                self._kernel.spawn(work, f"open service {number}")
-
-    async def _open_service(self, number: int, address: ServiceAddress) -> None:
-        loop = asyncio.get_running_loop()
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda: _CallerSide(self, number), address
-        )
-        self._services[number] = transport
-        ADDRESS_OPENED.log(_logger, service=number, address=address)
-
-    def _close_service(self, number: int) -> None:
-        self._services.pop(number).close()
-        address = self._addresses.pop(number)
-        ADDRESS_CLOSED.log(_logger, service=number, address=address)
-
-
-class _CallerSide(DatagramProtocol):
-    """Receives datagrams of callers at one service address."""
-
-    __slots__ = ("_entry", "_service")
-
-    def __init__(self, entry: EntryPlugin, service: int) -> None:
-        self._entry = entry
-        self._service = service
-
-    def datagram_received(self, data: bytes, addr: ServiceAddress) -> None:
-        """Pass on a datagram of a caller."""
-        self._entry.caller_datagram(self._service, data, addr)
+        self._sockets.update(wanted)
 
 
 class _AgentSide(DatagramProtocol):
@@ -221,6 +222,6 @@
     def __init__(self, entry: EntryPlugin) -> None:
         self._entry = entry
 
-    def datagram_received(self, data: bytes, addr: ServiceAddress) -> None:
+    def datagram_received(self, data: bytes, addr: Address) -> None:
         """Pass on a datagram of an agent."""
         self._entry.agent_datagram(data, addr)
--- a/balsamspool/plugins/forwarding/events.py
+++ b/balsamspool/plugins/forwarding/events.py
@@ -10,3 +10,9 @@
 ADDRESS_CLOSED = log_event(
     1402, "service-address-closed", logging.INFO, "A service address was closed."
 )
+ADDRESS_UNAVAILABLE = log_event(
+    1403,
+    "service-address-unavailable",
+    logging.ERROR,
+    "A service address could not be opened; it is tried again.",
+)
--- /dev/null
+++ b/balsamspool/plugins/forwarding/probe.py
@@ -0,0 +1,360 @@
+"""Probe state: which agents and entries answer. Holds no socket."""
+
+import random
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from balsamspool.kernel.clock import now
+from balsamspool.plugins.forwarding.envelope import Probe
+from balsamspool.plugins.membership import Signal
+from balsamspool.plugins.membership.signals import SignalState
+from balsamspool.plugins.routing.rendezvous import Candidate, rank
+
+Address = tuple[str, int]
+
+SILENT_SECONDS = 1.0
+REPLY_SECONDS = 0.3
+AVOID_SECONDS = 5.0
+# Twice the hosts of the growth target (4,100).
+MAX_HOSTS = 8_192
+
+MAX_ENTRIES = 8
+PROBE_SECONDS = 1.0
+MAX_UNANSWERED = 2
+
+_SEQUENCES = 1 << 32
+
+
+class _HostState:
+    """When an agent was last heard and probed."""
+
+    __slots__ = ("avoid_until", "heard", "probed", "sequence")
+
+    def __init__(self) -> None:
+        self.heard: float | None = None
+        self.probed: float | None = None
+        self.sequence = 0
+        self.avoid_until = 0.0
+
+
+class HostProbes:
+    """Finds agents that do not answer, at the entry.
+
+    An opening packet to a silent agent asks for a probe. Without a reply in time the
+    agent is avoided for new flows. State is bounded; the oldest is dropped first.
+
+    Args:
+        limit: Largest number of agents.
+        rng: Source of the first sequence number.
+    """
+
+    __slots__ = ("_avoided", "_hosts", "_limit", "_pending", "_sequence")
+
+    def __init__(
+        self, limit: int = MAX_HOSTS, rng: random.Random | None = None
+    ) -> None:
+        self._limit = limit
+        self._hosts: OrderedDict[Address, _HostState] = OrderedDict()
+        self._pending: set[Address] = set()
+        self._avoided: set[Address] = set()
+        self._sequence = (rng or random.SystemRandom()).randrange(_SEQUENCES)
+
+    def __len__(self) -> int:
+        """Return the number of agents with state."""
+        return len(self._hosts)
+
+    def avoided(self) -> set[Address]:
+        """Return the agents that get no new flows now."""
+        if self._pending or self._avoided:
+            self._update(now())
+        return self._avoided
+
+    def opening(self, host: Address) -> Probe | None:
+        """Record an opening packet.
+
+        Args:
+            host: Address of the agent that gets it.
+
+        Returns:
+            A probe to send with it if the agent has been silent, else None.
+        """
+        time = now()
+        state = self._hosts.get(host)
+        if state is None:
+            state = self._hosts[host] = _HostState()
+            if len(self._hosts) > self._limit:
+                self._drop(next(iter(self._hosts)))
+        if state.heard is not None and time - state.heard < SILENT_SECONDS:
+            return None
+        if state.probed is not None:
+            return None
+        self._sequence = (self._sequence + 1) % _SEQUENCES
+        state.probed, state.sequence = time, self._sequence
+        self._pending.add(host)
+        return Probe(self._sequence)
+
+    def heard(self, host: Address) -> None:
+        """Record a return datagram of an agent."""
+        state = self._hosts.get(host)
+        if state is not None:
+            state.heard = now()
+            state.probed = None
+            self._pending.discard(host)
+            self._avoided.discard(host)
+
+    def replied(self, host: Address, sequence: int) -> bool:
+        """Record a probe reply.
+
+        Args:
+            host: Address of its sender.
+            sequence: Number in the reply.
+
+        Returns:
+            Whether it answers the last probe of that agent. Others are replays.
+        """
+        state = self._hosts.get(host)
+        if state is None or state.sequence != sequence:
+            return False
+        self.heard(host)
+        return True
+
+    def _update(self, time: float) -> None:
+        for host in [h for h in self._pending if self._overdue(h, time)]:
+            state = self._hosts[host]
+            # Counted from the probe, not from the check, which may be much later.
+            state.avoid_until = (state.probed or 0.0) + REPLY_SECONDS + AVOID_SECONDS
+            self._pending.discard(host)
+            self._avoided.add(host)
+        for host in [h for h in self._avoided if self._hosts[h].avoid_until <= time]:
+            self._avoided.discard(host)
+            self._hosts[host].probed = None
+
+    def _overdue(self, host: Address, time: float) -> bool:
+        probed = self._hosts[host].probed
+        return probed is not None and time - probed >= REPLY_SECONDS
+
+    def _drop(self, host: Address) -> None:
+        del self._hosts[host]
+        self._pending.discard(host)
+        self._avoided.discard(host)
+
+
+@dataclass(frozen=True, slots=True)
+class EntryRecord:
+    """An entry that may carry return datagrams.
+
+    Attributes:
+        name: Name of the entry instance.
+        address: Address of the entry.
+        failure_domain: Failure domain of the entry.
+    """
+
+    name: str
+    address: Address
+    failure_domain: str
+
+
+class _EntryState:
+    """An entry and its outstanding probe."""
+
+    __slots__ = ("leaving", "record", "sequence", "unanswered")
+
+    def __init__(self, record: EntryRecord) -> None:
+        self.record = record
+        self.sequence: int | None = None
+        self.unanswered = 0
+        self.leaving = False
+
+
+class EntryProbes:
+    """Chooses the entries of an agent and tracks which of them answer.
+
+    Args:
+        name: Name of the agent instance; differs the choice between agents.
+        failure_domain: Failure domain of the agent.
+        rng: Source of sequence numbers.
+    """
+
+    __slots__ = ("_entries", "_failure_domain", "_name", "_rng")
+
+    def __init__(
+        self, name: str, failure_domain: str, rng: random.Random | None = None
+    ) -> None:
+        self._name = name.encode()
+        self._failure_domain = failure_domain
+        self._rng = rng or random.SystemRandom()
+        self._entries: dict[Address, _EntryState] = {}
+
+    @property
+    def addresses(self) -> list[Address]:
+        """Addresses of the chosen entries."""
+        return list(self._entries)
+
+    def choose(self, records: Sequence[EntryRecord]) -> None:
+        """Choose up to 8 entries, spread over failure domains, and keep their state.
+
+        Args:
+            records: Entries that may carry return datagrams.
+        """
+        chosen = _spread(self._name, records)
+        known = self._entries
+        self._entries = {
+            record.address: _kept(known.get(record.address), record)
+            for record in chosen
+        }
+
+    def next_probe(self, entry: Address) -> Probe | None:
+        """Return the next probe for an entry and count an unanswered one.
+
+        Args:
+            entry: Address of the entry.
+
+        Returns:
+            The probe, or None if the entry is no longer chosen.
+        """
+        state = self._entries.get(entry)
+        if state is None:
+            return None
+        if state.sequence is not None:
+            state.unanswered += 1
+        # A number that cannot be guessed, so that a recorded reply answers nothing.
+        state.sequence = self._rng.randrange(_SEQUENCES)
+        return Probe(state.sequence)
+
+    def replied(self, entry: Address, sequence: int, signal: Signal) -> bool:
+        """Record a probe reply.
+
+        Args:
+            entry: Address of its sender.
+            sequence: Number in the reply.
+            signal: What the entry says of itself.
+
+        Returns:
+            Whether it answers the outstanding probe.
+        """
+        state = self._entries.get(entry)
+        if state is None or state.sequence != sequence:
+            return False
+        state.sequence = None
+        state.unanswered = 0
+        state.leaving = signal.state is SignalState.LEAVING
+        return True
+
+    def usable(self, entry: Address) -> bool:
+        """Return whether an entry is chosen, answers and does not leave."""
+        state = self._entries.get(entry)
+        return (
+            state is not None
+            and state.unanswered < MAX_UNANSWERED
+            and not state.leaving
+        )
+
+    def ranked(self, flow: bytes) -> list[Address]:
+        """Order the chosen entries for a flow, the best first.
+
+        Args:
+            flow: Encoded flow key, which spreads flows over equal entries.
+
+        Returns:
+            All chosen entries. Those that answer come first, then those in the
+            failure domain of the agent.
+        """
+        candidates = [
+            Candidate(state.record.name, *address)
+            for address, state in self._entries.items()
+        ]
+        ordered = [(c.address, c.data_port) for c in rank(flow, candidates)]
+        return sorted(ordered, key=self._cost)
+
+    def status(self) -> dict[str, object]:
+        """Return the unanswered probes of each entry."""
+        return {
+            state.record.name: "leaving" if state.leaving else state.unanswered
+            for state in self._entries.values()
+        }
+
+    def _cost(self, entry: Address) -> tuple[bool, int, bool]:
+        state = self._entries[entry]
+        distant = state.record.failure_domain != self._failure_domain
+        return not self.usable(entry), state.unanswered, distant
+
+
+class ReturnRoute:
+    """Entry through which one flow is answered.
+
+    Args:
+        probes: Entries of this agent.
+        flow: Encoded flow key.
+    """
+
+    __slots__ = ("_carrier", "_flow", "_held", "_probes", "_tried")
+
+    def __init__(self, probes: EntryProbes, flow: bytes) -> None:
+        self._probes = probes
+        self._flow = flow
+        self._carrier: Address | None = None
+        self._held: Address | None = None
+        self._tried: set[Address] = set()
+
+    def note_carrier(self, entry: Address) -> None:
+        """Record the entry that carried a packet of the caller."""
+        self._carrier = entry
+        if self._held is None and self._probes.usable(entry):
+            self._held = entry
+
+    def current(self) -> Address | None:
+        """Return the entry to send through, None if no entry is known."""
+        if self._held is None or not self._probes.usable(self._held):
+            self._held = self._pick()
+        return self._held or self._carrier
+
+    def rotate(self) -> Address | None:
+        """Switch to another entry after QUIC's loss timer has fired.
+
+        Returns:
+            The entry to send through from now on.
+        """
+        leaving = self.current()
+        if leaving is not None:
+            self._tried.add(leaving)
+        self._held = self._pick()
+        return self._held or self._carrier
+
+    def _pick(self) -> Address | None:
+        ranked = self._probes.ranked(self._flow)
+        usable = [entry for entry in ranked if self._probes.usable(entry)]
+        if not usable:
+            # The caller's last packet is newer evidence than unanswered probes.
+            return self._untried([e for e in [self._carrier, *ranked] if e is not None])
+        return self._untried(usable)
+
+    def _untried(self, entries: Sequence[Address]) -> Address | None:
+        self._tried &= set(entries)
+        left = [entry for entry in entries if entry not in self._tried]
+        if not left:
+            last = self._held
+            self._tried = {last} if last is not None and len(entries) > 1 else set()
+            left = [entry for entry in entries if entry not in self._tried]
+        return left[0] if left else None
+
+
+def _kept(state: _EntryState | None, record: EntryRecord) -> _EntryState:
+    if state is None or state.record != record:
+        return _EntryState(record)
+    return state
+
+
+def _spread(name: bytes, records: Sequence[EntryRecord]) -> list[EntryRecord]:
+    """Take entries from each failure domain in turn."""
+    by_name = {record.name: record for record in records}
+    domains: dict[str, list[EntryRecord]] = {}
+    for candidate in rank(name, [Candidate(r.name, *r.address) for r in records]):
+        record = by_name[candidate.name]
+        domains.setdefault(record.failure_domain, []).append(record)
+    chosen: list[EntryRecord] = []
+    while len(chosen) < MAX_ENTRIES and any(domains.values()):
+        for queue in domains.values():
+            if queue and len(chosen) < MAX_ENTRIES:
+                chosen.append(queue.pop(0))
+    return chosen
--- a/balsamspool/plugins/forwarding/return_path.py
+++ b/balsamspool/plugins/forwarding/return_path.py
@@ -1,7 +1,7 @@
 """Agent side of the datagrams between entries and agents."""
 
 import asyncio
-import logging
+import random
 from asyncio import DatagramProtocol, DatagramTransport
 from collections.abc import Callable
 
@@ -12,20 +12,29 @@
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.plugins.forwarding._codec import EnvelopeCodec
 from balsamspool.plugins.forwarding.envelope import (
+    Envelope,
     Forward,
     Probe,
     ProbeReply,
     Return,
     TracedForward,
 )
+from balsamspool.plugins.forwarding.probe import (
+    PROBE_SECONDS,
+    EntryProbes,
+    EntryRecord,
+    ReturnRoute,
+)
 from balsamspool.plugins.membership import MembershipPlugin, Signal
 from balsamspool.plugins.membership.signals import SignalState
-
-_logger = logging.getLogger(__name__)
+from balsamspool.plugins.routing.flow import FlowKey
+from balsamspool.plugins.routing.handover import MAX_HOPS
 
 Address = tuple[str, int]
 OnForward = Callable[[Forward, Address, TracedForward | None], None]
 
+_PROBE_JITTER = 0.2
+
 
 @register(
     "return-path",
@@ -45,6 +54,10 @@
         self._membership = kernel.plugin(MembershipPlugin)
         self._transport: DatagramTransport | None = None
         self._on_forward: OnForward | None = None
+        self._load: Callable[[], int] = lambda: 0
+        identity = kernel.identity
+        self._probes = EntryProbes(identity.instance, identity.failure_domain)
+        self._probers: dict[Address, asyncio.Task[None]] = {}
         self._dropped = Counter(
             "balsamspool_forwarding_dropped_datagrams",
             "Datagrams dropped",
@@ -59,12 +72,35 @@
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: _EntrySide(self), (identity.address, identity.data_port)
         )
+        self._membership.subscribe(self._choose_entries)
+        self._choose_entries()
 
     async def stop(self) -> None:
-        """Close the socket."""
+        """Close the socket and stop probing."""
+        for task in self._probers.values():
+            task.cancel()
         if self._transport is not None:
             self._transport.close()
 
+    def status(self) -> dict[str, object]:
+        """Return the unanswered probes of the chosen entries."""
+        return {"entries": self._probes.status()}
+
+    def report_load(self, source: Callable[[], int]) -> None:
+        """Set the function that returns the load of this host, 0 to 255."""
+        self._load = source
+
+    def open_route(self, flow: FlowKey) -> ReturnRoute:
+        """Return a route for the answers of one flow.
+
+        Args:
+            flow: Key of the flow.
+
+        Returns:
+            The route, which the front end keeps as long as the flow.
+        """
+        return ReturnRoute(self._probes, flow.encode())
+
     def on_forward(self, callback: OnForward) -> None:
         """Set the function that takes the callers' datagrams."""
         self._on_forward = callback
@@ -112,8 +148,11 @@
                 self._deliver(forward, sender, traced)
             case Probe(sequence):
                 self._send(ProbeReply(sequence, self._signal()), sender)
-            case ProbeReply(_, signal):
-                self._membership.note(*sender, signal)
+            case ProbeReply(sequence, signal):
+                if self._probes.replied(sender, sequence, signal):
+                    self._membership.note(*sender, signal)
+                else:
+                    self._dropped.labels("unexpected-reply").inc()
             case Return():
                 self._dropped.labels("unexpected-kind").inc()
             case None:
@@ -122,17 +161,48 @@
     def _deliver(
         self, forward: Forward, sender: Address, traced: TracedForward | None
     ) -> None:
-        if self._on_forward is not None:
+        if forward.hops > MAX_HOPS:
+            self._dropped.labels("hop-limit").inc()
+        elif self._on_forward is not None:
             self._on_forward(forward, sender, traced)
 
+    def _choose_entries(self) -> None:
+        records = [
+            EntryRecord(
+                entry.instance,
+                (entry.address, entry.data_port),
+                entry.failure_domain,
+            )
+            for entry in self._membership.entries()
+        ]
+        self._probes.choose(records)
+        chosen = self._probes.addresses
+        for entry in set(self._probers).difference(chosen):
+            self._probers.pop(entry).cancel()
+        for entry in chosen:
+            if entry not in self._probers:
+                work = self._probe_entry(entry)
+                self._probers[entry] = self._kernel.spawn(work, f"probe {entry}")
+
+    async def _probe_entry(self, entry: Address) -> None:
+        while (probe := self._probes.next_probe(entry)) is not None:
+            self._send(probe, entry)
+            jitter = random.uniform(1 - _PROBE_JITTER, 1 + _PROBE_JITTER)
+            await asyncio.sleep(PROBE_SECONDS * jitter)
+
     def _signal(self) -> Signal:
         leaving = self._kernel.state is not ProcessState.ACCEPTING
         state = SignalState.LEAVING if leaving else SignalState.ACCEPTING
-        return Signal(state, 0)
+        return Signal(state, min(max(self._load(), 0), 255))
 
-    def _send(self, envelope: Return | Forward | ProbeReply, to: Address) -> None:
-        if self._transport is not None:
+    def _send(self, envelope: Envelope, to: Address) -> None:
+        if self._transport is None:
+            return
+        try:
             self._transport.sendto(self._codec.seal(envelope), to)
+        except (OSError, ValueError):
+            # An address such as port 0 cannot be sent to.
+            self._dropped.labels("unsendable").inc()
 
 
 class _EntrySide(DatagramProtocol):
