Add the entry datagram benchmark

Cause: the cost of a datagram at the entry was unknown.

Change: benchmarks/entry_datagrams.py measures the entry program and a bare uvloop relay as separate processes, in datagrams a CPU second.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- /dev/null
+++ b/benchmarks/entry_datagrams.py
@@ -0,0 +1,224 @@
+"""Measures the entry against a bare datagram relay in the same run.
+
+The entry program and the relay run as separate processes on loopback. A window of
+datagrams in flight keeps the sockets from overflowing. The figure is the number of
+datagrams that arrived for each CPU second of the process.
+"""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from asyncio import DatagramProtocol, DatagramTransport
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from subprocess import Popen
+from time import monotonic, sleep
+
+os.environ["UV_USE_IO_URING"] = "0"
+
+import uvloop  # noqa: E402
+from fire import Fire  # noqa: E402
+
+from balsamspool.kernel.keyring import KeyRing, KeySet  # noqa: E402
+from balsamspool.plugins.forwarding._codec import EnvelopeCodec  # noqa: E402
+from balsamspool.plugins.forwarding.envelope import Return  # noqa: E402
+from balsamspool.plugins.membership import Signal  # noqa: E402
+from balsamspool.plugins.membership.signals import SignalState  # noqa: E402
+from balsamspool.plugins.routing.token import RoutingToken, TokenCodec  # noqa: E402
+from standins.fleet import SECRET, ServicePlan, free_port, run_fleet  # noqa: E402
+
+ROOT = Path(__file__).resolve().parent.parent
+ADDRESS = "127.0.0.1"
+WINDOW = 64
+PAYLOAD_BYTES = 1_200
+START_SECONDS = 10.0
+# A lost datagram must not stop the window for good.
+STALL_SECONDS = 0.2
+
+Address = tuple[str, int]
+
+
+class _Relay(DatagramProtocol):
+    """Sends each datagram on to one address."""
+
+    def __init__(self, target: Address) -> None:
+        self._target = target
+        self.out: DatagramTransport | None = None
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        """Pass on a datagram."""
+        if self.out is not None:
+            self.out.sendto(data, self._target)
+
+
+@dataclass(frozen=True, slots=True)
+class Figure:
+    """Result of one measurement.
+
+    Attributes:
+        sent: Datagrams sent to the process.
+        arrived: Datagrams that came out of it.
+        cpu_seconds: CPU time of the process.
+    """
+
+    sent: int
+    arrived: int
+    cpu_seconds: float
+
+    @property
+    def rate(self) -> float:
+        """Datagrams for each CPU second."""
+        return self.arrived / self.cpu_seconds if self.cpu_seconds else 0.0
+
+    def line(self, name: str) -> str:
+        """Return one line for the report."""
+        return (
+            f"{name:14} {self.rate:9.0f} datagrams a CPU second "
+            f"({self.arrived} of {self.sent} arrived, {self.cpu_seconds:.2f} s CPU)"
+        )
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the CPU time that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def measure(
+    pid: int,
+    datagrams: list[bytes],
+    target: Address,
+    sender: socket.socket,
+    sink: socket.socket,
+    seconds: float,
+) -> Figure:
+    """Send datagrams through a process for a time and count those that arrive."""
+    sent = arrived = lost = 0
+    before, end = cpu_seconds(pid), monotonic() + seconds
+    sink.settimeout(STALL_SECONDS)
+    while monotonic() < end:
+        while sent - arrived - lost < WINDOW:
+            sender.sendto(datagrams[sent % len(datagrams)], target)
+            sent += 1
+        try:
+            sink.recv(65_535)
+            arrived += 1
+        except TimeoutError:
+            lost = sent - arrived
+    return Figure(sent, arrived, cpu_seconds(pid) - before)
+
+
+@contextmanager
+def udp_socket() -> Iterator[socket.socket]:
+    """Open a UDP socket on loopback."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as opened:
+        opened.bind((ADDRESS, 0))
+        yield opened
+
+
+@contextmanager
+def relay_process(target: Address) -> Iterator[tuple[int, Address]]:
+    """Run the relay and yield its process ID and address."""
+    port = free_port(socket.SOCK_DGRAM)
+    arguments = [f"--port={port}", f"--target={target[1]}"]
+    command = [sys.executable, "-m", "benchmarks.entry_datagrams", "relay", *arguments]
+    process = Popen(command, cwd=ROOT)
+    try:
+        _wait_bound(port)
+        yield process.pid, (ADDRESS, port)
+    finally:
+        process.send_signal(signal.SIGTERM)
+        process.wait(timeout=5)
+
+
+class Commands:
+    """Entry datagram benchmark."""
+
+    def relay(self, port: int, target: int) -> None:
+        """Relay datagrams until the process is ended."""
+
+        async def serve() -> None:
+            loop = asyncio.get_running_loop()
+            relay = _Relay((ADDRESS, target))
+            relay.out, _ = await loop.create_datagram_endpoint(
+                DatagramProtocol, (ADDRESS, 0)
+            )
+            await loop.create_datagram_endpoint(lambda: relay, (ADDRESS, port))
+            await asyncio.Event().wait()
+
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve())
+
+    def run(self, seconds: float = 3.0, rounds: int = 1) -> None:
+        """Measure relay and entry in turn.
+
+        Args:
+            seconds: Duration of each measurement, at most 20.
+            rounds: Number of repetitions, at most 5.
+        """
+        seconds, rounds = min(seconds, 20.0), min(rounds, 5)
+        for _ in range(rounds):
+            asyncio.run(_round(seconds))
+
+
+async def _round(seconds: float) -> None:
+    keys = KeyRing(KeySet(active=1, secrets={"1": SECRET}))
+    plan = ServicePlan("portal", 1, 0, [{"kind": "request", "path": "/"}])
+    async with run_fleet([plan], entries=1) as fleet:
+        (entry,) = fleet.entries.values()
+        assert entry.process is not None
+        pid, agents_port = entry.process.pid, entry.listed["data_port"]
+        (public,) = fleet.entry_addresses("portal")
+        with udp_socket() as sender, udp_socket() as sink:
+            caller = sink.getsockname()
+            inward = _caller_datagrams(keys, sink.getsockname()[1])
+            outward = [_return_datagram(keys, caller)]
+            with relay_process(sink.getsockname()) as (relay_pid, relay):
+                results = {}
+                for name, target, target_pid, datagrams in (
+                    ("relay", relay, relay_pid, inward),
+                    ("entry inward", public, pid, inward),
+                    ("entry outward", (ADDRESS, agents_port), pid, outward),
+                ):
+                    results[name] = await asyncio.to_thread(
+                        measure, target_pid, datagrams, target, sender, sink, seconds
+                    )
+                    sys.stdout.write(results[name].line(name) + "\n")
+        base = results["relay"].rate
+        for name in ("entry inward", "entry outward"):
+            sys.stdout.write(f"{name:14} ratio {results[name].rate / base:.2f}\n")
+
+
+def _caller_datagrams(keys: KeyRing, port: int) -> list[bytes]:
+    codec = TokenCodec(keys)
+    padding = bytes(PAYLOAD_BYTES - 18)
+    return [
+        b"\x40"
+        + codec.encode(RoutingToken(ADDRESS, port, 1, b"\x00\x00\x00", serial))
+        + padding
+        for serial in range(1_000)
+    ]
+
+
+def _return_datagram(keys: KeyRing, caller: Address) -> bytes:
+    signal_sent = Signal(SignalState.ACCEPTING, 0)
+    return EnvelopeCodec(keys).seal(
+        Return(1, *caller, signal_sent, bytes(PAYLOAD_BYTES))
+    )
+
+
+def _wait_bound(port: int) -> None:
+    end = monotonic() + START_SECONDS
+    needle = f":{port:04X} "
+    while needle not in Path("/proc/net/udp").read_text():
+        if monotonic() > end:
+            raise TimeoutError(f"the relay did not open port {port}")
+        sleep(0.02)
+
+
+if __name__ == "__main__":
+    Fire(Commands)
