Count datagrams without a lock

Cause: a labelled counter of prometheus_client took about a tenth of the time of a datagram in the profile.

Change: DatagramCounts keeps plain numbers and is a collector of the registry. Names and labels of the metrics are unchanged.

--- a/balsamspool/plugins/forwarding/entry.py
+++ b/balsamspool/plugins/forwarding/entry.py
@@ -5,7 +5,6 @@
 
 from msgspec import field
 from opentelemetry.trace import get_tracer
-from prometheus_client import Counter
 
 from balsamspool.kernel.identity import Role
 from balsamspool.kernel.lifecycle import Kernel, ProcessState
@@ -14,6 +13,7 @@
 from balsamspool.plugins.configuration import Configuration, ConfigurationPlugin
 from balsamspool.plugins.configuration.checker import split_address
 from balsamspool.plugins.forwarding._codec import EnvelopeCodec
+from balsamspool.plugins.forwarding._counts import DatagramCounts
 from balsamspool.plugins.forwarding._quic_header import read_packet
 from balsamspool.plugins.forwarding.envelope import (
     Envelope,
@@ -73,17 +73,17 @@
         self._sockets = ServiceSockets(kernel, self.caller_datagram)
         self._probes = HostProbes()
         self._tracer = get_tracer("balsamspool")
-        self._forwarded = Counter(
+        self._forwarded = DatagramCounts(
             "balsamspool_forwarding_datagrams",
             "Datagrams passed on",
-            ["direction"],
-            registry=kernel.metrics,
+            "direction",
+            kernel.metrics,
         )
-        self._dropped = Counter(
+        self._dropped = DatagramCounts(
             "balsamspool_forwarding_dropped_datagrams",
             "Datagrams dropped",
-            ["reason"],
-            registry=kernel.metrics,
+            "reason",
+            kernel.metrics,
         )
 
     async def start(self) -> None:
@@ -123,10 +123,10 @@
         """
         packet = read_packet(FlowKey(service, *caller), datagram)
         if packet is None:
-            self._dropped.labels("not-quic").inc()
+            self._dropped.add("not-quic")
             return
         if len(datagram) > MAX_PAYLOAD_BYTES:
-            self._dropped.labels("too-long").inc()
+            self._dropped.add("too-long")
             return
         match self._routing.route(packet, self._probes.avoided()):
             case Deliver(address, data_port, opens):
@@ -135,9 +135,9 @@
                     self._forward_opening(forward, (address, data_port))
                 else:
                     self._send_to_agent(forward, (address, data_port))
-                self._forwarded.labels("to-agent").inc()
+                self._forwarded.add("to-agent")
             case Drop(reason):
-                self._dropped.labels(reason.value).inc()
+                self._dropped.add(reason.value)
 
     def agent_datagram(self, datagram: bytes, sender: Address) -> None:
         """Handle a datagram from an agent.
@@ -156,11 +156,11 @@
                 if self._probes.replied(sender, sequence):
                     self._note(sender, signal)
                 else:
-                    self._dropped.labels("unexpected-reply").inc()
+                    self._dropped.add("unexpected-reply")
             case Forward() | TracedForward():
-                self._dropped.labels("unexpected-kind").inc()
+                self._dropped.add("unexpected-kind")
             case None:
-                self._dropped.labels("not-authentic").inc()
+                self._dropped.add("not-authentic")
 
     def _forward_opening(self, forward: Forward, agent: Address) -> None:
         with self._tracer.start_as_current_span("entry.forward") as span:
@@ -192,17 +192,17 @@
     def _send_to_caller(self, service: int, payload: bytes, caller: Address) -> None:
         transport = self._sockets.transport(service)
         if transport is None:
-            self._dropped.labels("unknown-service").inc()
+            self._dropped.add("unknown-service")
             return
         if self._send(transport, payload, caller):
-            self._forwarded.labels("to-caller").inc()
+            self._forwarded.add("to-caller")
 
     def _send(self, transport: DatagramTransport, data: bytes, to: Address) -> bool:
         try:
             transport.sendto(data, to)
         except (OSError, ValueError):
             # An address such as port 0 cannot be sent to.
-            self._dropped.labels("unsendable").inc()
+            self._dropped.add("unsendable")
             return False
         return True
 
--- a/balsamspool/plugins/forwarding/return_path.py
+++ b/balsamspool/plugins/forwarding/return_path.py
@@ -5,12 +5,11 @@
 from asyncio import DatagramProtocol, DatagramTransport
 from collections.abc import Callable
 
-from prometheus_client import Counter
-
 from balsamspool.kernel.identity import Role
 from balsamspool.kernel.lifecycle import Kernel, ProcessState
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.plugins.forwarding._codec import EnvelopeCodec
+from balsamspool.plugins.forwarding._counts import DatagramCounts
 from balsamspool.plugins.forwarding.envelope import (
     Envelope,
     Forward,
@@ -58,11 +57,11 @@
         identity = kernel.identity
         self._probes = EntryProbes(identity.instance, identity.failure_domain)
         self._probers: dict[Address, asyncio.Task[None]] = {}
-        self._dropped = Counter(
+        self._dropped = DatagramCounts(
             "balsamspool_forwarding_dropped_datagrams",
             "Datagrams dropped",
-            ["reason"],
-            registry=kernel.metrics,
+            "reason",
+            kernel.metrics,
         )
 
     async def start(self) -> None:
@@ -152,17 +151,17 @@
                 if self._probes.replied(sender, sequence, signal):
                     self._membership.note(*sender, signal)
                 else:
-                    self._dropped.labels("unexpected-reply").inc()
+                    self._dropped.add("unexpected-reply")
             case Return():
-                self._dropped.labels("unexpected-kind").inc()
+                self._dropped.add("unexpected-kind")
             case None:
-                self._dropped.labels("not-authentic").inc()
+                self._dropped.add("not-authentic")
 
     def _deliver(
         self, forward: Forward, sender: Address, traced: TracedForward | None
     ) -> None:
         if forward.hops > MAX_HOPS:
-            self._dropped.labels("hop-limit").inc()
+            self._dropped.add("hop-limit")
         elif self._on_forward is not None:
             self._on_forward(forward, sender, traced)
 
@@ -202,7 +201,7 @@
             self._transport.sendto(self._codec.seal(envelope), to)
         except (OSError, ValueError):
             # An address such as port 0 cannot be sent to.
-            self._dropped.labels("unsendable").inc()
+            self._dropped.add("unsendable")
 
 
 class _EntrySide(DatagramProtocol):
