Copy a keyed hash state for each envelope tag and reuse signals

Cause: each tag derived the keyed state of BLAKE2s again, and each return datagram built its signal through two enum and data class calls.

Change: the codec keeps one keyed state for each key number until the keys are replaced, and one Signal for each of the 512 values.

--- a/balsamspool/plugins/forwarding/_codec.py
+++ b/balsamspool/plugins/forwarding/_codec.py
@@ -5,9 +5,11 @@
 """
 
 import struct
+from functools import lru_cache
 from hashlib import blake2s
 from hmac import compare_digest
 from socket import inet_aton, inet_ntoa
+from typing import Any
 
 from balsamspool.kernel.errors import ResultError
 from balsamspool.kernel.keyring import KeyRing
@@ -42,10 +44,13 @@
         keyring: Shared keys.
     """
 
-    __slots__ = ("_keyring",)
+    __slots__ = ("_hashers", "_keyring", "_version")
 
     def __init__(self, keyring: KeyRing) -> None:
         self._keyring = keyring
+        self._version = -1
+        # A keyed state by key number; its copies save the compression of the key.
+        self._hashers: dict[int, Any] = {}
 
     def seal(self, envelope: Envelope) -> bytes:
         """Return the datagram for an envelope.
@@ -108,8 +113,17 @@
         return head + flow + extra + forward.payload
 
     def _tag(self, number: int, body: bytes) -> bytes:
-        key = self._keyring.key(number, _PURPOSE)
-        return blake2s(body, digest_size=TAG_BYTES, key=key).digest()
+        if self._version != self._keyring.version:
+            self._hashers.clear()
+            self._version = self._keyring.version
+        keyed = self._hashers.get(number)
+        if keyed is None:
+            key = self._keyring.key(number, _PURPOSE)
+            keyed = blake2s(digest_size=TAG_BYTES, key=key)
+            self._hashers[number] = keyed
+        hasher = keyed.copy()
+        hasher.update(body)
+        return hasher.digest()
 
 
 def _pack_signal(signal: Signal) -> bytes:
@@ -117,7 +131,11 @@
 
 
 def _unpack_signal(body: bytes, at: int) -> Signal:
-    state, load = _SIGNAL.unpack_from(body, at)
+    return _make_signal(*_SIGNAL.unpack_from(body, at))
+
+
+@lru_cache(maxsize=len(SignalState) * 256)
+def _make_signal(state: int, load: int) -> Signal:
     return Signal(SignalState(state), load)
 
 
