Close sockets that open after a withdrawal and count failed sends

Cause: a withdrawal during create_datagram_endpoint could leave the socket open, and datagrams that the operating system refused were not counted.

Change: a service socket takes its transport in connection_made and closes it if it was withdrawn before. The error_received callbacks count under "unsendable".

--- a/balsamspool/plugins/forwarding/entry.py
+++ b/balsamspool/plugins/forwarding/entry.py
@@ -70,7 +70,7 @@
         self._routing = kernel.plugin(RoutingPlugin)
         self._membership = kernel.plugin(MembershipPlugin)
         self._agents: DatagramTransport | None = None
-        self._sockets = ServiceSockets(kernel, self.caller_datagram)
+        self._sockets = ServiceSockets(kernel, self.caller_datagram, self.send_failed)
         self._probes = HostProbes()
         self._tracer = get_tracer("balsamspool")
         self._forwarded = DatagramCounts(
@@ -162,6 +162,10 @@
             case None:
                 self._dropped.add("not-authentic")
 
+    def send_failed(self, error: Exception) -> None:
+        """Count a datagram that the operating system refused to send."""
+        self._dropped.add("unsendable")
+
     def _forward_opening(self, forward: Forward, agent: Address) -> None:
         with self._tracer.start_as_current_span("entry.forward") as span:
             context = span.get_span_context()
@@ -200,9 +204,9 @@
     def _send(self, transport: DatagramTransport, data: bytes, to: Address) -> bool:
         try:
             transport.sendto(data, to)
-        except (OSError, ValueError):
+        except (OSError, ValueError) as error:
             # An address such as port 0 cannot be sent to.
-            self._dropped.add("unsendable")
+            self.send_failed(error)
             return False
         return True
 
@@ -225,3 +229,7 @@
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Pass on a datagram of an agent."""
         self._entry.agent_datagram(data, addr)
+
+    def error_received(self, exc: Exception) -> None:
+        """Count a datagram that could not be sent."""
+        self._entry.send_failed(exc)
--- a/balsamspool/plugins/forwarding/return_path.py
+++ b/balsamspool/plugins/forwarding/return_path.py
@@ -157,6 +157,10 @@
             case None:
                 self._dropped.add("not-authentic")
 
+    def send_failed(self, error: Exception) -> None:
+        """Count a datagram that the operating system refused to send."""
+        self._dropped.add("unsendable")
+
     def _deliver(
         self, forward: Forward, sender: Address, traced: TracedForward | None
     ) -> None:
@@ -199,9 +203,9 @@
             return
         try:
             self._transport.sendto(self._codec.seal(envelope), to)
-        except (OSError, ValueError):
+        except (OSError, ValueError) as error:
             # An address such as port 0 cannot be sent to.
-            self._dropped.add("unsendable")
+            self.send_failed(error)
 
 
 class _EntrySide(DatagramProtocol):
@@ -215,3 +219,7 @@
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Pass on a datagram."""
         self._path.entry_datagram(data, addr)
+
+    def error_received(self, exc: Exception) -> None:
+        """Count a datagram that could not be sent."""
+        self._path.send_failed(exc)
--- a/balsamspool/plugins/forwarding/service_sockets.py
+++ b/balsamspool/plugins/forwarding/service_sockets.py
@@ -3,8 +3,9 @@
 import asyncio
 import logging
 import socket
-from asyncio import DatagramProtocol, DatagramTransport
+from asyncio import BaseTransport, DatagramProtocol, DatagramTransport
 from collections.abc import Callable, Mapping
+from typing import cast
 
 from balsamspool.kernel.backoff import Backoff
 from balsamspool.kernel.lifecycle import Kernel
@@ -21,20 +22,38 @@
 
 Address = tuple[str, int]
 OnDatagram = Callable[[int, bytes, Address], None]
+OnError = Callable[[Exception], None]
 
 
 class _ServiceSocket(DatagramProtocol):
     """The socket of one service at one address, until it is withdrawn."""
 
-    __slots__ = ("address", "error", "on_datagram", "service", "task", "transport")
-
-    def __init__(self, service: int, address: Address, on_datagram: OnDatagram) -> None:
+    __slots__ = (
+        "address",
+        "closed",
+        "error",
+        "on_datagram",
+        "on_error",
+        "service",
+        "task",
+        "transport",
+    )
+
+    def __init__(
+        self,
+        service: int,
+        address: Address,
+        on_datagram: OnDatagram,
+        on_error: OnError,
+    ) -> None:
         self.service = service
         self.address = address
         self.on_datagram = on_datagram
+        self.on_error = on_error
         self.transport: DatagramTransport | None = None
         self.task: asyncio.Task[None] | None = None
         self.error: str | None = None
+        self.closed = False
 
     async def run(self) -> None:
         """Open the socket, trying again until it is open or withdrawn."""
@@ -58,6 +77,7 @@
 
     def close(self) -> None:
         """Withdraw the address at any stage."""
+        self.closed = True
         if self.task is not None:
             self.task.cancel()
         if self.transport is not None:
@@ -65,23 +85,32 @@
             self.transport = None
             ADDRESS_CLOSED.log(_logger, service=self.service, address=self.address)
 
+    def connection_made(self, transport: BaseTransport) -> None:
+        """Take the transport, or close it if the address was withdrawn meanwhile."""
+        if self.closed:
+            transport.close()
+        else:
+            self.transport = cast(DatagramTransport, transport)
+
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Pass on a datagram of a caller."""
         self.on_datagram(self.service, data, addr)
 
+    def error_received(self, exc: Exception) -> None:
+        """Report a datagram that could not be sent."""
+        self.on_error(exc)
+
     async def _open(self) -> None:
-        # Binding here gives a failed or cancelled attempt nothing to leave behind.
         bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
             bound.setblocking(False)
             bound.bind(self.address)
-            loop = asyncio.get_running_loop()
-            self.transport, _ = await loop.create_datagram_endpoint(
-                lambda: self, sock=bound
-            )
-        except BaseException:
+        except OSError:
             bound.close()
             raise
+        # From here on the transport owns the socket, also after a cancellation.
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, sock=bound)
 
 
 class ServiceSockets:
@@ -90,13 +119,17 @@
     Args:
         kernel: Kernel that runs the tasks.
         on_datagram: Takes service number, datagram and sender.
+        on_error: Takes the error of a datagram that could not be sent.
     """
 
-    __slots__ = ("_kernel", "_on_datagram", "_sockets")
+    __slots__ = ("_kernel", "_on_datagram", "_on_error", "_sockets")
 
-    def __init__(self, kernel: Kernel, on_datagram: OnDatagram) -> None:
+    def __init__(
+        self, kernel: Kernel, on_datagram: OnDatagram, on_error: OnError
+    ) -> None:
         self._kernel = kernel
         self._on_datagram = on_datagram
+        self._on_error = on_error
         self._sockets: dict[int, _ServiceSocket] = {}
 
     def update(self, wanted: Mapping[int, Address]) -> None:
@@ -111,7 +144,9 @@
                 del self._sockets[number]
         for number, address in wanted.items():
             if number not in self._sockets:
-                added = _ServiceSocket(number, address, self._on_datagram)
+                added = _ServiceSocket(
+                    number, address, self._on_datagram, self._on_error
+                )
                 self._sockets[number] = added
                 added.task = self._kernel.spawn(added.run(), f"open service {number}")
 
--- /dev/null
+++ b/tests/test_forwarding_fabric.py
@@ -0,0 +1,89 @@
+"""The fabric stand-in: faults repeat with a seed, and its state is bounded."""
+
+import asyncio
+from unittest import IsolatedAsyncioTestCase
+
+from standins.fabric import Fabric
+
+
+class Recorder(asyncio.DatagramProtocol):
+    def __init__(self):
+        self.got = []
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.address = transport.get_extra_info("sockname")
+
+    def datagram_received(self, data, addr):
+        self.got.append(data[0])
+
+
+class FabricTest(IsolatedAsyncioTestCase):
+    async def recorders(self, count):
+        loop = asyncio.get_running_loop()
+        found = []
+        for _ in range(count):
+            _, recorder = await loop.create_datagram_endpoint(
+                Recorder, ("127.0.0.1", 0)
+            )
+            self.addCleanup(recorder.transport.close)
+            found.append(recorder)
+        return found
+
+    async def run_once(self, seed, **faults):
+        entries = await self.recorders(3)
+        fabric = Fabric([entry.address for entry in entries], seed)
+        self.addCleanup(fabric.close)
+        for name, value in faults.items():
+            setattr(fabric.inward_faults, name, value)
+        fabric.inward(b"\xff", ("127.0.0.1", 1))
+        await asyncio.sleep(0.02)
+        for number in range(100):
+            fabric.inward(bytes([number]), ("127.0.0.1", 1))
+        await asyncio.sleep(0.1)
+        return [entry.got for entry in entries]
+
+    async def test_faults_repeat_with_the_seed(self):
+        """Guards against a failing run that cannot be repeated."""
+        faults = {"loss": 0.3, "duplication": 0.3, "reordering": 0.3}
+        first = await self.run_once(4, **faults)
+        self.assertEqual(first, await self.run_once(4, **faults))
+        self.assertNotEqual(first, await self.run_once(5, **faults))
+
+    async def test_each_fault_does_what_it_says(self):
+        """Guards against a test that passes because its fault never happened."""
+        lossy = await self.run_once(4, loss=0.5)
+        self.assertLess(sum(map(len, lossy)), 80)
+        doubled = await self.run_once(4, duplication=1.0)
+        self.assertEqual(sum(map(len, doubled)), 202)
+        late = await self.run_once(4, reordering=0.5)
+        self.assertEqual(sum(map(len, late)), 101)
+        self.assertNotEqual(late, [sorted(got) for got in late])
+
+    async def test_cut_works_in_one_direction(self):
+        """Guards against a one-way cut that cuts both ways."""
+        entry, caller = await self.recorders(2)
+        fabric = Fabric([entry.address])
+        await fabric.open(("127.0.0.1", 0))
+        self.addCleanup(fabric.close)
+        fabric.unreachable.add(entry.address)
+        fabric.inward(b"a", caller.address)
+        fabric.outward(b"b", entry.address, caller.address)
+        await asyncio.sleep(0.05)
+        self.assertEqual((entry.got, caller.got), ([], [98]))
+        fabric.unreachable.clear()
+        fabric.muted.add(entry.address)
+        fabric.inward(b"a", caller.address)
+        fabric.outward(b"b", entry.address, caller.address)
+        await asyncio.sleep(0.05)
+        self.assertEqual((entry.got, caller.got), ([97], [98]))
+
+    async def test_flow_table_is_bounded(self):
+        """Guards against a long test that runs out of sockets."""
+        (entry,) = await self.recorders(1)
+        fabric = Fabric([entry.address], max_flows=4)
+        self.addCleanup(fabric.close)
+        for port in range(1, 30):
+            fabric.inward(b"a", ("127.0.0.1", port))
+            await asyncio.sleep(0.005)
+        self.assertEqual(fabric.flows, 4)
