Keep no state for return datagrams from unlisted addresses

Cause: a replayed return datagram with forged source addresses added one signal for each address to the signal board.

Change: the entry notes signals only of instances in the list.

Conclusion: an agent that is not yet listed can still answer callers.

--- a/balsamspool/plugins/forwarding/entry.py
+++ b/balsamspool/plugins/forwarding/entry.py
@@ -72,6 +72,7 @@
         self._agents: DatagramTransport | None = None
         self._sockets = ServiceSockets(kernel, self.caller_datagram, self.send_failed)
         self._probes = HostProbes()
+        self._listed: frozenset[Address] = frozenset()
         self._tracer = get_tracer("balsamspool")
         self._forwarded = DatagramCounts(
             "balsamspool_forwarding_datagrams",
@@ -93,6 +94,8 @@
         self._agents, _ = await loop.create_datagram_endpoint(
             lambda: _AgentSide(self), (identity.address, identity.data_port)
         )
+        self._membership.subscribe(self._on_list)
+        self._on_list()
         configuration = self._kernel.plugin(ConfigurationPlugin)
         configuration.subscribe(self._on_configuration)
 
@@ -181,8 +184,10 @@
             self._send_to_agent(probe, agent)
 
     def _note(self, agent: Address, signal: Signal) -> None:
-        self._probes.heard(agent)
-        self._membership.note(*agent, signal)
+        # A replayed datagram may come from any address; only listed ones have state.
+        if agent in self._listed:
+            self._probes.heard(agent)
+            self._membership.note(*agent, signal)
 
     def _signal(self) -> Signal:
         leaving = self._kernel.state is not ProcessState.ACCEPTING
@@ -210,6 +215,11 @@
             return False
         return True
 
+    def _on_list(self) -> None:
+        self._listed = frozenset(
+            (i.address, i.data_port) for i in self._membership.instances
+        )
+
     def _on_configuration(self, configuration: Configuration) -> None:
         wanted: dict[int, Address] = {}
         for name, service in configuration.document.services.items():
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -24,6 +24,10 @@
         self.board = SignalBoard()
         self.subscribers = []
 
+    @property
+    def instances(self):
+        return self.listed
+
     def subscribe(self, callback):
         self.subscribers.append(callback)
 
--- a/tests/test_forwarding_entry.py
+++ b/tests/test_forwarding_entry.py
@@ -71,6 +71,7 @@
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.clock = Clock()
+        self.kernel.membership.subscribe(self.entry._on_list)
         self.kernel.membership.change([instance(f"h{n}", 4000 + n) for n in range(4)])
         self.kernel.configuration.change(portal=(1, "127.0.0.1:1"))
 
@@ -133,6 +134,14 @@
         self.clock.time += 0.4
         self.assertNotEqual(self.open_flow()[0][1], host)
 
+    async def test_replay_from_many_addresses_leaves_no_state(self):
+        """Guards against memory that grows with replayed return datagrams."""
+        whole = self.codec.seal(Return(1, *CALLER, SIGNAL, b"x"))
+        for port in range(1, 1000):
+            self.entry.agent_datagram(whole, ("127.0.0.9", port))
+        self.assertEqual(len(self.kernel.membership.board._signals), 0)
+        self.assertEqual(len(self.entry._probes), 0)
+
     async def test_hostile_datagrams_are_counted(self):
         """Guards against a datagram that raises, is passed on or is not counted."""
         rng = random.Random(7)
