Shorten the path of a datagram through codec and entry

Cause: patterns that bind fields, two header packs and keyword arguments took about 2 us of each datagram in single measurements (match with three bound fields 0.57 us, class pattern 0.16 us).

Change: class patterns in both handlers, one header pack, the token's check compared before its fields are unpacked.

--- a/balsamspool/plugins/forwarding/_codec.py
+++ b/balsamspool/plugins/forwarding/_codec.py
@@ -30,6 +30,8 @@
 _FORWARD, _TRACED, _RETURN, _PROBE, _REPLY = range(1, 6)
 _HEAD = struct.Struct("!BBBB")
 _FLOW = struct.Struct("!H4sH")
+# Both of them, packed at once.
+_START = struct.Struct("!BBBBH4sH")
 _TRACE = struct.Struct("!16s8s")
 _SIGNAL = struct.Struct("!BB")
 _SEQUENCE = struct.Struct("!I")
@@ -107,10 +109,16 @@
             return None
 
     def _forward(self, kind: int, number: int, forward: Forward, extra: bytes) -> bytes:
-        head = _HEAD.pack(VERSION, kind, number, forward.hops)
-        address = inet_aton(forward.caller_address)
-        flow = _FLOW.pack(forward.service, address, forward.caller_port)
-        return head + flow + extra + forward.payload
+        start = _START.pack(
+            VERSION,
+            kind,
+            number,
+            forward.hops,
+            forward.service,
+            inet_aton(forward.caller_address),
+            forward.caller_port,
+        )
+        return start + extra + forward.payload
 
     def _tag(self, number: int, body: bytes) -> bytes:
         if self._version != self._keyring.version:
--- a/balsamspool/plugins/forwarding/entry.py
+++ b/balsamspool/plugins/forwarding/entry.py
@@ -124,20 +124,23 @@
             datagram: The datagram.
             caller: Address of the caller.
         """
-        packet = read_packet(FlowKey(service, *caller), datagram)
+        packet = read_packet(FlowKey(service, caller[0], caller[1]), datagram)
         if packet is None:
             self._dropped.add("not-quic")
             return
         if len(datagram) > MAX_PAYLOAD_BYTES:
             self._dropped.add("too-long")
             return
+        # Class patterns with attribute reads take a third of the time of patterns that
+        # bind each field.
         match self._routing.route(packet, self._probes.avoided()):
-            case Deliver(address, data_port, opens):
-                forward = Forward(service, *caller, 0, datagram)
-                if opens:
-                    self._forward_opening(forward, (address, data_port))
+            case Deliver() as host:
+                agent = (host.address, host.data_port)
+                forward = Forward(service, caller[0], caller[1], 0, datagram)
+                if host.opens:
+                    self._forward_opening(forward, agent)
                 else:
-                    self._send_to_agent(forward, (address, data_port))
+                    self._send_to_agent(forward, agent)
                 self._forwarded.add("to-agent")
             case Drop(reason):
                 self._dropped.add(reason.value)
@@ -150,9 +153,10 @@
             sender: Address of the sender.
         """
         match self._codec.open(datagram):
-            case Return(service, address, port, signal, payload):
-                self._note(sender, signal)
-                self._send_to_caller(service, payload, (address, port))
+            case Return() as answer:
+                self._note(sender, answer.signal)
+                caller = (answer.caller_address, answer.caller_port)
+                self._send_to_caller(answer.service, answer.payload, caller)
             case Probe(sequence):
                 self._send_to_agent(ProbeReply(sequence, self._signal()), sender)
             case ProbeReply(sequence, signal):
--- a/balsamspool/plugins/routing/token.py
+++ b/balsamspool/plugins/routing/token.py
@@ -98,15 +98,15 @@
         except ResultError:
             return None
         block = decryptor.update(connection_id[1:])
-        address, port, service, incarnation, serial, check = _BLOCK.unpack(block)
-        if check != _CHECK:
+        if block[-2:] != _CHECK:
             return None
+        address, port, service, incarnation, serial, _ = _BLOCK.unpack(block)
         return RoutingToken(
-            address=inet_ntoa(address),
-            data_port=port,
-            service=service,
-            incarnation=incarnation,
-            serial=int.from_bytes(serial, "big"),
+            inet_ntoa(address),
+            port,
+            service,
+            incarnation,
+            int.from_bytes(serial, "big"),
         )
 
     def _contexts(self, number: int) -> tuple[Any, Any]:
