Alternate the measurements of the entry benchmark

Change: relay and entry are measured in slices of 0.25 s in turn, and the size of the payload is an option.

--- a/benchmarks/entry_datagrams.py
+++ b/benchmarks/entry_datagrams.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import os
 import signal
 import socket
@@ -34,7 +35,9 @@
 ROOT = Path(__file__).resolve().parent.parent
 ADDRESS = "127.0.0.1"
 WINDOW = 64
-PAYLOAD_BYTES = 1_200
+# Other jobs change the speed of the machine within seconds, for all paths alike if
+# their slices are short.
+SLICE_SECONDS = 0.25
 START_SECONDS = 10.0
 # A lost datagram must not stop the window for good.
 STALL_SECONDS = 0.2
@@ -74,6 +77,14 @@
         """Datagrams for each CPU second."""
         return self.arrived / self.cpu_seconds if self.cpu_seconds else 0.0
 
+    def plus(self, other: "Figure") -> "Figure":
+        """Return the sum of two measurements."""
+        return Figure(
+            self.sent + other.sent,
+            self.arrived + other.arrived,
+            self.cpu_seconds + other.cpu_seconds,
+        )
+
     def line(self, name: str) -> str:
         """Return one line for the report."""
         return (
@@ -153,19 +164,19 @@
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve())
 
-    def run(self, seconds: float = 3.0, rounds: int = 1) -> None:
-        """Measure relay and entry in turn.
+    def run(self, seconds: float = 3.0, payload: int = 1_200) -> None:
+        """Measure relay and entry in alternating slices.
 
         Args:
-            seconds: Duration of each measurement, at most 20.
-            rounds: Number of repetitions, at most 5.
+            seconds: Duration of each of the three measurements, at most 20.
+            payload: Size of a caller's datagram and of an answer in octets, 18 to
+                1,400.
         """
-        seconds, rounds = min(seconds, 20.0), min(rounds, 5)
-        for _ in range(rounds):
-            asyncio.run(_round(seconds))
+        payload = min(max(payload, 18), 1_400)
+        asyncio.run(_run(min(seconds, 20.0), payload))
 
 
-async def _round(seconds: float) -> None:
+async def _run(seconds: float, payload: int) -> None:
     keys = KeyRing(KeySet(active=1, secrets={"1": SECRET}))
     plan = ServicePlan("portal", 1, 0, [{"kind": "request", "path": "/"}])
     async with run_fleet([plan], entries=1) as fleet:
@@ -174,28 +185,31 @@
         pid, agents_port = entry.process.pid, entry.listed["data_port"]
         (public,) = fleet.entry_addresses("portal")
         with udp_socket() as sender, udp_socket() as sink:
-            caller = sink.getsockname()
-            inward = _caller_datagrams(keys, sink.getsockname()[1])
-            outward = [_return_datagram(keys, caller)]
-            with relay_process(sink.getsockname()) as (relay_pid, relay):
-                results = {}
-                for name, target, target_pid, datagrams in (
-                    ("relay", relay, relay_pid, inward),
-                    ("entry inward", public, pid, inward),
-                    ("entry outward", (ADDRESS, agents_port), pid, outward),
-                ):
-                    results[name] = await asyncio.to_thread(
-                        measure, target_pid, datagrams, target, sender, sink, seconds
-                    )
-                    sys.stdout.write(results[name].line(name) + "\n")
-        base = results["relay"].rate
-        for name in ("entry inward", "entry outward"):
-            sys.stdout.write(f"{name:14} ratio {results[name].rate / base:.2f}\n")
-
-
-def _caller_datagrams(keys: KeyRing, port: int) -> list[bytes]:
+            sink_address = sink.getsockname()
+            inward = _caller_datagrams(keys, sink_address[1], payload)
+            outward = [_return_datagram(keys, sink_address, payload)]
+            with relay_process(sink_address) as (relay_pid, relay):
+                paths = {
+                    "relay": (relay_pid, inward, relay),
+                    "entry inward": (pid, inward, public),
+                    "entry outward": (pid, outward, (ADDRESS, agents_port)),
+                }
+                totals = dict.fromkeys(paths, Figure(0, 0, 0.0))
+                for _ in range(math.ceil(seconds / SLICE_SECONDS)):
+                    for name, path in paths.items():
+                        figure = await asyncio.to_thread(
+                            measure, *path, sender, sink, SLICE_SECONDS
+                        )
+                        totals[name] = totals[name].plus(figure)
+    base = totals["relay"].rate
+    for name, total in totals.items():
+        ratio = total.rate / base if base else 0.0
+        sys.stdout.write(f"{total.line(name)} ratio {ratio:.2f}\n")
+
+
+def _caller_datagrams(keys: KeyRing, port: int, size: int) -> list[bytes]:
     codec = TokenCodec(keys)
-    padding = bytes(PAYLOAD_BYTES - 18)
+    padding = bytes(size - 18)
     return [
         b"\x40"
         + codec.encode(RoutingToken(ADDRESS, port, 1, b"\x00\x00\x00", serial))
@@ -204,11 +218,9 @@
     ]
 
 
-def _return_datagram(keys: KeyRing, caller: Address) -> bytes:
+def _return_datagram(keys: KeyRing, caller: Address, size: int) -> bytes:
     signal_sent = Signal(SignalState.ACCEPTING, 0)
-    return EnvelopeCodec(keys).seal(
-        Return(1, *caller, signal_sent, bytes(PAYLOAD_BYTES))
-    )
+    return EnvelopeCodec(keys).seal(Return(1, *caller, signal_sent, bytes(size)))
 
 
 def _wait_bound(port: int) -> None:
