Add the benchmark of the agent's new flows

Cause: no figure showed what a connection costs the front end. Change: benchmarks/agent_flows.py opens connections in memory and prints a table; the harness that it shares with the tests holds one agent and its callers. Conclusion: these are the figures that later changes are compared with.

--- /dev/null
+++ b/benchmarks/agent_flows.py
@@ -0,0 +1,92 @@
+"""New flows a CPU-second and resident bytes a connection of the agent's front end.
+
+Callers and front end run in one process without a network. The callers' own work is
+measured and subtracted; callers are discarded before memory is read.
+
+Run from the root: ``.venv/bin/python -m benchmarks.agent_flows --flows=300``
+"""
+
+import asyncio
+import gc
+import tempfile
+from pathlib import Path
+from time import process_time
+
+from fire import Fire
+
+from tests.frontend_harness import AgentHarness, MemoryCaller
+
+WARM_UP_FLOWS = 30
+PAGE_BYTES = 4096
+
+
+class _TimedCaller(MemoryCaller):
+    """Caller that adds up the CPU time of its own work."""
+
+    spent = 0.0
+    nested = 0
+
+    def start(self, trace: tuple[bytes, bytes] | None = None) -> None:
+        began = process_time()
+        super().start(trace)
+        _TimedCaller.spent += process_time() - began
+
+    def receive(self, payload: bytes) -> None:
+        began = process_time()
+        super().receive(payload)
+        _TimedCaller.spent += process_time() - began
+
+
+def _resident_bytes() -> int:
+    fields = Path("/proc/self/statm").read_text().split()
+    return int(fields[1]) * PAGE_BYTES
+
+
+async def _open(agent: AgentHarness, first: int, count: int) -> None:
+    for number in range(first, first + count):
+        address = (f"192.0.{2 + number // 250}.{1 + number % 250}", 5000)
+        caller = _TimedCaller(agent, address)
+        caller.start()
+        while not caller.connected:
+            await asyncio.sleep(0)
+        for _ in range(5):
+            await asyncio.sleep(0)
+        del agent.callers[address]
+
+
+async def _measure(flows: int) -> tuple[float, float]:
+    with tempfile.TemporaryDirectory(prefix="balsamspool-") as folder:
+        agent = AgentHarness(
+            Path(folder), {"limits": {"connections_per_host": 100_000}}
+        )
+        agent.keep_sent = False
+        await agent.frontend.start()
+        await _open(agent, 0, WARM_UP_FLOWS)
+        gc.collect()
+        resident = _resident_bytes()
+        _TimedCaller.spent = 0.0
+        began = process_time()
+        await _open(agent, WARM_UP_FLOWS, flows)
+        used = process_time() - began - _TimedCaller.spent
+        gc.collect()
+        grown = _resident_bytes() - resident
+        tasks = [t for t in asyncio.all_tasks() if t is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    return flows / used, grown / flows
+
+
+def main(flows: int = 300) -> None:
+    """Print the table.
+
+    Args:
+        flows: Number of connections that are opened and kept.
+    """
+    rate, size = asyncio.run(_measure(flows))
+    print(f"{'flows':>8} {'flows a CPU-second':>20} {'bytes a connection':>20}")
+    print(f"{flows:>8} {rate:>20.0f} {size:>20.0f}")
+
+
+if __name__ == "__main__":
+    Fire(main)
