Complete connections, requests and drain of the front end

Cause: connection IDs were never removed, handshakes and inboxes had no bound, flow control credit was granted before a body was read, malformed requests closed the connection, and a leaving agent cut its connections. Change: a connection table with safe serials, opening decisions with Retry, caller addresses of each datagram, an entry that changes on the loss timer, pings, credit on consumption, checked header fields, two GOAWAYs and phases of a drain, spans, metrics.

--- a/balsamspool/plugins/frontend/_quic.py
+++ b/balsamspool/plugins/frontend/_quic.py
@@ -1,21 +1,44 @@
-"""Changes to the QUIC library that this project depends on.
+"""Changes to the QUIC and HTTP/3 library that this project depends on.
 
 The library draws connection IDs at random, at construction and whenever the peer
-retires one. Here every ID is a routing token. The library version is pinned; tests
-decode every issued ID.
+retires one. Here every ID is a routing token. It also doubles flow control limits as
+data arrives; here credit follows what the request has consumed. The library version is
+pinned; tests decode every issued ID and fill a stream that nobody reads.
 """
 
 # ruff: noqa: SLF001
 
 import os
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from aioquic.buffer import encode_uint_var
-from aioquic.h3.connection import FrameType, H3Connection, encode_frame
+from aioquic.h3.connection import (
+    FrameType,
+    H3Connection,
+    H3Stream,
+    HeadersState,
+    MessageError,
+    encode_frame,
+)
+from aioquic.h3.events import DataReceived, H3Event
 from aioquic.quic.configuration import QuicConfiguration
-from aioquic.quic.connection import QuicConnection, QuicConnectionId
+from aioquic.quic.connection import (
+    MAX_STREAM_DATA_FRAME_CAPACITY,
+    QuicConnection,
+    QuicConnectionId,
+    stream_is_client_initiated,
+    stream_is_unidirectional,
+)
+from aioquic.quic.packet import QuicFrameType
+from aioquic.quic.packet_builder import QuicPacketBuilder
+from aioquic.quic.recovery import QuicPacketSpace
+from aioquic.quic.stream import QuicStream
+from pylsqpack import Decoder
 
 MAX_CONNECTION_IDS = 8
+# Highest ID of a request stream; a GOAWAY with it announces a stop without a limit.
+MAX_REQUEST_STREAM_ID = (1 << 62) - 4
 
 
 class TokenQuicConnection(QuicConnection):
@@ -25,6 +48,7 @@
         configuration: Configuration of the server side.
         original_connection_id: Destination connection ID of the caller's first packet.
         issue_id: Returns a new connection ID.
+        retry_id: Source connection ID of the Retry that came before, None for none.
     """
 
     def __init__(
@@ -32,12 +56,15 @@
         configuration: QuicConfiguration,
         original_connection_id: bytes,
         issue_id: Callable[[], bytes],
+        retry_id: bytes | None = None,
     ) -> None:
         super().__init__(
             configuration=configuration,
             original_destination_connection_id=original_connection_id,
+            retry_source_connection_id=retry_id,
         )
         self._issue_id = issue_id
+        self._unread: dict[int, int] = {}
         first = issue_id()
         self._host_cids[0].cid = first
         self.host_cid = first
@@ -53,6 +80,22 @@
         """Number of loss timer expiries since the last acknowledgement."""
         return self._loss._pto_count
 
+    @property
+    def idle_seconds(self) -> float:
+        """Time without a packet from the peer after which the connection ends."""
+        return self._idle_timeout()
+
+    @property
+    def answers_acknowledged(self) -> bool:
+        """Whether the peer has acknowledged the end of every answer."""
+        return all(
+            stream.sender.is_finished
+            or stream.sender.buffer_is_empty
+            and stream.sender._buffer_stop == 0
+            for stream_id, stream in self._streams.items()
+            if _is_request_stream(stream_id)
+        )
+
     def buffered_bytes(self, stream_id: int) -> int:
         """Return the bytes of a stream that are not yet acknowledged."""
         stream = self._streams.get(stream_id)
@@ -60,6 +103,29 @@
             return 0
         return stream.sender._buffer_stop - stream.sender._buffer_start
 
+    def can_send(self, stream_id: int) -> bool:
+        """Return whether a stream still takes data."""
+        stream = self._streams.get(stream_id)
+        return stream is not None and stream.sender._reset_error_code is None
+
+    def stop_receiving(self, stream_id: int, error_code: int) -> None:
+        """Ask the peer to send no more on a stream, if it still may."""
+        stream = self._streams.get(stream_id)
+        if stream is not None and not stream.receiver.is_finished:
+            stream.receiver.stop(error_code)
+
+    def hold_credit(self, stream_id: int, size: int) -> None:
+        """Withhold flow control credit for bytes that the request has not consumed."""
+        self._unread[stream_id] = self._unread.get(stream_id, 0) + size
+
+    def release_credit(self, stream_id: int, size: int) -> None:
+        """Grant the credit for bytes that the request has consumed."""
+        left = self._unread.get(stream_id, 0) - size
+        if left > 0:
+            self._unread[stream_id] = left
+        else:
+            self._unread.pop(stream_id, None)
+
     def _replenish_connection_ids(self) -> None:
         limit = min(MAX_CONNECTION_IDS, self._remote_active_connection_id_limit)
         while len(self._host_cids) < limit:
@@ -72,16 +138,146 @@
             )
             self._host_cid_seq += 1
 
+    def _write_connection_limits(
+        self, builder: QuicPacketBuilder, space: QuicPacketSpace
+    ) -> None:
+        limit = self._local_max_data
+        window = self._configuration.max_data
+        if limit.used + window // 2 > limit.value:
+            kept = sum(self._unread.values()) + sum(
+                stream.receiver.highest_offset - stream.receiver.starting_offset()
+                for stream in self._streams.values()
+            )
+            limit.value = max(limit.value, limit.used - kept + window)
+        # The library doubles a limit of which more than half is used.
+        used, limit.used = limit.used, 0
+        try:
+            super()._write_connection_limits(builder, space)
+        finally:
+            limit.used = used
+
+    def _write_stream_limits(
+        self, builder: QuicPacketBuilder, space: QuicPacketSpace, stream: QuicStream
+    ) -> None:
+        stream_id = stream.stream_id
+        if not stream.max_stream_data_local or stream.receiver.is_finished:
+            return
+        window = self._configuration.max_stream_data
+        read = stream.receiver.starting_offset() - self._unread.get(stream_id, 0)
+        if read + window - stream.max_stream_data_local >= window // 2:
+            stream.max_stream_data_local = read + window
+        if stream.max_stream_data_local_sent == stream.max_stream_data_local:
+            return
+        frame = builder.start_frame(
+            QuicFrameType.MAX_STREAM_DATA,
+            capacity=MAX_STREAM_DATA_FRAME_CAPACITY,
+            handler=self._on_max_stream_data_delivery,
+            handler_args=(stream,),
+        )
+        frame.push_uint_var(stream_id)
+        frame.push_uint_var(stream.max_stream_data_local)
+        stream.max_stream_data_local_sent = stream.max_stream_data_local
+
+
+@dataclass(slots=True)
+class MalformedMessage(H3Event):
+    """A request whose header fields or length are not valid.
+
+    Attributes:
+        stream_id: ID of the request stream.
+        detail: What is wrong with it.
+        begun: Whether valid header fields of the request were reported before.
+    """
+
+    stream_id: int
+    detail: str
+    begun: bool
+
+
+class ServerHttp(H3Connection):
+    """HTTP/3 connection that reports a malformed request instead of closing.
 
-def send_goaway(http: H3Connection, quic: QuicConnection, stream_id: int) -> None:
-    """Tell the peer that requests from a stream ID on will not be processed.
+    The dynamic table of header fields is not offered: one octet can refer to an entry
+    of 4 KB, so that a small request could expand to many megabytes.
 
     Args:
-        http: HTTP/3 connection.
         quic: QUIC connection below it.
-        stream_id: First stream ID that will not be processed.
     """
-    control = http._local_control_stream_id
-    if control is not None:
+
+    def __init__(self, quic: TokenQuicConnection) -> None:
+        super().__init__(quic)
+        self._goaway: int | None = None
+
+    @property
+    def goaway(self) -> int | None:
+        """First stream ID that will not be processed, None before a GOAWAY."""
+        return self._goaway
+
+    def buffered_bytes(self, stream_id: int) -> int:
+        """Return the bytes of a stream that wait for the rest of a frame."""
+        stream = self._stream.get(stream_id)
+        return 0 if stream is None else len(stream.buffer)
+
+    def send_goaway(self, stream_id: int) -> None:
+        """Tell the peer that requests from a stream ID on will not be processed.
+
+        Args:
+            stream_id: First stream ID that will not be processed.
+        """
+        self._goaway = stream_id
         frame = encode_frame(FrameType.GOAWAY, encode_uint_var(stream_id))
-        quic.send_stream_data(control, frame)
+        self._quic.send_stream_data(self._local_control_stream_id, frame)
+
+    def forget(self, stream_id: int) -> None:
+        """Release the state of a stream whose answer was reset."""
+        stream = self._stream.get(stream_id)
+        if stream is not None:
+            stream.sending_ended = True
+            if stream.is_ended():
+                self._stream.pop(stream_id)
+
+    def _init_connection(self) -> None:
+        self._max_table_capacity = 0
+        self._blocked_streams = 0
+        self._decoder = Decoder(0, 0)
+        super()._init_connection()
+
+    def _handle_request_or_push_frame(
+        self,
+        frame_type: int,
+        frame_data: bytes | None,
+        stream: H3Stream,
+        stream_ended: bool,
+    ) -> list[H3Event]:
+        trailers = stream.headers_recv_state is not HeadersState.INITIAL
+        try:
+            found = super()._handle_request_or_push_frame(
+                frame_type, frame_data, stream, stream_ended
+            )
+        except MessageError as error:
+            return _malformed(stream, error)
+        if frame_type == FrameType.HEADERS and trailers:
+            # Trailers are not passed on; their end of stream is.
+            return [DataReceived(b"", stream.stream_id, stream_ended)]
+        return found
+
+    def _handle_request_or_push_end(self, stream: H3Stream) -> list[H3Event]:
+        try:
+            return super()._handle_request_or_push_end(stream)
+        except MessageError as error:
+            return _malformed(stream, error)
+
+
+def _malformed(stream: H3Stream, error: MessageError) -> list[H3Event]:
+    begun = stream.headers_recv_state is not HeadersState.INITIAL
+    if not begun:
+        # The rest of the stream is read and ignored.
+        stream.headers_recv_state = HeadersState.AFTER_HEADERS
+    stream.expected_content_length = None
+    return [MalformedMessage(stream.stream_id, error.reason_phrase, begun)]
+
+
+def _is_request_stream(stream_id: int) -> bool:
+    return stream_is_client_initiated(stream_id) and not stream_is_unidirectional(
+        stream_id
+    )
--- /dev/null
+++ b/balsamspool/plugins/frontend/_table.py
@@ -0,0 +1,112 @@
+"""Connections by their connection IDs."""
+
+from typing import TYPE_CHECKING
+
+from balsamspool.kernel.identity import Identity
+from balsamspool.plugins.routing import RoutingToken
+from balsamspool.plugins.routing.token import (
+    INCARNATION_BYTES,
+    MAX_SERIAL,
+    TokenCodec,
+)
+
+if TYPE_CHECKING:
+    from balsamspool.plugins.frontend.connection import Connection
+
+Address = tuple[str, int]
+
+
+class ConnectionTable:
+    """Finds the connection of a datagram and issues connection IDs.
+
+    An opening packet carries an ID that the caller has drawn. Two callers may draw the
+    same one, so these IDs count only together with the caller's address.
+
+    Args:
+        identity: Who this process is.
+        codec: Encodes routing tokens.
+    """
+
+    __slots__ = ("_by_id", "_codec", "_identity", "_ids", "_openings", "_serial")
+
+    def __init__(self, identity: Identity, codec: TokenCodec) -> None:
+        self._identity = identity
+        self._codec = codec
+        self._serial = 0
+        self._by_id: dict[bytes, Connection] = {}
+        self._openings: dict[tuple[bytes, Address], Connection] = {}
+        self._ids: dict[Connection, set[bytes]] = {}
+
+    def __len__(self) -> int:
+        """Return the number of connections."""
+        return len(self._ids)
+
+    @property
+    def connections(self) -> list["Connection"]:
+        """All connections."""
+        return list(self._ids)
+
+    @property
+    def ids(self) -> list[bytes]:
+        """All connection IDs that are in use."""
+        return list(self._by_id)
+
+    def find(self, connection_id: bytes, caller: Address) -> "Connection | None":
+        """Return the connection of a datagram, or None."""
+        found = self._by_id.get(connection_id)
+        if found is None:
+            found = self._openings.get((connection_id, caller))
+        return found
+
+    def is_own(self, token: RoutingToken, service: int) -> bool:
+        """Return whether a token names this process and a service."""
+        identity = self._identity
+        return self.is_here(token, service) and (
+            token.incarnation == identity.incarnation[:INCARNATION_BYTES]
+        )
+
+    def is_here(self, token: RoutingToken, service: int) -> bool:
+        """Return whether a token names this address and a service in any start."""
+        identity = self._identity
+        return (token.service, token.address, token.data_port) == (
+            service,
+            identity.address,
+            identity.data_port,
+        )
+
+    def new_id(self, service: int) -> bytes:
+        """Return a connection ID that is not in use."""
+        identity = self._identity
+        while True:
+            self._serial = (self._serial + 1) & MAX_SERIAL
+            token = RoutingToken(
+                address=identity.address,
+                data_port=identity.data_port,
+                service=service,
+                incarnation=identity.incarnation[:INCARNATION_BYTES],
+                serial=self._serial,
+            )
+            connection_id = self._codec.encode(token)
+            if connection_id not in self._by_id:
+                return connection_id
+
+    def add(self, connection: "Connection", opening: bytes, caller: Address) -> None:
+        """Add a connection with the ID and the address of its opening packet."""
+        self._openings[opening, caller] = connection
+        self._ids[connection] = set()
+
+    def add_id(self, connection: "Connection", connection_id: bytes) -> None:
+        """Add an ID that was issued to a connection."""
+        self._by_id[connection_id] = connection
+        self._ids[connection].add(connection_id)
+
+    def retire(self, connection: "Connection", connection_id: bytes) -> None:
+        """Remove an ID that the caller has retired."""
+        self._by_id.pop(connection_id, None)
+        self._ids[connection].discard(connection_id)
+
+    def remove(self, connection: "Connection", opening: bytes, caller: Address) -> None:
+        """Remove a connection with all its IDs."""
+        self._openings.pop((opening, caller), None)
+        for connection_id in self._ids.pop(connection, ()):
+            self._by_id.pop(connection_id, None)
--- a/balsamspool/plugins/frontend/connection.py
+++ b/balsamspool/plugins/frontend/connection.py
@@ -1,46 +1,97 @@
 """One QUIC connection of a caller: one task owns it."""
 
 import asyncio
-import logging
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from aioquic.h3.connection import H3Connection
 from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
-from aioquic.h3.exceptions import H3Error
 from aioquic.quic.events import (
+    ConnectionIdRetired,
     ConnectionTerminated,
+    HandshakeCompleted,
     ProtocolNegotiated,
     QuicEvent,
     StopSendingReceived,
+    StreamDataReceived,
     StreamReset,
 )
+from opentelemetry.trace import Span
 
 from balsamspool.kernel.clock import now
-from balsamspool.plugins.frontend._quic import TokenQuicConnection
-from balsamspool.plugins.frontend.exchange import (
-    RequestBody,
-    StreamWriter,
-    make_request,
+from balsamspool.kernel.errors import ResultError
+from balsamspool.plugins.configuration import FeedRoute
+from balsamspool.plugins.configuration.text import Limits, Service
+from balsamspool.plugins.frontend._fields import (
+    InvalidFields,
+    ValidFields,
+    read_fields,
 )
+from balsamspool.plugins.frontend._metrics import FrontendMetrics
+from balsamspool.plugins.frontend._quic import (
+    MAX_REQUEST_STREAM_ID,
+    MalformedMessage,
+    ServerHttp,
+    TokenQuicConnection,
+)
+from balsamspool.plugins.frontend._route import ReturnRoute
+from balsamspool.plugins.frontend.codes import REQUEST_MALFORMED
+from balsamspool.plugins.frontend.exchange import Exchange
 from balsamspool.plugins.serving import ServingPlugin
 from balsamspool.requests.request import Headers
 
-_logger = logging.getLogger(__name__)
-
-H3_INTERNAL_ERROR = 0x102
+H3_NO_ERROR = 0x100
+H3_EXCESSIVE_LOAD = 0x107
+H3_REQUEST_REJECTED = 0x10B
 H3_REQUEST_CANCELLED = 0x10C
 
+# Twice the largest flight that a caller may send before it hears of credit.
+INBOX_DATAGRAMS = 512
+MAX_FIELD_BYTES = 64 * 1024
+# Pings are sent at this share of the idle limit, so that two may be lost.
+PING_SHARE = 0.3
+# Requests that were sent before the caller read the first GOAWAY still run.
+GOAWAY_SECONDS = 0.5
+
 Address = tuple[str, int]
+Send = Callable[[bytes, Address, Address], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Open:
+    """The connection takes requests."""
+
+
+@dataclass(frozen=True, slots=True)
+class Announced:
+    """The caller has been told that the connection will end.
+
+    Attributes:
+        final_at: Event loop time in seconds of the GOAWAY that names the last request.
+        feeds_until: Event loop time in seconds at which feeds end, None for no limit.
+    """
+
+    final_at: float
+    feeds_until: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """No further request is taken; the connection ends when the last one has ended.
+
+    Attributes:
+        feeds_until: Event loop time in seconds at which feeds end, None for no limit.
+    """
+
+    feeds_until: float | None
 
 
-@dataclass(slots=True)
-class _Stream:
-    """A request stream while its request runs."""
+@dataclass(frozen=True, slots=True)
+class Closing:
+    """The end of the connection has been sent."""
 
-    body: RequestBody
-    task: asyncio.Task[None]
+
+Phase = Open | Announced | Leaving | Closing
 
 
 class Connection:
@@ -48,50 +99,124 @@
 
     Args:
         quic: QUIC connection.
-        caller: Address of the caller.
+        route: Choice of the entry for return datagrams.
+        service: Returns the service as it is configured.
         serving: Runs the requests.
-        send: Sends one datagram to the caller.
+        send: Sends one datagram to a caller through an entry.
+        on_retired: Called with each connection ID that the caller has retired.
+        metrics: Metrics of the front end.
+        span: Span of the connection.
+        handshake_seconds: Time within which the handshake must complete in seconds.
     """
 
     __slots__ = (
         "_acknowledged",
-        "_caller",
         "_closed",
+        "_established",
+        "_exchanges",
+        "_handshake_by",
         "_http",
         "_inbox",
+        "_metrics",
+        "_next_stream_id",
+        "_on_retired",
+        "_phase",
+        "_ping_at",
+        "_probes",
         "_quic",
+        "_route",
         "_send",
+        "_service",
         "_serving",
-        "_streams",
+        "_span",
+        "_stopping",
         "_wake",
     )
 
     def __init__(
         self,
         quic: TokenQuicConnection,
-        caller: Address,
+        route: ReturnRoute,
+        service: Callable[[], Service | None],
         serving: ServingPlugin,
-        send: Callable[[bytes], None],
+        send: Send,
+        on_retired: Callable[[bytes], None],
+        metrics: FrontendMetrics,
+        span: Span,
+        handshake_seconds: float,
     ) -> None:
         self._quic = quic
-        self._caller = caller
+        self._route = route
+        self._service = service
         self._serving = serving
         self._send = send
-        self._http: H3Connection | None = None
-        self._inbox: deque[bytes] = deque()
+        self._on_retired = on_retired
+        self._metrics = metrics
+        self._span = span
+        self._http: ServerHttp | None = None
+        self._inbox: deque[tuple[bytes, Address]] = deque()
         self._wake = asyncio.Event()
         self._acknowledged = asyncio.Event()
-        self._streams: dict[int, _Stream] = {}
+        self._exchanges: dict[int, Exchange] = {}
+        self._phase: Phase = Open()
         self._closed = False
+        self._stopping = False
+        self._established = False
+        self._handshake_by = now() + handshake_seconds
+        self._next_stream_id = 0
+        self._ping_at = 0.0
+        self._probes = 0
 
     @property
     def connection_ids(self) -> list[bytes]:
         """Connection IDs that the caller may use."""
         return self._quic.connection_ids
 
-    def receive(self, datagram: bytes) -> None:
-        """Queue a datagram of the caller for the connection's task."""
-        self._inbox.append(datagram)
+    @property
+    def established(self) -> bool:
+        """Whether the handshake is complete."""
+        return self._established
+
+    @property
+    def open_requests(self) -> int:
+        """Number of requests in progress."""
+        return len(self._exchanges)
+
+    def receive(self, datagram: bytes, caller: Address, entry: Address | None) -> bool:
+        """Queue a datagram of the caller for the connection's task.
+
+        Args:
+            datagram: The datagram.
+            caller: Address from which it came.
+            entry: Entry that carried it, None if an agent handed it over.
+
+        Returns:
+            Whether there was room for it.
+        """
+        if len(self._inbox) >= INBOX_DATAGRAMS:
+            return False
+        if entry is not None:
+            self._route.note_carrier(entry)
+        self._inbox.append((datagram, caller))
+        self._wake.set()
+        return True
+
+    def drain(self, feed_seconds: float) -> None:
+        """Tell the caller to open another connection, and end when all is answered.
+
+        Args:
+            feed_seconds: Time that feeds are kept in seconds, 0 for no limit.
+        """
+        if isinstance(self._phase, Open):
+            feeds_until = now() + feed_seconds if feed_seconds else None
+            self._phase = Announced(now() + GOAWAY_SECONDS, feeds_until)
+            if self._http is not None:
+                self._http.send_goaway(MAX_REQUEST_STREAM_ID)
+            self._wake.set()
+
+    def close(self) -> None:
+        """End the connection now."""
+        self._stopping = True
         self._wake.set()
 
     async def run(self) -> None:
@@ -101,112 +226,240 @@
                 await self._wait()
                 self._handle_input()
                 self._handle_events()
+                self._keep_alive()
+                self._advance()
                 self._transmit()
         finally:
-            await self._cancel_streams()
+            await self._cancel_exchanges()
 
     def send_headers(self, stream_id: int, status: int, headers: Headers) -> None:
         """Send the head of an answer."""
         fields = [(b":status", str(status).encode())]
         fields += [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
-        if self._http is not None and not self._closed:
+        if self._http is not None and self._can_send(stream_id):
             self._http.send_headers(stream_id, fields)
             self._wake.set()
 
     def send_data(self, stream_id: int, data: bytes, *, end: bool) -> None:
         """Send a part of an answer."""
-        if self._http is not None and not self._closed:
+        if self._http is not None and self._can_send(stream_id):
             self._http.send_data(stream_id, data, end)
             self._wake.set()
 
-    def reset_stream(self, stream_id: int) -> None:
+    def reset_stream(self, stream_id: int, error_code: int) -> None:
         """End an answer that is not whole."""
+        if self._http is not None and not self._closed:
+            self._quic.reset_stream(stream_id, error_code)
+            self._http.forget(stream_id)
+            self._wake.set()
+
+    def stop_receiving(self, stream_id: int, error_code: int) -> None:
+        """Ask the caller to send no more of a request."""
         if not self._closed:
-            self._quic.reset_stream(stream_id, H3_INTERNAL_ERROR)
+            self._quic.stop_receiving(stream_id, error_code)
             self._wake.set()
 
+    def hold_credit(self, stream_id: int, size: int) -> None:
+        """Withhold flow control credit for bytes that wait to be consumed."""
+        self._quic.hold_credit(stream_id, size)
+
+    def release_credit(self, stream_id: int, size: int) -> None:
+        """Grant flow control credit for bytes that have been consumed."""
+        self._quic.release_credit(stream_id, size)
+        self._wake.set()
+
     async def wait_sendable(self, stream_id: int, limit: int) -> None:
         """Wait until less than a limit of a stream is unacknowledged."""
-        while not self._closed and self._quic.buffered_bytes(stream_id) >= limit:
+        while (
+            self._can_send(stream_id) and self._quic.buffered_bytes(stream_id) >= limit
+        ):
             self._acknowledged.clear()
             await self._acknowledged.wait()
 
+    def _can_send(self, stream_id: int) -> bool:
+        return not self._closed and self._quic.can_send(stream_id)
+
     async def _wait(self) -> None:
-        timer = self._quic.get_timer()
         try:
-            async with asyncio.timeout_at(timer):
+            async with asyncio.timeout_at(self._next_timer()):
                 await self._wake.wait()
         except TimeoutError:
-            self._quic.handle_timer(now())
+            self._handle_timers()
         self._wake.clear()
 
+    def _next_timer(self) -> float | None:
+        times = [self._quic.get_timer()]
+        if not self._established:
+            times.append(self._handshake_by)
+        if self._exchanges:
+            times.append(self._ping_at)
+        match self._phase:
+            case Announced(final_at, _) if self._http is not None:
+                times.append(final_at)
+            case Leaving(feeds_until):
+                times.append(feeds_until)
+            case Open() | Announced() | Closing():
+                pass
+        return min((time for time in times if time is not None), default=None)
+
+    def _handle_timers(self) -> None:
+        timer = self._quic.get_timer()
+        if timer is not None and timer <= now():
+            self._quic.handle_timer(now())
+        if self._quic.probe_count > self._probes:
+            # Nothing was acknowledged: the entry may be gone.
+            self._route.rotate()
+        if not self._established and now() >= self._handshake_by:
+            self._metrics.handshakes.labels("timeout").inc()
+            self._closed = True
+
     def _handle_input(self) -> None:
+        received = bool(self._inbox)
         while self._inbox:
-            datagram = self._inbox.popleft()
-            self._quic.receive_datagram(datagram, self._caller, now())
-        self._acknowledged.set()
+            datagram, caller = self._inbox.popleft()
+            self._quic.receive_datagram(datagram, caller, now())
+        self._probes = self._quic.probe_count
+        if received:
+            self._ping_at = now() + PING_SHARE * self._quic.idle_seconds
+            self._acknowledged.set()
 
     def _handle_events(self) -> None:
         while (event := self._quic.next_event()) is not None:
             match event:
                 case ProtocolNegotiated():
-                    self._http = H3Connection(self._quic)
+                    self._http = ServerHttp(self._quic)
+                    if not isinstance(self._phase, Open):
+                        self._http.send_goaway(MAX_REQUEST_STREAM_ID)
+                case HandshakeCompleted():
+                    self._established = True
+                    self._metrics.handshakes.labels("completed").inc()
+                case ConnectionIdRetired(connection_id=connection_id):
+                    self._on_retired(connection_id)
                 case ConnectionTerminated():
                     self._closed = True
+                    if not self._established:
+                        self._metrics.handshakes.labels("failed").inc()
+            self._handle_http(event)
+            match event:
                 case StreamReset(stream_id=stream_id):
                     self._cancel(stream_id)
                 case StopSendingReceived(stream_id=stream_id):
                     self._cancel(stream_id)
-            self._handle_http(event)
 
     def _handle_http(self, event: QuicEvent) -> None:
         if self._http is None:
             return
-        try:
-            http_events = self._http.handle_event(event)
-        except H3Error as error:
-            self._quic.close(error_code=error.error_code)
-            return
-        for http_event in http_events:
+        for http_event in self._http.handle_event(event):
             self._handle_http_event(http_event)
+        match event:
+            case StreamDataReceived(stream_id=stream_id):
+                if self._http.buffered_bytes(stream_id) > MAX_FIELD_BYTES:
+                    self._quic.close(error_code=H3_EXCESSIVE_LOAD)
 
     def _handle_http_event(self, event: H3Event) -> None:
         match event:
             case HeadersReceived(headers=fields, stream_id=stream_id):
-                if stream_id not in self._streams:
-                    self._start_request(stream_id, fields)
+                self._start(stream_id, read_fields(fields))
                 if event.stream_ended:
                     self._feed(stream_id, b"", ended=True)
             case DataReceived(data=data, stream_id=stream_id, stream_ended=ended):
                 self._feed(stream_id, data, ended=ended)
+            case MalformedMessage(stream_id=stream_id, detail=detail, begun=False):
+                error = ResultError(REQUEST_MALFORMED, detail)
+                self._start(stream_id, InvalidFields(error))
+            case MalformedMessage(stream_id=stream_id):
+                # The request may have been dispatched, so nothing is claimed.
+                self._cancel(stream_id)
 
-    def _start_request(self, stream_id: int, fields: list[tuple[bytes, bytes]]) -> None:
-        body = RequestBody()
-        request = make_request(fields, body)
-        work = self._serving.handle(request, StreamWriter(self, stream_id))
-        loop = asyncio.get_running_loop()
-        task = loop.create_task(work, name=f"request {request.method} {request.path}")
-        self._streams[stream_id] = _Stream(body, task)
-        task.add_done_callback(lambda _: self._streams.pop(stream_id, None))
+    def _start(self, stream_id: int, fields: ValidFields | InvalidFields) -> None:
+        assert self._http is not None
+        self._next_stream_id = max(self._next_stream_id, stream_id + 4)
+        goaway = self._http.goaway
+        if goaway is not None and stream_id >= goaway:
+            self.reset_stream(stream_id, H3_REQUEST_REJECTED)
+            self.stop_receiving(stream_id, H3_REQUEST_REJECTED)
+            return
+        service = self._service()
+        limits = service.limits if service is not None else Limits()
+        exchange = Exchange(
+            self,
+            stream_id,
+            fields,
+            limits.request_body_bytes,
+            _is_feed(service, fields),
+            self._span,
+        )
+        self._exchanges[stream_id] = exchange
+        exchange.start(self._serving, self._metrics)
+        assert exchange.task is not None
+        exchange.task.add_done_callback(lambda _: self._ended(stream_id))
+
+    def _ended(self, stream_id: int) -> None:
+        self._exchanges.pop(stream_id, None)
+        self._wake.set()
 
     def _feed(self, stream_id: int, data: bytes, *, ended: bool) -> None:
-        stream = self._streams.get(stream_id)
-        if stream is not None:
-            stream.body.feed(data, ended)
+        exchange = self._exchanges.get(stream_id)
+        if exchange is not None:
+            exchange.feed(data, ended)
 
     def _cancel(self, stream_id: int) -> None:
-        stream = self._streams.get(stream_id)
-        if stream is not None:
-            stream.task.cancel()
+        exchange = self._exchanges.get(stream_id)
+        if exchange is not None:
+            exchange.cancel()
+
+    def _keep_alive(self) -> None:
+        if self._exchanges and now() >= self._ping_at:
+            self._quic.send_ping(0)
+            self._ping_at = now() + PING_SHARE * self._quic.idle_seconds
+
+    def _advance(self) -> None:
+        if self._stopping and not self._closed:
+            self._quic.close(error_code=H3_NO_ERROR)
+            self._closed = True
+            return
+        match self._phase:
+            case Announced(final_at, feeds_until) if now() >= final_at:
+                if self._http is not None:
+                    self._http.send_goaway(self._next_stream_id)
+                    self._phase = Leaving(feeds_until)
+                    self._wake.set()
+            case Leaving(feeds_until):
+                if feeds_until is not None and now() >= feeds_until:
+                    self._phase = Leaving(None)
+                    self._cancel_feeds()
+                if not self._exchanges and self._quic.answers_acknowledged:
+                    self._phase = Closing()
+                    self._quic.close(error_code=H3_NO_ERROR)
+
+    def _cancel_feeds(self) -> None:
+        for exchange in self._exchanges.values():
+            if exchange.is_feed:
+                exchange.cancel()
 
     def _transmit(self) -> None:
-        for datagram, _ in self._quic.datagrams_to_send(now()):
-            self._send(datagram)
+        datagrams = self._quic.datagrams_to_send(now())
+        if not datagrams:
+            return
+        entry = self._route.current()
+        if entry is None:
+            self._metrics.dropped.labels("no-entry").inc(len(datagrams))
+            return
+        for datagram, caller in datagrams:
+            self._send(datagram, caller, entry)
 
-    async def _cancel_streams(self) -> None:
+    async def _cancel_exchanges(self) -> None:
         self._closed = True
         self._acknowledged.set()
-        tasks = [stream.task for stream in self._streams.values()]
+        tasks = [e.task for e in self._exchanges.values() if e.task is not None]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _is_feed(service: Service | None, fields: ValidFields | InvalidFields) -> bool:
+    match fields:
+        case ValidFields(path=path) if service is not None:
+            return isinstance(service.route(path), FeedRoute)
+        case _:
+            return False
--- a/balsamspool/plugins/frontend/events.py
+++ b/balsamspool/plugins/frontend/events.py
@@ -10,3 +10,27 @@
 CONNECTION_CLOSED = log_event(
     1502, "connection-closed", logging.DEBUG, "A caller's connection has ended."
 )
+CONNECTION_FAILED = log_event(
+    1503,
+    "connection-failed",
+    logging.ERROR,
+    "A caller's connection was ended by an internal error.",
+)
+REQUEST_TASK_FAILED = log_event(
+    1504,
+    "request-task-failed",
+    logging.ERROR,
+    "A request was ended by an internal error.",
+)
+DRAIN_STARTED = log_event(
+    1505,
+    "frontend-drain-started",
+    logging.INFO,
+    "The front end takes no new connections and ends the open ones when idle.",
+)
+DRAIN_ENDED = log_event(
+    1506,
+    "frontend-drain-ended",
+    logging.INFO,
+    "The front end takes new connections again.",
+)
--- a/balsamspool/plugins/frontend/listener.py
+++ b/balsamspool/plugins/frontend/listener.py
@@ -1,33 +1,64 @@
 """Accepts connections and hands each datagram to the task of its connection."""
 
+import asyncio
 import logging
+from typing import Annotated
 
 from aioquic.buffer import Buffer
-from aioquic.quic.packet import QuicPacketType, pull_quic_header
-from prometheus_client import Counter, Gauge
+from aioquic.quic.packet import (
+    QuicHeader,
+    QuicPacketType,
+    encode_quic_retry,
+    encode_quic_version_negotiation,
+    pull_quic_header,
+)
+from msgspec import Meta
 
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.identity import Role
-from balsamspool.kernel.lifecycle import Kernel
+from balsamspool.kernel.lifecycle import Kernel, ProcessState
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.kernel.settings import Section
-from balsamspool.plugins.configuration import ConfigurationPlugin
+from balsamspool.plugins.configuration import Configuration, ConfigurationPlugin
+from balsamspool.plugins.configuration.text import Service
 from balsamspool.plugins.forwarding import ReturnPathPlugin
 from balsamspool.plugins.forwarding.envelope import Forward, TracedForward
+from balsamspool.plugins.frontend._metrics import FrontendMetrics
 from balsamspool.plugins.frontend._quic import TokenQuicConnection
+from balsamspool.plugins.frontend._retry import RetryTokens
+from balsamspool.plugins.frontend._route import EntryView, ReturnRoute
+from balsamspool.plugins.frontend._spans import connection_span
+from balsamspool.plugins.frontend._table import ConnectionTable
 from balsamspool.plugins.frontend.connection import Address, Connection
-from balsamspool.plugins.frontend.events import CONNECTION_CLOSED, CONNECTION_OPENED
-from balsamspool.plugins.frontend.tls import quic_configuration
-from balsamspool.plugins.routing import RoutingPlugin, RoutingToken
-from balsamspool.plugins.routing.token import (
-    INCARNATION_BYTES,
-    MAX_SERIAL,
-    TOKEN_BYTES,
+from balsamspool.plugins.frontend.events import (
+    CONNECTION_CLOSED,
+    CONNECTION_FAILED,
+    CONNECTION_OPENED,
+    DRAIN_ENDED,
+    DRAIN_STARTED,
 )
+from balsamspool.plugins.frontend.opening import (
+    AcceptOpening,
+    OpeningDecision,
+    RefusalReason,
+    RefuseOpening,
+    ValidateAddress,
+)
+from balsamspool.plugins.frontend.tls import quic_configuration
+from balsamspool.plugins.membership import ListedState, MembershipPlugin
+from balsamspool.plugins.routing import RoutingPlugin
+from balsamspool.plugins.routing.token import TOKEN_BYTES
 from balsamspool.plugins.serving import ServingPlugin
 
 _logger = logging.getLogger(__name__)
 
+# A caller pads every datagram with an opening packet to this size (RFC 9000, 14.1).
+MIN_OPENING_BYTES = 1200
+# Time for the last packets of connections that a stopping process closes.
+STOP_SECONDS = 1.0
+
+Seconds = Annotated[float, Meta(gt=0)]
+
 
 class FrontendSettings(Section, frozen=True):
     """Settings of the front end.
@@ -35,27 +66,25 @@
     Attributes:
         certificate: Path of the certificate chain in PEM form.
         private_key: Path of the private key in PEM form.
+        idle_seconds: Time without a packet after which a connection ends in seconds.
+        handshake_seconds: Time within which a handshake must complete in seconds.
+        max_handshakes: Handshakes in progress beyond which openings are dropped.
+        retry_handshakes: Handshakes in progress from which callers must prove their
+            address first.
     """
 
     certificate: str
     private_key: str
-
-
-class _Flow:
-    """A connection and the entry through which it is answered."""
-
-    __slots__ = ("connection", "entry", "known_ids")
-
-    def __init__(self, entry: Address) -> None:
-        self.entry = entry
-        self.connection: Connection | None = None
-        self.known_ids: set[bytes] = set()
+    idle_seconds: Seconds = 60.0
+    handshake_seconds: Seconds = 5.0
+    max_handshakes: Annotated[int, Meta(ge=1)] = 256
+    retry_handshakes: Annotated[int, Meta(ge=0)] = 64
 
 
 @register(
     "frontend",
     roles=[Role.AGENT],
-    requires=["configuration", "routing", "return-path", "serving"],
+    requires=["configuration", "membership", "routing", "return-path", "serving"],
 )
 class FrontendPlugin(Plugin):
     """Ends the QUIC connections of the callers.
@@ -69,95 +98,307 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         settings: FrontendSettings = kernel.settings.section("frontend")
-        self._quic = quic_configuration(settings.certificate, settings.private_key)
-        self._routing = kernel.plugin(RoutingPlugin)
+        self._settings = settings
+        self._quic = quic_configuration(
+            settings.certificate, settings.private_key, settings.idle_seconds
+        )
+        self._codec = kernel.plugin(RoutingPlugin).codec
         self._return_path = kernel.plugin(ReturnPathPlugin)
         self._serving = kernel.plugin(ServingPlugin)
         self._configuration = kernel.plugin(ConfigurationPlugin)
-        self._flows: dict[bytes, _Flow] = {}
-        self._serial = 0
-        self._open = Gauge(
-            "balsamspool_frontend_connections",
-            "Open connections",
-            registry=kernel.metrics,
-        )
-        self._dropped = Counter(
-            "balsamspool_frontend_dropped_datagrams",
-            "Datagrams dropped",
-            ["reason"],
-            registry=kernel.metrics,
-        )
+        self._membership = kernel.plugin(MembershipPlugin)
+        self._metrics = FrontendMetrics(kernel.metrics)
+        self._table = ConnectionTable(kernel.identity, self._codec)
+        self._retry = RetryTokens(kernel.keyring)
+        self._entries = EntryView(self._membership)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._handshakes: set[Connection] = set()
+        self._leaving = False
+
+    @property
+    def leaving(self) -> bool:
+        """Whether new connections are refused because this host takes no new work."""
+        return self._leaving
+
+    @property
+    def table(self) -> ConnectionTable:
+        """Open connections."""
+        return self._table
 
     async def start(self) -> None:
         """Take datagrams from the return path."""
         self._return_path.on_forward(self._on_forward)
+        self._configuration.subscribe(self._on_configuration)
+        self._membership.subscribe(self._review_state)
+
+    async def drain(self) -> None:
+        """Take no new connections and wait until the open ones have ended."""
+        self._review_state()
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def stop(self) -> None:
+        """Close the connections that are left."""
+        for connection in self._table.connections:
+            connection.close()
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=STOP_SECONDS)
+
+    def status(self) -> dict[str, object]:
+        """Return the numbers of connections and whether new ones are taken."""
+        connections = self._table.connections
+        return {
+            "connections": len(connections),
+            "handshakes": len(self._pending()),
+            "requests": sum(c.open_requests for c in connections),
+            "leaving": self._leaving,
+        }
 
     def _on_forward(
         self, forward: Forward, entry: Address, traced: TracedForward | None
     ) -> None:
-        service = self._configuration.service(self._serving.service_name)
+        self._metrics.datagrams_in.inc()
+        service = self._service()
         if service is None or service.number != forward.service:
-            self._dropped.labels("wrong-service").inc()
+            self._drop("wrong-service")
             return
         try:
             header = pull_quic_header(Buffer(data=forward.payload), TOKEN_BYTES)
         except ValueError:
-            self._dropped.labels("not-quic").inc()
+            self._drop("not-quic")
+            return
+        if self._is_foreign_version(header):
+            self._negotiate_version(forward, header, entry)
             return
-        flow = self._flows.get(header.destination_cid)
-        if flow is None:
-            if header.packet_type is not QuicPacketType.INITIAL:
-                self._dropped.labels("unknown-connection").inc()
-                return
-            flow = self._accept(forward, header.destination_cid, entry)
-        if forward.hops == 0:
-            flow.entry = entry
-        if flow.connection is not None:
-            flow.connection.receive(forward.payload)
-
-    def _accept(self, forward: Forward, original_id: bytes, entry: Address) -> _Flow:
-        flow = _Flow(entry)
-        service = forward.service
         caller = (forward.caller_address, forward.caller_port)
-        quic = TokenQuicConnection(
-            self._quic, original_id, lambda: self._issue_id(service, flow)
+        if self._names_other(forward.service, header):
+            self._drop("foreign-token")
+            return
+        connection = self._table.find(header.destination_cid, caller)
+        if connection is None:
+            connection = self._open(forward, header, entry, traced)
+        carrier = entry if forward.hops == 0 else None
+        if connection is not None and not connection.receive(
+            forward.payload, caller, carrier
+        ):
+            self._drop("inbox-full")
+
+    def _is_foreign_version(self, header: QuicHeader) -> bool:
+        return (
+            header.version is not None
+            and header.version not in self._quic.supported_versions
         )
-        flow.connection = Connection(
-            quic,
-            caller,
-            self._serving,
-            lambda datagram: self._return_path.send(
-                service, caller, datagram, flow.entry
+
+    def _negotiate_version(
+        self, forward: Forward, header: QuicHeader, entry: Address
+    ) -> None:
+        # Small packets and version negotiation packets get no answer, so that this
+        # agent can be used neither to amplify nor to answer another server in a loop.
+        if (
+            header.packet_type is QuicPacketType.VERSION_NEGOTIATION
+            or len(forward.payload) < MIN_OPENING_BYTES
+        ):
+            self._drop("unknown-version")
+            return
+        packet = encode_quic_version_negotiation(
+            source_cid=header.destination_cid,
+            destination_cid=header.source_cid,
+            supported_versions=self._quic.supported_versions,
+        )
+        self._reply(forward, packet, entry)
+
+    def _names_other(self, service: int, header: QuicHeader) -> bool:
+        token = self._codec.decode(header.destination_cid)
+        if token is None or self._table.is_own(token, service):
+            return False
+        # A caller may answer a Retry after this agent has started again.
+        return not (header.token and self._table.is_here(token, service))
+
+    def _open(
+        self,
+        forward: Forward,
+        header: QuicHeader,
+        entry: Address,
+        traced: TracedForward | None,
+    ) -> Connection | None:
+        match self._decide_opening(forward, header):
+            case AcceptOpening() as accepted:
+                return self._accept(forward, header.destination_cid, accepted, traced)
+            case ValidateAddress():
+                self._send_retry(forward, header, entry)
+            case RefuseOpening(reason):
+                self._drop(reason.value)
+        return None
+
+    def _decide_opening(self, forward: Forward, header: QuicHeader) -> OpeningDecision:
+        """Decide what to do with a packet that belongs to no open connection.
+
+        The hand-over to a peer of a leaving or full agent belongs here.
+        """
+        if header.packet_type is not QuicPacketType.INITIAL:
+            return RefuseOpening(RefusalReason.UNKNOWN_CONNECTION)
+        if len(forward.payload) < MIN_OPENING_BYTES:
+            return RefuseOpening(RefusalReason.TOO_SMALL)
+        opening_id = header.destination_cid
+        original_id = self._proven_id(forward, header)
+        if original_id is None and self._codec.decode(opening_id) is not None:
+            return RefuseOpening(RefusalReason.UNKNOWN_CONNECTION)
+        if self._leaving:
+            return RefuseOpening(RefusalReason.LEAVING)
+        service = self._service()
+        if service is None or len(self._table) >= service.limits.connections_per_host:
+            return RefuseOpening(RefusalReason.CONNECTION_LIMIT)
+        pending = len(self._pending())
+        if pending >= self._settings.max_handshakes:
+            return RefuseOpening(RefusalReason.HANDSHAKE_LIMIT)
+        if original_id is not None:
+            return AcceptOpening(original_id, retry_id=opening_id)
+        if pending >= self._settings.retry_handshakes:
+            return ValidateAddress()
+        return AcceptOpening(opening_id, retry_id=None)
+
+    def _proven_id(self, forward: Forward, header: QuicHeader) -> bytes | None:
+        if not header.token:
+            return None
+        caller = (forward.caller_address, forward.caller_port)
+        return self._retry.open(caller, header.token, header.destination_cid, now())
+
+    def _send_retry(self, forward: Forward, header: QuicHeader, entry: Address) -> None:
+        assert header.version is not None
+        caller = (forward.caller_address, forward.caller_port)
+        retry_id = self._table.new_id(forward.service)
+        packet = encode_quic_retry(
+            version=header.version,
+            source_cid=retry_id,
+            destination_cid=header.source_cid,
+            original_destination_cid=header.destination_cid,
+            retry_token=self._retry.create(
+                caller, header.destination_cid, retry_id, now()
             ),
         )
-        self._flows[original_id] = flow
-        flow.known_ids.add(original_id)
-        self._open.inc()
+        self._metrics.retries.inc()
+        self._reply(forward, packet, entry)
+
+    def _accept(
+        self,
+        forward: Forward,
+        opening_id: bytes,
+        accepted: AcceptOpening,
+        traced: TracedForward | None,
+    ) -> Connection:
+        number = forward.service
+        caller = (forward.caller_address, forward.caller_port)
+        issued: list[bytes] = []
+        connection: Connection | None = None
+
+        def issue_id() -> bytes:
+            connection_id = self._table.new_id(number)
+            if connection is None:
+                issued.append(connection_id)
+            else:
+                self._table.add_id(connection, connection_id)
+            return connection_id
+
+        def send(datagram: bytes, to: Address, entry: Address) -> None:
+            self._metrics.datagrams_out.inc()
+            self._return_path.send(number, to, datagram, entry)
+
+        span = connection_span(traced)
+        connection = Connection(
+            TokenQuicConnection(
+                self._quic, accepted.original_id, issue_id, accepted.retry_id
+            ),
+            ReturnRoute(self._entries),
+            self._service,
+            self._serving,
+            send,
+            lambda connection_id: self._table.retire(connection, connection_id),
+            self._metrics,
+            span,
+            self._settings.handshake_seconds,
+        )
+        self._table.add(connection, opening_id, caller)
+        for connection_id in issued:
+            self._table.add_id(connection, connection_id)
+        self._handshakes.add(connection)
+        self._metrics.connections.inc()
         CONNECTION_OPENED.log(_logger, caller=caller)
-        self._kernel.spawn(self._run(flow, flow.connection), f"connection {caller}")
-        return flow
+        work = self._run(connection, opening_id, caller)
+        task = self._kernel.spawn(work, f"connection {caller}")
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda _: span.end())
+        return connection
 
-    async def _run(self, flow: _Flow, connection: Connection) -> None:
+    async def _run(
+        self, connection: Connection, opening_id: bytes, caller: Address
+    ) -> None:
         started = now()
         try:
             await connection.run()
+        except Exception as error:
+            # A fault in one connection must not end the process and all others.
+            self._metrics.connection_failures.inc()
+            CONNECTION_FAILED.log(_logger, caller=caller, error=repr(error))
         finally:
-            for connection_id in flow.known_ids:
-                self._flows.pop(connection_id, None)
-            self._open.dec()
+            self._table.remove(connection, opening_id, caller)
+            self._handshakes.discard(connection)
+            self._metrics.connections.dec()
             CONNECTION_CLOSED.log(_logger, seconds=round(now() - started, 3))
 
-    def _issue_id(self, service: int, flow: _Flow) -> bytes:
-        identity = self._kernel.identity
-        self._serial = (self._serial + 1) & MAX_SERIAL
-        token = RoutingToken(
-            address=identity.address,
-            data_port=identity.data_port,
-            service=service,
-            incarnation=identity.incarnation[:INCARNATION_BYTES],
-            serial=self._serial,
+    def _pending(self) -> set[Connection]:
+        done = {c for c in self._handshakes if c.established}
+        self._handshakes -= done
+        return self._handshakes
+
+    def _reply(self, forward: Forward, packet: bytes, entry: Address) -> None:
+        if forward.hops:
+            # The sender is an agent, which cannot reach callers.
+            route = ReturnRoute(self._entries)
+            found = route.current()
+            if found is None:
+                self._drop("no-entry")
+                return
+            entry = found
+        caller = (forward.caller_address, forward.caller_port)
+        self._metrics.datagrams_out.inc()
+        self._return_path.send(forward.service, caller, packet, entry)
+
+    def _drop(self, reason: str) -> None:
+        self._metrics.dropped.labels(reason).inc()
+
+    def _service(self) -> Service | None:
+        return self._configuration.service(self._serving.service_name)
+
+    def _on_configuration(self, configuration: Configuration) -> None:
+        self._review_state(configuration)
+
+    def _review_state(self, configuration: Configuration | None = None) -> None:
+        leaving = self._is_leaving(configuration)
+        if leaving == self._leaving:
+            return
+        self._leaving = leaving
+        if not leaving:
+            DRAIN_ENDED.log(_logger)
+            return
+        connections = self._table.connections
+        DRAIN_STARTED.log(_logger, connections=len(connections))
+        service = self._service()
+        feed_seconds = service.drain.feed_seconds if service is not None else 0.0
+        for connection in connections:
+            connection.drain(feed_seconds)
+
+    def _is_leaving(self, configuration: Configuration | None) -> bool:
+        if self._kernel.state in (ProcessState.LEAVING, ProcessState.STOPPED):
+            return True
+        instance = self._kernel.identity.instance
+        if configuration is None and self._configuration.ready:
+            configuration = self._configuration.current
+        if configuration is not None and (
+            instance in configuration.document.draining_hosts
+        ):
+            return True
+        return any(
+            listed.instance == instance and listed.state is ListedState.LEAVING
+            for listed in self._membership.instances
         )
-        connection_id = self._routing.codec.encode(token)
-        self._flows[connection_id] = flow
-        flow.known_ids.add(connection_id)
-        return connection_id
--- /dev/null
+++ b/balsamspool/plugins/frontend/opening.py
@@ -0,0 +1,46 @@
+"""What the agent does with an opening packet."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class RefusalReason(Enum):
+    """Why an opening packet is dropped."""
+
+    LEAVING = "leaving"
+    CONNECTION_LIMIT = "connection-limit"
+    HANDSHAKE_LIMIT = "handshake-limit"
+    TOO_SMALL = "small-opening"
+    UNKNOWN_CONNECTION = "unknown-connection"
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptOpening:
+    """Open a connection.
+
+    Attributes:
+        original_id: Destination connection ID of the caller's first packet.
+        retry_id: Source connection ID of the Retry that came before, None for none.
+    """
+
+    original_id: bytes
+    retry_id: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class ValidateAddress:
+    """Answer with a Retry, which costs no memory."""
+
+
+@dataclass(frozen=True, slots=True)
+class RefuseOpening:
+    """Drop the packet and count it.
+
+    Attributes:
+        reason: Why it is dropped.
+    """
+
+    reason: RefusalReason
+
+
+OpeningDecision = AcceptOpening | ValidateAddress | RefuseOpening
--- a/balsamspool/plugins/frontend/tls.py
+++ b/balsamspool/plugins/frontend/tls.py
@@ -5,11 +5,14 @@
 
 from balsamspool.plugins.routing.token import TOKEN_BYTES
 
-# Feeds may be silent for long; the agent sends a ping well before this limit.
-IDLE_SECONDS = 60.0
+# Unread bytes that one request and one connection may hold in the agent.
+MAX_STREAM_DATA = 64 * 1024
+MAX_DATA = 256 * 1024
 
 
-def quic_configuration(certificate: str, private_key: str) -> QuicConfiguration:
+def quic_configuration(
+    certificate: str, private_key: str, idle_seconds: float
+) -> QuicConfiguration:
     """Return the QUIC configuration of the agent.
 
     No session tickets are issued, so that no caller can send early data, which an
@@ -18,6 +21,7 @@
     Args:
         certificate: Path of the certificate chain in PEM form.
         private_key: Path of the private key in PEM form.
+        idle_seconds: Time without a packet after which a connection ends in seconds.
 
     Returns:
         The configuration.
@@ -30,7 +34,9 @@
         is_client=False,
         alpn_protocols=H3_ALPN,
         connection_id_length=TOKEN_BYTES,
-        idle_timeout=IDLE_SECONDS,
+        idle_timeout=idle_seconds,
+        max_data=MAX_DATA,
+        max_stream_data=MAX_STREAM_DATA,
         max_datagram_size=1200,
     )
     configuration.load_cert_chain(certificate, private_key)
--- a/benchmarks/agent_flows.py
+++ b/benchmarks/agent_flows.py
@@ -47,7 +47,7 @@
         address = (f"192.0.{2 + number // 250}.{1 + number % 250}", 5000)
         caller = _TimedCaller(agent, address)
         caller.start()
-        while not caller.connected:
+        while not caller.connected:  # noqa: ASYNC110
             await asyncio.sleep(0)
         for _ in range(5):
             await asyncio.sleep(0)
