Test requests and drain of the front end; fix requests cancelled early

Cause: a task that is cancelled before its first step never ran its cleanup, so a body over the limit that arrived with its head got no answer. Change: the exchange marks the cancellation and the task acts on it when it starts. Conclusion: such a request is answered 413 and is stated as not run.

--- a/balsamspool/plugins/frontend/codes.py
+++ b/balsamspool/plugins/frontend/codes.py
@@ -12,14 +12,14 @@
 BODY_TOO_LARGE = result_code(
     1502,
     "body-too-large",
-    "The request announced a larger body than the service allows.",
+    "The request body is larger than the service allows.",
     Outcome.NOT_RUN,
     413,
 )
 BODY_EXCEEDED = result_code(
     1503,
     "body-exceeded",
-    "A body without an announced length grew larger than the service allows.",
+    "The request body grew larger than the service allows while the request ran.",
     Outcome.UNKNOWN,
     413,
 )
--- a/balsamspool/plugins/frontend/exchange.py
+++ b/balsamspool/plugins/frontend/exchange.py
@@ -236,10 +236,12 @@
     __slots__ = (
         "_body",
         "_body_limit",
+        "_cancelled",
         "_connection",
         "_failure",
         "_fields",
         "_is_feed",
+        "_running",
         "_span",
         "_stream_id",
         "_task",
@@ -269,6 +271,8 @@
         self._body = RequestBody(connection, stream_id, expects)
         self._writer = StreamWriter(connection, stream_id, method)
         self._failure: ResultError | None = None
+        self._cancelled = False
+        self._running = False
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -292,23 +296,29 @@
         self._body.feed(data, ended)
         if self._body.received > self._body_limit:
             detail = f"more than {self._body_limit} bytes arrived"
-            self.fail(ResultError(BODY_EXCEEDED, detail))
+            code = BODY_EXCEEDED if self._running else BODY_TOO_LARGE
+            self.fail(ResultError(code, detail))
 
     def fail(self, error: ResultError) -> None:
         """End the request and answer with an error, or reset the stream."""
-        if self._failure is None and self._task is not None:
+        if self._failure is None:
             self._failure = error
-            self._task.cancel()
+            self.cancel()
 
     def cancel(self) -> None:
         """End the request without an answer."""
-        if self._task is not None:
+        self._cancelled = True
+        # A task that is cancelled before its first step would never clean up.
+        if self._task is not None and self._running:
             self._task.cancel()
 
     async def _run(self, serving: ServingPlugin, metrics: FrontendMetrics) -> None:
         metrics.requests_open.inc()
         began = now()
+        self._running = True
         try:
+            if self._cancelled:
+                raise asyncio.CancelledError
             await self._answer(serving)
         except asyncio.CancelledError:
             if self._failure is None:
--- a/tests/frontend_harness.py
+++ b/tests/frontend_harness.py
@@ -221,6 +221,9 @@
         if self.paused:
             return
         self.quic.receive_datagram(payload, SERVER, now())
+        self._handle_events()
+
+    def _handle_events(self) -> None:
         while (event := self.quic.next_event()) is not None:
             self._handle(event)
         self.flush()
@@ -271,7 +274,7 @@
                 timer = self.quic.get_timer()
                 if timer is not None and timer <= now():
                     self.quic.handle_timer(now())
-                    self.flush()
+                    self._handle_events()
 
     def _handle(self, event: object) -> None:
         match event:
--- /dev/null
+++ b/tests/test_frontend_drain.py
@@ -0,0 +1,146 @@
+"""Drain of the front end."""
+
+import asyncio
+import json
+
+from aioquic.h3.connection import H3Connection
+
+from balsamspool.kernel.clock import now
+from balsamspool.plugins.membership import MembershipPlugin
+from balsamspool.plugins.platform import PlatformValue
+from tests.frontend_case import FrontendCase
+from tests.frontend_harness import MemoryCaller
+
+H3_NO_ERROR = 0x100
+H3_REQUEST_REJECTED = 0x10B
+
+
+class RecordingHttp(H3Connection):
+    """Records the frames of the control stream."""
+
+    def __init__(self, quic):
+        self.goaways = []
+        super().__init__(quic)
+
+    def _handle_control_frame(self, frame_type, frame_data):
+        if frame_type == 7:
+            self.goaways.append(int.from_bytes(frame_data, "big"))
+            return
+        super()._handle_control_frame(frame_type, frame_data)
+
+
+class DrainTest(FrontendCase):
+    async def open_recorded(self, service=None):
+        agent, caller = await self.open_pair(service)
+        caller.http.__class__ = RecordingHttp
+        caller.http.goaways = []
+        return agent, caller
+
+    def set_draining(self, agent, names):
+        agent.text["draining_hosts"] = names
+        agent.publish()
+
+    async def test_requests_in_progress_finish_and_later_ones_are_rejected(self):
+        """Guards against a planned stop that cuts or swallows requests."""
+        agent, caller = await self.open_recorded()
+        go, ran = asyncio.Event(), []
+
+        async def handler(request, writer):
+            ran.append(request.path)
+            await go.wait()
+            await writer.start(200, [])
+            await writer.write(b"whole")
+            await writer.finish()
+
+        agent.handler = handler
+        first = caller.request(path="/first")
+        await self.until(lambda: ran)
+        agent.kernel.request_stop()
+        drain = asyncio.create_task(agent.frontend.drain())
+        await caller.until(lambda: len(caller.http.goaways) == 1)
+        early = caller.request(path="/early")
+        await caller.until(lambda: len(caller.http.goaways) == 2)
+        self.assertEqual(caller.http.goaways[1] & 0xFFFF, early + 4)
+        late = caller.request(path="/late")
+        await caller.until(lambda: late in caller.resets)
+        self.assertEqual(caller.resets[late], H3_REQUEST_REJECTED)
+        go.set()
+        self.assertEqual(await caller.answer(first), (200, b"whole"))
+        self.assertEqual(await caller.answer(early), (200, b"whole"))
+        await caller.until(lambda: caller.terminated is not None)
+        self.assertEqual(caller.terminated.error_code, H3_NO_ERROR)
+        await asyncio.wait_for(drain, 5)
+        self.assertEqual(ran, ["/first", "/early"])
+
+    async def test_draining_host_refuses_and_takes_connections_again(self):
+        """Guards against new flows on a host that the text drains."""
+        agent, caller = await self.open_recorded()
+        self.set_draining(agent, ["agent-1"])
+        MemoryCaller(agent, ("192.0.2.2", 1)).start()
+        self.assertEqual(self.dropped(agent, "leaving"), 1)
+        await caller.until(lambda: caller.terminated is not None)
+        self.set_draining(agent, [])
+        again = MemoryCaller(agent, ("192.0.2.3", 1))
+        await again.connect()
+        self.assertEqual((await again.answer(again.request()))[0], 200)
+
+    async def test_host_that_the_platform_lists_as_leaving_refuses(self):
+        """Guards against new flows on a host that the platform is about to stop."""
+        agent, _ = await self.open_recorded()
+        listed = {
+            "instance": "agent-1",
+            "role": "agent",
+            "state": "leaving",
+            "failure_domain": "hall-a",
+            "address": "127.0.0.1",
+            "data_port": 4001,
+            "peer_port": 1,
+            "admin_port": 2,
+            "service": "portal",
+        }
+        membership = agent.kernel.plugin(MembershipPlugin)
+        membership._on_value(PlatformValue(1, json.dumps([listed])))
+        MemoryCaller(agent, ("192.0.2.2", 1)).start()
+        self.assertEqual(self.dropped(agent, "leaving"), 1)
+
+    async def feed(self, request, writer):
+        await writer.start(200, [])
+        while True:
+            await writer.write(b"x")
+            await asyncio.sleep(0.05)
+
+    async def test_feeds_without_a_limit_survive_a_drain(self):
+        """Guards against feeds that a planned change breaks."""
+        agent, caller = await self.open_recorded()
+        agent.handler = self.feed
+        stream_id = caller.request(path="/feed")
+        self.set_draining(agent, ["agent-1"])
+        end = now() + 1.5
+        await caller.until(lambda: now() >= end)
+        self.assertNotIn(stream_id, caller.resets)
+        self.assertGreater(len(caller.bodies[stream_id]), 20)
+        self.assertIsNone(caller.terminated)
+
+    async def test_feeds_end_at_the_limit_that_the_operator_set(self):
+        """Guards against a drain that never ends although a limit is set."""
+        agent, caller = await self.open_recorded({"drain": {"feed_seconds": 1.0}})
+        agent.handler = self.feed
+        stream_id = caller.request(path="/feed")
+        await caller.until(lambda: stream_id in caller.heads)
+        began = now()
+        self.set_draining(agent, ["agent-1"])
+        await caller.until(lambda: stream_id in caller.resets)
+        self.assertGreaterEqual(now() - began, 0.9)
+        await caller.until(lambda: caller.terminated is not None)
+        self.assertEqual(caller.terminated.error_code, H3_NO_ERROR)
+
+    async def test_stop_closes_what_is_left(self):
+        """Guards against callers that wait for a process that has gone."""
+        agent, caller = await self.open_recorded()
+        agent.handler = self.feed
+        caller.request(path="/feed")
+        await asyncio.sleep(0.05)
+        await agent.frontend.stop()
+        self.assertEqual(len(agent.frontend.table), 0)
+        await caller.until(lambda: caller.terminated is not None)
+        self.assertEqual(caller.terminated.error_code, H3_NO_ERROR)
