Release the handshake buffers of established connections

Cause: the QUIC library keeps three buffers of 16 KB for handshake messages as long as the connection lives; the agent sends nothing in them after the handshake. Change: they are replaced by empty ones when the handshake completes. Measured: python -m benchmarks.agent_flows: before 101745 bytes a connection and 256 flows a CPU-second (best round), after 81770 bytes and 255 flows. Conclusion: 20 KB less a connection, 40 MB at 2,000 connections; no change in CPU time.

--- a/balsamspool/plugins/frontend/_quic.py
+++ b/balsamspool/plugins/frontend/_quic.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from aioquic.buffer import encode_uint_var
+from aioquic.buffer import Buffer, encode_uint_var
 from aioquic.h3.connection import (
     FrameType,
     H3Connection,
@@ -108,6 +108,12 @@
         stream = self._streams.get(stream_id)
         return stream is not None and stream.sender._reset_error_code is None
 
+    def release_handshake(self) -> None:
+        """Release what only the handshake needed, once it is confirmed."""
+        # Three buffers of 16 KB; nothing is sent in them after the handshake because
+        # no session tickets are issued.
+        self._crypto_buffers = {epoch: Buffer() for epoch in self._crypto_buffers}
+
     def stop_receiving(self, stream_id: int, error_code: int) -> None:
         """Ask the peer to send no more on a stream, if it still may."""
         stream = self._streams.get(stream_id)
--- a/balsamspool/plugins/frontend/connection.py
+++ b/balsamspool/plugins/frontend/connection.py
@@ -332,6 +332,7 @@
                         self._http.send_goaway(MAX_REQUEST_STREAM_ID)
                 case HandshakeCompleted():
                     self._established = True
+                    self._quic.release_handshake()
                     self._metrics.handshakes.labels("completed").inc()
                 case ConnectionIdRetired(connection_id=connection_id):
                     self._on_retired(connection_id)
