--- /dev/null
+++ b/balsamspool/plugins/admission/controller.py
@@ -0,0 +1,237 @@
+"""Decides which requests get the slots of one backend server, and when."""
+
+import asyncio
+import heapq
+from asyncio import TimerHandle
+from collections.abc import Sequence
+
+from balsamspool.kernel.clock import now
+from balsamspool.kernel.errors import ResultCode
+from balsamspool.plugins.admission.codes import (
+    DEADLINE_UNREACHABLE,
+    FEEDS_FULL,
+    NO_HOST,
+    QUEUE_FULL,
+)
+from balsamspool.plugins.admission.decision import Admit, Decision, Refuse, Relay, Shed
+from balsamspool.plugins.admission.policy import RelayPolicy
+from balsamspool.plugins.admission.queue import AdmissionQueue, Job, Waiter, order_of
+from balsamspool.plugins.admission.slots import Slot, Slots
+from balsamspool.requests.relay import PeerLoad
+
+ALL_BUSY = 128
+FULL = 255
+MIN_WAIT_SECONDS = 0.001
+
+
+class AdmissionController:
+    """The only admitter to the slots of one backend server.
+
+    Args:
+        slots: Slots of the backend server.
+        queue_limit: Requests that may wait.
+        feed_limit: Feeds that may be open.
+        policy: Chooses peers.
+    """
+
+    __slots__ = (
+        "_feeds",
+        "_growth",
+        "_policy",
+        "_queue",
+        "_slots",
+        "feed_limit",
+        "queue_limit",
+    )
+
+    def __init__(
+        self, slots: Slots, queue_limit: int, feed_limit: int, policy: RelayPolicy
+    ) -> None:
+        self.queue_limit = queue_limit
+        self.feed_limit = feed_limit
+        self._slots = slots
+        self._policy = policy
+        self._queue = AdmissionQueue()
+        self._feeds: set[Slot] = set()
+        self._growth: TimerHandle | None = None
+
+    @property
+    def slots(self) -> Slots:
+        """Slots of the backend server."""
+        return self._slots
+
+    @property
+    def queued(self) -> int:
+        """Number of requests that wait."""
+        return len(self._queue)
+
+    @property
+    def feeds(self) -> int:
+        """Number of open feeds."""
+        return len(self._feeds)
+
+    @property
+    def load(self) -> int:
+        """Slots and queue in use, 0 to 255; 128 means that all slots are busy."""
+        used = min(1.0, self._slots.busy / self._slots.usable)
+        waiting = min(1.0, len(self._queue) / max(1, self.queue_limit))
+        return int(ALL_BUSY * used + (FULL - ALL_BUSY) * waiting)
+
+    @property
+    def expected_wait(self) -> float:
+        """Predicted wait in seconds of a short request that arrives last."""
+        return self._wait(float("inf"), long=False)
+
+    def admit_feed(self) -> Decision:
+        """Decide on a feed, which takes no slot."""
+        if len(self._feeds) >= self.feed_limit:
+            return Shed(1.0, FEEDS_FULL)
+        feed = Slot(0.0, False, self._feeds.discard)
+        self._feeds.add(feed)
+        return Admit(feed)
+
+    async def admit(self, job: Job, peers: Sequence[PeerLoad] = ()) -> Decision:
+        """Decide on a request, which may wait for a slot.
+
+        Args:
+            job: The request.
+            peers: Peers to which it may be relayed.
+
+        Returns:
+            The decision. A slot of ``Admit`` belongs to the caller of this method.
+        """
+        order = order_of(job)
+        wait = self._wait(order, job.long)
+        if wait == 0.0 and self._slots.fits(job.long):
+            return Admit(self._take(job))
+        peer = None if job.relayed else self._policy.lighter(wait, peers)
+        if peer is not None:
+            return Relay(peer)
+        if now() + wait > job.latest_start:
+            return Shed(wait, DEADLINE_UNREACHABLE)
+        if not self._make_room():
+            return Shed(self.expected_wait, QUEUE_FULL)
+        return await self._wait_in_queue(job, order)
+
+    def elsewhere(self, peers: Sequence[PeerLoad]) -> Relay | Refuse:
+        """Decide on a request that must not run here.
+
+        Args:
+            peers: Peers to which it may be relayed.
+
+        Returns:
+            A peer, or a refusal if none accepts.
+        """
+        peer = self._policy.any(peers)
+        return Refuse(NO_HOST) if peer is None else Relay(peer)
+
+    def cool(self) -> None:
+        """Begin a slow start of the backend server."""
+        self._slots.cool()
+        self._watch_growth()
+
+    def resize(self, limit: int, share: int, queue_limit: int, feeds: int) -> None:
+        """Put other limits in force."""
+        self._slots.limit = limit
+        self._slots.share = share
+        self.queue_limit = queue_limit
+        self.feed_limit = feeds
+        self._grant()
+
+    async def _wait_in_queue(self, job: Job, order: float) -> Decision:
+        loop = asyncio.get_running_loop()
+        waiter = Waiter(job, order, loop.create_future())
+        self._queue.add(waiter)
+        try:
+            # Shielded, so that a slot granted at the same moment is not lost with it.
+            async with asyncio.timeout_at(job.deadline):
+                result = await asyncio.shield(waiter.outcome)
+        except TimeoutError:
+            self._abandon(waiter)
+            return Shed(self.expected_wait, DEADLINE_UNREACHABLE)
+        except asyncio.CancelledError:
+            self._abandon(waiter)
+            raise
+        match result:
+            case Slot() as slot:
+                return Admit(slot)
+            case ResultCode() as reason:
+                return Shed(self.expected_wait, reason)
+
+    def _abandon(self, waiter: Waiter) -> None:
+        self._queue.discard(waiter)
+        if not waiter.outcome.done():
+            waiter.outcome.cancel()
+        elif isinstance(slot := waiter.outcome.result(), Slot):
+            slot.release()
+
+    def _make_room(self) -> bool:
+        # A host that a dependency limits to a share of its slots keeps the same share
+        # of its queue, so that it sheds before callers wait in vain.
+        share = min(1.0, self._slots.share / self._slots.limit)
+        if len(self._queue) < int(self.queue_limit * share):
+            return True
+        waiter = self._queue.hopeless()
+        if waiter is None:
+            return False
+        self._shed(waiter)
+        return True
+
+    def _shed(self, waiter: Waiter) -> None:
+        self._queue.discard(waiter)
+        waiter.outcome.set_result(DEADLINE_UNREACHABLE)
+
+    def _take(self, job: Job) -> Slot:
+        slot = Slot(job.expected, job.long, self._release)
+        self._slots.held.add(slot)
+        return slot
+
+    def _release(self, slot: Slot) -> None:
+        self._slots.held.discard(slot)
+        self._grant()
+
+    def _grant(self) -> None:
+        for waiter in list(self._queue):
+            if self._slots.busy >= self._slots.usable:
+                return
+            if waiter.job.deadline <= now():
+                self._shed(waiter)
+            elif self._slots.fits(waiter.job.long):
+                self._queue.discard(waiter)
+                waiter.outcome.set_result(self._take(waiter.job))
+
+    def _wait(self, order: float, long: bool) -> float:
+        """Return the time until a slot is free, by playing the queue forward."""
+        if self._slots.fits(long) and not self._blocked_by_queue(order, long):
+            return 0.0
+        wait = self._earliest(order, self._slots.usable, only_long=False)
+        if long:
+            places = self._slots.usable_for_long
+            wait = max(wait, self._earliest(order, places, only_long=True))
+        # A wait of 0 is kept for requests that can start at once.
+        return max(wait, MIN_WAIT_SECONDS)
+
+    def _earliest(self, order: float, places: int, only_long: bool) -> float:
+        held = [s for s in self._slots.held if s.long or not only_long]
+        free = sorted(slot.remaining for slot in held)[-places:]
+        free = [0.0] * (places - len(free)) + free
+        for waiter in self._queue.ahead_of(order):
+            if waiter.job.long or not only_long:
+                heapq.heapreplace(free, free[0] + waiter.job.expected)
+        return free[0]
+
+    def _blocked_by_queue(self, order: float, long: bool) -> bool:
+        ahead = self._queue.ahead_of(order)
+        return any(self._slots.fits(waiter.job.long) for waiter in ahead)
+
+    def _watch_growth(self) -> None:
+        if self._growth is not None:
+            self._growth.cancel()
+        delay = self._slots.next_growth
+        loop = asyncio.get_running_loop()
+        self._growth = loop.call_later(delay, self._grow) if delay else None
+
+    def _grow(self) -> None:
+        self._growth = None
+        self._grant()
+        self._watch_growth()
--- /dev/null
+++ b/balsamspool/plugins/admission/keys.py
@@ -0,0 +1,410 @@
+"""Request keys: a request that must not repeat runs at most once.
+
+Only the process that issued a key may run its request or name the process that may. A
+record is kept until its key expires, so a key that is valid, not expired and without a
+record belongs to a request that has never been dispatched.
+"""
+
+import hashlib
+import heapq
+import hmac
+from asyncio import Event
+from base64 import urlsafe_b64decode, urlsafe_b64encode
+from binascii import Error as Base64Error
+from dataclasses import dataclass, field
+from ipaddress import IPv4Address
+from struct import Struct
+
+from balsamspool.kernel.clock import now
+from balsamspool.kernel.errors import ResultCode, ResultError
+from balsamspool.kernel.identity import INCARNATION_BYTES
+from balsamspool.kernel.keyring import KeyRing
+from balsamspool.plugins.admission.codes import (
+    KEY_INVALID,
+    KEY_OUTCOME_UNKNOWN,
+    KEY_REUSED,
+    KEYS_FULL,
+)
+from balsamspool.plugins.mesh.message import PeerAddress
+from balsamspool.requests.request import Headers
+
+PURPOSE = "request-key"
+MAX_KEYS = 65_536
+MAX_ANSWER_BYTES = 16 * 1024
+MAX_KEPT_BYTES = 16 * 1024 * 1024
+TAG_BYTES = 16
+
+# Key number, address, peer port, incarnation, service, serial, expiry in milliseconds.
+_FIELDS = Struct(f">B4sH{INCARNATION_BYTES}sHQQ")
+
+
+@dataclass(frozen=True, slots=True)
+class RequestKey:
+    """What a request key names.
+
+    Attributes:
+        issuer: Where the mesh socket of the issuing agent listens.
+        incarnation: Incarnation of the issuing agent.
+        service: Number of the service.
+        serial: Number that the issuer gives out once.
+        expires_ms: Expiry by the clock of the issuer's event loop in milliseconds.
+    """
+
+    issuer: PeerAddress
+    incarnation: bytes
+    service: int
+    serial: int
+    expires_ms: int
+
+
+class KeyCodec:
+    """Seals and opens request keys.
+
+    Args:
+        keyring: Shared keys of the system's processes.
+    """
+
+    __slots__ = ("_keyring",)
+
+    def __init__(self, keyring: KeyRing) -> None:
+        self._keyring = keyring
+
+    def seal(self, key: RequestKey) -> str:
+        """Return the text of a key."""
+        fields = _FIELDS.pack(
+            self._keyring.active,
+            IPv4Address(key.issuer.address).packed,
+            key.issuer.peer_port,
+            key.incarnation,
+            key.service,
+            key.serial,
+            key.expires_ms,
+        )
+        return urlsafe_b64encode(fields + self._tag(fields, b"key")).decode()
+
+    def open(self, text: str) -> RequestKey:
+        """Return the key that a text stands for.
+
+        Args:
+            text: Value of ``Idempotency-Key``, with or without quotation marks.
+
+        Returns:
+            The key.
+
+        Raises:
+            ResultError: With code 1610 if it is malformed or forged, 1614 if its secret
+                is no longer in force, so that it cannot be told from a forged one.
+        """
+        fields, tag = self._split(text)
+        if not hmac.compare_digest(tag, self._tag(fields, b"key")):
+            raise ResultError(KEY_INVALID, "the key is not authentic")
+        _, address, port, incarnation, service, serial, expires = _FIELDS.unpack(fields)
+        issuer = PeerAddress(str(IPv4Address(address)), port)
+        return RequestKey(issuer, incarnation, service, serial, expires)
+
+    def delegation(self, text: str, peer: PeerAddress) -> str:
+        """Return the permission of the issuer for a peer to run a request.
+
+        Args:
+            text: Text of the request's key.
+            peer: Where the peer's mesh socket listens.
+
+        Returns:
+            Value of a header field that only holders of the shared keys can make.
+        """
+        fields, _ = self._split(text)
+        return self._tag(fields, f"{peer.address}:{peer.peer_port}".encode()).hex()
+
+    def _split(self, text: str) -> tuple[bytes, bytes]:
+        try:
+            data = urlsafe_b64decode(text.strip().strip('"').encode("ascii"))
+        except (Base64Error, ValueError) as error:
+            raise ResultError(KEY_INVALID, "the key is malformed") from error
+        if len(data) != _FIELDS.size + TAG_BYTES:
+            raise ResultError(KEY_INVALID, f"the key has {len(data)} bytes")
+        return data[: _FIELDS.size], data[_FIELDS.size :]
+
+    def _tag(self, fields: bytes, use: bytes) -> bytes:
+        number = fields[0]
+        if number not in self._keyring.numbers:
+            detail = f"the key is protected by secret {number}, which is not in force"
+            raise ResultError(KEY_OUTCOME_UNKNOWN, detail)
+        key = self._keyring.key(number, PURPOSE)
+        data = fields + use
+        return hashlib.blake2s(data, key=key, digest_size=TAG_BYTES).digest()
+
+
+@dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """A whole answer that is kept for duplicates of its request.
+
+    Attributes:
+        status: HTTP status.
+        headers: Header fields in lower case.
+        body: The body.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    @property
+    def size(self) -> int:
+        """Bytes that the answer counts for."""
+        fields = sum(len(name) + len(value) for name, value in self.headers)
+        return len(self.body) + fields
+
+
+@dataclass(frozen=True, slots=True)
+class Running:
+    """The request runs here or waits for a slot."""
+
+
+@dataclass(frozen=True, slots=True)
+class Delegated:
+    """The issuer has let a peer run the request.
+
+    Attributes:
+        peer: Where the peer's mesh socket listens.
+    """
+
+    peer: PeerAddress
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """The request has run.
+
+    Attributes:
+        answer: Its whole answer.
+    """
+
+    answer: KeptAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """The request has run and its answer was too large to keep.
+
+    Attributes:
+        status: HTTP status of the answer.
+    """
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request was not dispatched and may be tried again.
+
+    Attributes:
+        error: Why it was not dispatched.
+    """
+
+    error: ResultError
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeUnknown:
+    """The request was dispatched and nothing certain is known of its end.
+
+    Attributes:
+        code: What went wrong.
+        detail: What happened.
+    """
+
+    code: ResultCode
+    detail: str
+
+
+KeyState = Running | Delegated | Done | Ran | NotRun | OutcomeUnknown
+
+
+@dataclass(slots=True, eq=False)
+class KeyRecord:
+    """What the issuer knows of the request of one key.
+
+    Attributes:
+        digest: Digest of method, path and body.
+        expires_ms: Event loop time in milliseconds at which the key expires.
+        state: What is known.
+        ended: Set when the state is final.
+    """
+
+    digest: bytes
+    expires_ms: int
+    state: KeyState = field(default_factory=Running)
+    ended: Event = field(default_factory=Event)
+
+
+@dataclass(frozen=True, slots=True)
+class First:
+    """The request has not been dispatched; the finder must run it.
+
+    Attributes:
+        record: Record to be settled by the finder.
+    """
+
+    record: KeyRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Duplicate:
+    """The request was seen before.
+
+    Attributes:
+        record: Record of the first one.
+    """
+
+    record: KeyRecord
+
+
+class KeyTable:
+    """Keeps what is known of the requests whose keys this process issued.
+
+    Args:
+        max_keys: Records that are kept.
+        max_kept_bytes: Bytes of all kept answers.
+    """
+
+    __slots__ = (
+        "_expiry",
+        "_kept_bytes",
+        "_max_kept_bytes",
+        "_max_keys",
+        "_not_run",
+        "_records",
+        "_serial",
+    )
+
+    def __init__(
+        self, max_keys: int = MAX_KEYS, max_kept_bytes: int = MAX_KEPT_BYTES
+    ) -> None:
+        self._max_keys = max_keys
+        self._max_kept_bytes = max_kept_bytes
+        self._records: dict[int, KeyRecord] = {}
+        self._expiry: list[tuple[int, int]] = []
+        self._not_run: dict[int, None] = {}
+        self._kept_bytes = 0
+        self._serial = 0
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    @property
+    def kept_bytes(self) -> int:
+        """Bytes of all kept answers."""
+        return self._kept_bytes
+
+    def count(self, state: type[KeyState]) -> int:
+        """Return the number of records in a state."""
+        return sum(isinstance(r.state, state) for r in self._records.values())
+
+    def next_serial(self) -> int:
+        """Return a serial that was never given out before."""
+        self._serial += 1
+        return self._serial
+
+    def claim(self, key: RequestKey, digest: bytes) -> First | Duplicate:
+        """Find out whether a request may run, and reserve its record if so.
+
+        Args:
+            key: Key of the request, issued by this process.
+            digest: Digest of method, path and body.
+
+        Returns:
+            ``First`` at most once while the request may have been dispatched.
+
+        Raises:
+            ResultError: With code 1611 if the key belongs to another request, 1613 if
+                the table is full, 1614 if the key has expired.
+        """
+        self._drop_expired()
+        record = self._records.get(key.serial)
+        if record is not None:
+            if not hmac.compare_digest(record.digest, digest):
+                raise ResultError(KEY_REUSED, "method, path or body differ")
+            if not isinstance(record.state, NotRun):
+                return Duplicate(record)
+        # A record may have been dropped at expiry, so nothing is known after it.
+        if key.expires_ms <= _now_ms():
+            raise ResultError(KEY_OUTCOME_UNKNOWN, "the key has expired")
+        if record is None:
+            self._make_room()
+            heapq.heappush(self._expiry, (key.expires_ms, key.serial))
+        self._not_run.pop(key.serial, None)
+        # A new record, since duplicates still read the state of the old one.
+        self._records[key.serial] = KeyRecord(digest, key.expires_ms)
+        return First(self._records[key.serial])
+
+    def settle(self, key: RequestKey, record: KeyRecord, state: KeyState) -> None:
+        """Set the final state of a record once and wake its duplicates.
+
+        Args:
+            key: Key of the request.
+            record: Record that ``claim`` returned as first.
+            state: What is known of the request now.
+        """
+        if record.ended.is_set():
+            return
+        match state:
+            case Done(answer) if not self._may_keep(answer):
+                state = Ran(answer.status)
+            case Done(answer):
+                self._kept_bytes += answer.size
+            case NotRun():
+                self._not_run[key.serial] = None
+        record.state = state
+        record.ended.set()
+
+    def _may_keep(self, answer: KeptAnswer) -> bool:
+        if answer.size > MAX_ANSWER_BYTES:
+            return False
+        return self._kept_bytes + answer.size <= self._max_kept_bytes
+
+    def _make_room(self) -> None:
+        if len(self._records) < self._max_keys:
+            return
+        if not self._not_run:
+            detail = f"{len(self._records)} keys are in use"
+            raise ResultError(KEYS_FULL, detail, retry_after=1.0)
+        # Nothing is lost with a request that was not dispatched.
+        serial = next(iter(self._not_run))
+        del self._not_run[serial]
+        del self._records[serial]
+        # Entries of evicted records stay in the heap until they expire.
+        if len(self._expiry) > 2 * self._max_keys:
+            self._expiry = [(r.expires_ms, s) for s, r in self._records.items()]
+            heapq.heapify(self._expiry)
+
+    def _drop_expired(self) -> None:
+        time = _now_ms()
+        running: list[tuple[int, int]] = []
+        while self._expiry and self._expiry[0][0] <= time:
+            expires_ms, serial = heapq.heappop(self._expiry)
+            record = self._records.get(serial)
+            if record is not None and not record.ended.is_set():
+                running.append((time + 1000, serial))
+            elif record is not None:
+                self._drop(serial, record)
+        for entry in running:
+            heapq.heappush(self._expiry, entry)
+
+    def _drop(self, serial: int, record: KeyRecord) -> None:
+        del self._records[serial]
+        self._not_run.pop(serial, None)
+        if isinstance(record.state, Done):
+            self._kept_bytes -= record.state.answer.size
+
+
+def request_digest(method: str, path: str, body: bytes) -> bytes:
+    """Return a digest of what a key is bound to."""
+    digest = hashlib.blake2s()
+    for part in (method.encode(), path.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
+
+
+def _now_ms() -> int:
+    return int(now() * 1000)
--- a/balsamspool/plugins/backend/client.py
+++ b/balsamspool/plugins/backend/client.py
@@ -1,7 +1,7 @@
 """HTTP client of one backend server."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
@@ -11,6 +11,7 @@
     ClientResponse,
     ClientSession,
     ClientTimeout,
+    ConnectionTimeoutError,
     TCPConnector,
 )
 
@@ -21,13 +22,24 @@
     BACKEND_TIMEOUT,
     BACKEND_UNREACHABLE,
 )
+from balsamspool.requests.request import Headers
 
 CHUNK_BYTES = 64 * 1024
 CONNECT_SECONDS = 2.0
 
 # Header fields that belong to one connection, not to the message (RFC 9110, 7.6.1).
 _CONNECTION_HEADERS = frozenset(
-    ("connection", "keep-alive", "transfer-encoding", "upgrade", "te", "trailer")
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
 )
 
 
@@ -79,7 +91,7 @@
         method: str,
         path: str,
         headers: list[tuple[str, str]],
-        body: AsyncIterator[bytes] | None,
+        body: AsyncIterator[bytes] | bytes | None,
         deadline: Deadline | None,
     ) -> AsyncIterator[BackendAnswer]:
         """Send a request and yield its answer; leaving the context cancels it.
@@ -88,7 +100,7 @@
             method: HTTP method.
             path: Path with query.
             headers: Header fields.
-            body: Chunks of the body, None for no body.
+            body: The body or its chunks, None for no body.
             deadline: Time by which the answer must be whole, None for no limit.
 
         Yields:
@@ -111,20 +123,31 @@
                     allow_redirects=False,
                 ) as response,
             ):
-                yield BackendAnswer(
-                    response.status, _answer_headers(response), response
-                )
-        except ClientConnectorError as error:
+                fields = without_connection_headers(response.headers.items())
+                yield BackendAnswer(response.status, fields, response)
+        except (ClientConnectorError, ConnectionTimeoutError) as error:
             raise ResultError(BACKEND_UNREACHABLE, str(error)) from error
         except TimeoutError as error:
             raise ResultError(BACKEND_TIMEOUT, f"{method} {path}") from error
         except (ClientError, OSError) as error:
+            # The HTTP client wraps what the source of the request body raised.
+            if isinstance(error.__cause__, ResultError):
+                raise error.__cause__ from error
             raise ResultError(BACKEND_FAILED, repr(error)) from error
 
 
-def _answer_headers(response: ClientResponse) -> list[tuple[str, str]]:
-    return [
-        (name.lower(), value)
-        for name, value in response.headers.items()
-        if name.lower() not in _CONNECTION_HEADERS
-    ]
+def without_connection_headers(headers: Iterable[tuple[str, str]]) -> Headers:
+    """Return header fields in lower case without those of one connection.
+
+    Args:
+        headers: Header fields. Those that ``Connection`` names are left out too.
+    """
+    fields = [(name.lower(), value) for name, value in headers]
+    named = {
+        option.strip().lower()
+        for name, value in fields
+        if name == "connection"
+        for option in value.split(",")
+    }
+    dropped = _CONNECTION_HEADERS | named
+    return [pair for pair in fields if pair[0] not in dropped]
--- a/balsamspool/plugins/serving/codes.py
+++ b/balsamspool/plugins/serving/codes.py
@@ -16,3 +16,45 @@
     Outcome.NOT_RUN,
     504,
 )
+BODY_TOO_LARGE = result_code(
+    2103,
+    "body-too-large",
+    "The request body is larger than the limit of the service.",
+    Outcome.NOT_RUN,
+    413,
+)
+BODY_LIMIT_PASSED = result_code(
+    2104,
+    "body-limit-passed",
+    "The request body passed the limit of the service after the dispatch.",
+    Outcome.UNKNOWN,
+    413,
+)
+CANCELLED = result_code(
+    2105,
+    "cancelled",
+    "The caller cancelled the request before it was dispatched.",
+    Outcome.NOT_RUN,
+    499,
+)
+INTERRUPTED = result_code(
+    2106,
+    "interrupted",
+    "The request was interrupted after it was dispatched.",
+    Outcome.UNKNOWN,
+    500,
+)
+METHOD_NOT_ALLOWED = result_code(
+    2107,
+    "method-not-allowed",
+    "Request keys are issued for POST only.",
+    Outcome.NOT_RUN,
+    405,
+)
+DUPLICATE_TIMEOUT = result_code(
+    2108,
+    "duplicate-timeout",
+    "The deadline passed while the first request with the same key was running.",
+    Outcome.UNKNOWN,
+    504,
+)
--- a/balsamspool/plugins/serving/handler.py
+++ b/balsamspool/plugins/serving/handler.py
@@ -1,15 +1,27 @@
-"""Runs requests: classify, admit, dispatch, stream the answer."""
+"""Runs requests: classify, key, admit, dispatch, stream the answer."""
 
-import logging
+import asyncio
+from asyncio import Task
+from collections.abc import Sequence
 from typing import assert_never
 
-from balsamspool.kernel.clock import Deadline
+from balsamspool.kernel.backoff import RetryBudget
+from balsamspool.kernel.clock import Deadline, now
 from balsamspool.kernel.errors import ResultError
 from balsamspool.kernel.identity import Role
-from balsamspool.kernel.lifecycle import Kernel
+from balsamspool.kernel.lifecycle import Kernel, ProcessState
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.kernel.settings import Name, Section
+from balsamspool.plugins.admission import (
+    AdmissionPlugin,
+    Admit,
+    Decision,
+    Refuse,
+    Relay,
+    Shed,
+)
 from balsamspool.plugins.backend import BackendPlugin
+from balsamspool.plugins.backend.codes import BACKEND_UNREACHABLE
 from balsamspool.plugins.configuration import (
     ConfigurationPlugin,
     DownloadRoute,
@@ -19,13 +31,30 @@
 )
 from balsamspool.plugins.configuration.codes import NO_CONFIGURATION
 from balsamspool.plugins.configuration.text import Route
+from balsamspool.plugins.membership import MembershipPlugin
+from balsamspool.plugins.membership.instance import ListedState
+from balsamspool.plugins.serving.body import (
+    BUFFERED_BYTES,
+    content_chunks,
+    read_body,
+)
 from balsamspool.plugins.serving.codes import DEADLINE_PASSED, NO_ROUTE
+from balsamspool.plugins.serving.keyed import (
+    KEY_PATH,
+    KeyedRequests,
+    strip_delegation,
+)
+from balsamspool.plugins.serving.work import Work
+from balsamspool.requests import relay
 from balsamspool.requests.answer import ResponseWriter, write_error
+from balsamspool.requests.relay import PeerLoad
 from balsamspool.requests.request import Request
 
-_logger = logging.getLogger(__name__)
-
 TIMEOUT_HEADER = "request-timeout-ms"
+# Peers that may be asked one after the other, each only after a statement "not run".
+MAX_PEERS = 2
+# Requests that were queued before a leave are still dispatched within this time.
+LEAVING_GRACE_SECONDS = 2.0
 
 
 class ServingSettings(Section, frozen=True):
@@ -38,7 +67,11 @@
     service: Name
 
 
-@register("serving", roles=[Role.AGENT], requires=["configuration", "backend"])
+@register(
+    "serving",
+    roles=[Role.AGENT],
+    requires=["configuration", "membership", "admission", "backend"],
+)
 class ServingPlugin(Plugin):
     """Runs the requests of one service.
 
@@ -52,13 +85,70 @@
         super().__init__(kernel)
         self._settings: ServingSettings = kernel.settings.section("serving")
         self._configuration = kernel.plugin(ConfigurationPlugin)
+        self._membership = kernel.plugin(MembershipPlugin)
+        self._admission = kernel.plugin(AdmissionPlugin)
         self._backend = kernel.plugin(BackendPlugin)
+        self._relay: relay.Relay | None = None
+        self._budget = RetryBudget()
+        self._keyed = KeyedRequests(
+            kernel.identity,
+            self._admission.key_codec,
+            self._admission.keys,
+            self._serve,
+        )
+        self._running: set[Task[object]] = set()
+        self._feeds: set[Task[object]] = set()
+        self._left_at: float | None = None
 
     @property
     def service_name(self) -> str:
         """Name of the service that this agent serves."""
         return self._settings.service
 
+    @property
+    def leaving(self) -> bool:
+        """Whether this agent takes no new requests because it is to leave."""
+        return (
+            self._kernel.state is ProcessState.LEAVING
+            or self._is_listed_as_leaving()
+            or self._backend.draining
+        )
+
+    @property
+    def accepting(self) -> bool:
+        """Whether this agent takes new requests."""
+        return not self.leaving and self._backend.usable
+
+    async def start(self) -> None:
+        """Connect admission with the service and its backend server."""
+        self._admission.serve(self._settings.service)
+        self._backend.on_recovery(self._admission.backend_recovered)
+
+    async def drain(self) -> None:
+        """Wait for the requests in progress; feeds end after the limit of the text."""
+        service = self._configuration.service(self._settings.service)
+        limit = service.drain.feed_seconds if service is not None else 0.0
+        ends = now() + limit
+        while self._running:
+            pending = set(self._running)
+            timeout = max(0.0, ends - now()) if limit and self._feeds else None
+            await asyncio.wait(
+                pending, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
+            )
+            if limit and now() >= ends:
+                for task in list(self._feeds):
+                    task.cancel()
+                await asyncio.sleep(0)
+        await self._keyed.drain()
+
+    async def stop(self) -> None:
+        """Cancel requests that go on without their callers."""
+        await self._keyed.stop()
+
+    def set_relay(self, relay_plugin: relay.Relay) -> None:
+        """Set what runs requests at peers."""
+        self._relay = relay_plugin
+
     async def handle(self, request: Request, writer: ResponseWriter) -> None:
         """Run a request and write its answer.
 
@@ -67,15 +157,50 @@
             writer: Where the answer goes.
         """
         try:
-            service = self._service()
-            route = service.route(request.path)
-            if route is None:
-                raise ResultError(NO_ROUTE, f"no route for path {request.path!r}")
-            request.deadline = self._deadline(request, service, route)
-            await self._dispatch(request, writer)
+            await self.run(request, writer)
         except ResultError as error:
             await write_error(writer, error)
 
+    async def run(self, request: Request, writer: ResponseWriter) -> None:
+        """Run a request and write its answer if there is a whole one.
+
+        Args:
+            request: The request.
+            writer: Where the answer goes.
+
+        Raises:
+            ResultError: If there is no whole answer; its code says what is known.
+        """
+        task = asyncio.current_task()
+        assert task is not None
+        self._running.add(task)
+        try:
+            await self._classify(request, writer)
+        finally:
+            self._running.discard(task)
+
+    async def _classify(self, request: Request, writer: ResponseWriter) -> None:
+        if not request.relayed:
+            strip_delegation(request)
+        service = self._service()
+        if request.path == KEY_PATH:
+            await self._keyed.issue(request, service, writer)
+            return
+        route = service.route(request.path)
+        if route is None:
+            raise ResultError(NO_ROUTE, f"no route for path {request.path!r}")
+        request.deadline = self._deadline(request, service, route)
+        work = Work(request, service, route)
+        match route:
+            case RequestRoute(repeatable=False):
+                await self._keyed.run(work, route, writer, self._relay)
+            case FeedRoute():
+                await self._serve_feed(work, writer)
+            case RequestRoute() | DownloadRoute():
+                await self._serve(work, writer)
+            case _:
+                assert_never(route)
+
     def _service(self) -> Service:
         service = self._configuration.service(self._settings.service)
         if service is None:
@@ -94,15 +219,150 @@
             case _:
                 assert_never(route)
         asked = request.header(TIMEOUT_HEADER)
-        if asked is not None and asked.isdigit():
+        if asked is not None and asked.isascii() and asked.isdigit():
             limit = min(limit, int(asked))
         return Deadline.after(limit / 1000)
 
-    async def _dispatch(self, request: Request, writer: ResponseWriter) -> None:
+    def _is_listed_as_leaving(self) -> bool:
+        name = self._kernel.identity.instance
+        if self._configuration.ready:
+            document = self._configuration.current.document
+            if name in document.draining_hosts:
+                return True
+        # An earlier process on the same instance may still be listed as leaving, but
+        # the platform lists a restarted one as live within its lag.
+        return any(
+            instance.instance == name and instance.state is ListedState.LEAVING
+            for instance in self._membership.instances
+        )
+
+    async def _serve_feed(self, work: Work, writer: ResponseWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._feeds.add(task)
+        try:
+            await self._serve(work, writer)
+        finally:
+            self._feeds.discard(task)
+
+    async def _serve(self, work: Work, writer: ResponseWriter) -> None:
+        request = work.request
+        if request.content is None:
+            limit = work.service.limits.request_body_bytes
+            await read_body(request, BUFFERED_BYTES, limit)
+        self._budget.record_attempt()
+        while True:
+            match await self._decide(work):
+                case Admit(slot):
+                    with slot:
+                        if self._may_dispatch() and await self._run_here(work, writer):
+                            return
+                    work.local = False
+                case Relay(peer):
+                    if await self._run_at(work, peer, writer):
+                        return
+                case Shed(retry_after, reason):
+                    detail = f"predicted wait {retry_after:.3f} s"
+                    raise ResultError(reason, detail, retry_after)
+                case Refuse(code):
+                    if work.refusal is not None:
+                        raise work.refusal
+                    raise ResultError(code, f"instance {self._instance}")
+
+    @property
+    def _instance(self) -> str:
+        return self._kernel.identity.instance
+
+    async def _decide(self, work: Work) -> Decision:
+        peers = self._peers(work)
+        if work.local and self.accepting:
+            return await self._admission.admit(
+                work.request, work.service, work.route, peers
+            )
+        return self._admission.elsewhere(peers)
+
+    def _peers(self, work: Work) -> Sequence[PeerLoad]:
+        if self._relay is None or work.request.relayed:
+            return []
+        if work.tried and (
+            len(work.tried) >= MAX_PEERS or not self._budget.try_spend()
+        ):
+            return []
+        return [peer for peer in self._relay.peers() if peer.address not in work.tried]
+
+    def _may_dispatch(self) -> bool:
+        # The agent may have begun to leave while the request waited for its slot.
+        if not self.leaving:
+            self._left_at = None
+            return True
+        if self._left_at is None:
+            self._left_at = now()
+        return now() - self._left_at < LEAVING_GRACE_SECONDS
+
+    async def _run_here(self, work: Work, writer: ResponseWriter) -> bool:
+        """Dispatch a request once and return whether it has been answered."""
+        request = work.request
+        if request.deadline is not None and request.deadline.expired:
+            raise ResultError(DEADLINE_PASSED, f"{request.method} {request.path}")
+        try:
+            await self._dispatch(work, writer)
+        except ResultError as error:
+            if error.code is not BACKEND_UNREACHABLE:
+                raise
+            work.dispatched = False
+            if request.content is None:
+                raise
+            work.refusal = error
+            return False
+        return True
+
+    async def _dispatch(self, work: Work, writer: ResponseWriter) -> None:
+        request, started = work.request, now()
+        work.dispatched = True
+        try:
+            async with self._backend.dispatch(request) as answer:
+                await writer.start(answer.status, answer.headers)
+                async for chunk in answer.chunks():
+                    await writer.write(chunk)
+            await writer.finish()
+        except BaseException:
+            self._learn(work, now() - started, whole=False)
+            raise
+        self._learn(work, now() - started, whole=True)
+
+    def _learn(self, work: Work, seconds: float, *, whole: bool) -> None:
+        match work.route:
+            case FeedRoute():
+                return
+            case RequestRoute() | DownloadRoute() as route:
+                if whole:
+                    self._admission.observe(work.request, route, seconds)
+                else:
+                    self._admission.observe_cut(work.request, route, seconds)
+            case _:
+                assert_never(work.route)
+
+    async def _run_at(self, work: Work, peer: PeerLoad, writer: ResponseWriter) -> bool:
+        """Run a request at a peer and return whether it has been answered."""
+        assert self._relay is not None
+        request = work.request
         if request.deadline is not None and request.deadline.expired:
             raise ResultError(DEADLINE_PASSED, f"{request.method} {request.path}")
-        async with self._backend.dispatch(request) as answer:
-            await writer.start(answer.status, answer.headers)
-            async for chunk in answer.chunks():
-                await writer.write(chunk)
-        await writer.finish()
+        replayable = request.content is not None
+        if request.content is not None:
+            request.body = content_chunks(request.content)
+        self._keyed.delegate(work, peer.address)
+        work.dispatched = True
+        match await self._relay.run_at(peer.address, request, writer, None):
+            case relay.Answered():
+                return True
+            case relay.NotRun(code, detail, retry_after):
+                work.dispatched = False
+                self._keyed.revoke(work)
+                work.tried.add(peer.address)
+                work.refusal = ResultError(code, detail, retry_after)
+                if not replayable:
+                    raise work.refusal
+                return False
+            case relay.Unknown(code, detail):
+                raise ResultError(code, detail)
--- /dev/null
+++ b/balsamspool/plugins/serving/keyed.py
@@ -0,0 +1,385 @@
+"""Requests that run at most once because of their request key."""
+
+import asyncio
+from asyncio import CancelledError, Queue, Task
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import assert_never
+
+import msgspec
+
+from balsamspool.kernel.clock import now
+from balsamspool.kernel.errors import Outcome, ResultError
+from balsamspool.kernel.identity import Identity
+from balsamspool.plugins.admission.codes import (
+    KEY_ALREADY_RUN,
+    KEY_INVALID,
+    KEY_MISSING,
+    KEY_OUTCOME_UNKNOWN,
+)
+from balsamspool.plugins.admission.keys import (
+    MAX_ANSWER_BYTES,
+    Delegated,
+    Done,
+    Duplicate,
+    First,
+    KeptAnswer,
+    KeyCodec,
+    KeyRecord,
+    KeyState,
+    KeyTable,
+    NotRun,
+    OutcomeUnknown,
+    Ran,
+    RequestKey,
+    Running,
+    request_digest,
+)
+from balsamspool.plugins.configuration import RequestRoute, Service
+from balsamspool.plugins.mesh.message import PeerAddress
+from balsamspool.plugins.serving.body import KEYED_BODY_BYTES, read_body
+from balsamspool.plugins.serving.codes import (
+    CANCELLED,
+    DUPLICATE_TIMEOUT,
+    INTERRUPTED,
+    METHOD_NOT_ALLOWED,
+)
+from balsamspool.plugins.serving.work import Work
+from balsamspool.requests import relay
+from balsamspool.requests.answer import ResponseWriter
+from balsamspool.requests.relay import Relay
+from balsamspool.requests.request import Headers, Request
+
+KEY_PATH = "/.well-known/balsamspool/request-key"
+KEY_FIELD = "idempotency-key"
+DELEGATION_FIELD = "balsamspool-delegation"
+# Parts of an answer that wait for a caller who reads slowly.
+PIPE_PARTS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class _Head:
+    status: int
+    headers: Headers
+
+
+@dataclass(frozen=True, slots=True)
+class _Data:
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class _End:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class _Failure:
+    error: ResultError
+
+
+class AnswerPipe(ResponseWriter):
+    """Passes an answer on while its caller listens, and keeps a small one."""
+
+    __slots__ = ("_attached", "_body", "_head", "_parts")
+
+    def __init__(self) -> None:
+        self._parts: Queue[_Head | _Data | _End | _Failure] = Queue(PIPE_PARTS)
+        self._attached = True
+        self._head: _Head | None = None
+        # None as soon as the body is too large to be kept.
+        self._body: bytearray | None = bytearray()
+
+    @property
+    def started(self) -> bool:
+        """Whether the status has been passed on."""
+        return self._head is not None
+
+    @property
+    def result(self) -> Done | Ran:
+        """State of a request whose whole answer has passed."""
+        assert self._head is not None
+        if self._body is None:
+            return Ran(self._head.status)
+        head = self._head
+        return Done(KeptAnswer(head.status, head.headers, bytes(self._body)))
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Pass on status and header fields."""
+        self._head = _Head(status, headers)
+        await self._put(self._head)
+
+    async def write(self, data: bytes) -> None:
+        """Pass on a part of the body; waits while the caller reads slowly."""
+        if self._body is not None:
+            self._body += data
+            if len(self._body) > MAX_ANSWER_BYTES:
+                self._body = None
+        await self._put(_Data(data))
+
+    async def finish(self) -> None:
+        """Do nothing: ``end`` marks the answer as whole once it is recorded."""
+
+    async def abort(self, error: ResultError) -> None:
+        """Pass on that the answer is not whole."""
+        await self.end(error)
+
+    async def end(self, error: ResultError | None) -> None:
+        """Pass on the end of the answer, or why it is not whole."""
+        await self._put(_Failure(error) if error else _End())
+
+    def detach(self) -> None:
+        """Let the request go on without its caller."""
+        self._attached = False
+        while not self._parts.empty():
+            self._parts.get_nowait()
+
+    async def copy_to(self, writer: ResponseWriter) -> None:
+        """Write the answer as it arrives.
+
+        Args:
+            writer: Where the answer goes.
+
+        Raises:
+            ResultError: If the answer is not whole.
+        """
+        while True:
+            match await self._parts.get():
+                case _Head(status, headers):
+                    await writer.start(status, headers)
+                case _Data(data):
+                    await writer.write(data)
+                case _End():
+                    await writer.finish()
+                    return
+                case _Failure(error):
+                    raise error
+
+    async def _put(self, part: _Head | _Data | _End | _Failure) -> None:
+        if self._attached:
+            await self._parts.put(part)
+
+
+class KeyedRequests:
+    """Runs requests that must not repeat.
+
+    Args:
+        identity: Who this process is.
+        codec: Seals and opens keys.
+        table: What is known of the keys that this process issued.
+        serve: Admits and dispatches a request.
+    """
+
+    __slots__ = ("_address", "_codec", "_identity", "_serve", "_table", "_tasks")
+
+    def __init__(
+        self,
+        identity: Identity,
+        codec: KeyCodec,
+        table: KeyTable,
+        serve: Callable[[Work, ResponseWriter], Awaitable[None]],
+    ) -> None:
+        self._identity = identity
+        self._address = PeerAddress(identity.address, identity.peer_port)
+        self._codec = codec
+        self._table = table
+        self._serve = serve
+        self._tasks: set[Task[None]] = set()
+
+    async def issue(
+        self, request: Request, service: Service, writer: ResponseWriter
+    ) -> None:
+        """Answer a request for a request key."""
+        if request.method != "POST":
+            raise ResultError(METHOD_NOT_ALLOWED, f"method {request.method}")
+        lifetime = service.limits.key_seconds
+        key = RequestKey(
+            issuer=self._address,
+            incarnation=self._identity.incarnation,
+            service=service.number,
+            serial=self._table.next_serial(),
+            expires_ms=int((now() + lifetime) * 1000),
+        )
+        answer = {"key": self._codec.seal(key), "expires_in": lifetime}
+        body = msgspec.json.encode(answer)
+        fields = [
+            ("content-type", "application/json"),
+            ("content-length", str(len(body))),
+            ("cache-control", "no-store"),
+        ]
+        await writer.start(201, fields)
+        await writer.write(body)
+        await writer.finish()
+
+    async def run(
+        self,
+        work: Work,
+        route: RequestRoute,
+        writer: ResponseWriter,
+        relay_to_issuer: Relay | None,
+    ) -> None:
+        """Run a request of a route that must not repeat.
+
+        Args:
+            work: The request.
+            route: Its route.
+            writer: Where the answer goes.
+            relay_to_issuer: Reaches the agent that issued a key, None for no relay.
+
+        Raises:
+            ResultError: If there is no whole answer.
+        """
+        request = work.request
+        text = request.header(KEY_FIELD)
+        if text is None:
+            if route.require_key:
+                raise ResultError(KEY_MISSING, f"{request.method} {request.path}")
+            await self._serve(work, writer)
+            return
+        key = self._codec.open(text)
+        if key.service != work.service.number:
+            detail = f"the key is for service number {key.service}"
+            raise ResultError(KEY_INVALID, detail)
+        limit = min(KEYED_BODY_BYTES, work.service.limits.request_body_bytes)
+        await read_body(request, KEYED_BODY_BYTES, limit)
+        if key.issuer == self._address:
+            await self._run_own(work, text, key, writer)
+        elif self._is_delegated(request, text):
+            await self._serve(work, writer)
+        else:
+            await self._relay(request, key, writer, relay_to_issuer)
+
+    async def drain(self) -> None:
+        """Wait for requests whose callers have gone."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def stop(self) -> None:
+        """Cancel what still runs."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def delegate(self, work: Work, peer: PeerAddress) -> None:
+        """Permit a peer to run a request, in its record and in its header fields."""
+        if work.key is not None and work.record is not None:
+            work.record.state = Delegated(peer)
+            permission = self._codec.delegation(work.key, peer)
+            strip_delegation(work.request)
+            work.request.headers.append((DELEGATION_FIELD, permission))
+
+    def revoke(self, work: Work) -> None:
+        """Take a permission back after the peer stated that it did not run."""
+        if work.record is not None:
+            work.record.state = Running()
+        strip_delegation(work.request)
+
+    def _is_delegated(self, request: Request, text: str) -> bool:
+        permission = request.header(DELEGATION_FIELD)
+        if not request.relayed or permission is None:
+            return False
+        return permission == self._codec.delegation(text, self._address)
+
+    async def _relay(
+        self,
+        request: Request,
+        key: RequestKey,
+        writer: ResponseWriter,
+        relay_to_issuer: Relay | None,
+    ) -> None:
+        issuer = f"{key.issuer.address}:{key.issuer.peer_port}"
+        if relay_to_issuer is None or request.relayed:
+            raise ResultError(KEY_OUTCOME_UNKNOWN, f"issuer {issuer} is not reached")
+        # The issuer compares the incarnation in the key itself: a relay that refuses a
+        # wrong incarnation would state "not run" for a process that has gone.
+        match await relay_to_issuer.run_at(key.issuer, request, writer, None):
+            case relay.Answered():
+                return
+            case relay.NotRun(code, detail, retry_after):
+                raise ResultError(code, detail, retry_after)
+            case relay.Unknown(code, detail):
+                reason = f"issuer {issuer}: {code.name}, {detail}"
+                raise ResultError(KEY_OUTCOME_UNKNOWN, reason)
+
+    async def _run_own(
+        self, work: Work, text: str, key: RequestKey, writer: ResponseWriter
+    ) -> None:
+        if key.incarnation != self._identity.incarnation:
+            detail = "the key was issued before this agent was started"
+            raise ResultError(KEY_OUTCOME_UNKNOWN, detail)
+        request = work.request
+        digest = request_digest(request.method, request.path, request.content or b"")
+        match self._table.claim(key, digest):
+            case First(record):
+                work.key, work.record = text, record
+                await self._run_first(work, key, record, writer)
+            case Duplicate(record):
+                await self._answer_duplicate(request, record, writer)
+
+    async def _run_first(
+        self, work: Work, key: RequestKey, record: KeyRecord, writer: ResponseWriter
+    ) -> None:
+        pipe = AnswerPipe()
+        # A task of its own, so that the request goes on when its caller gives up.
+        running = self._run_to_end(work, key, record, pipe)
+        task = asyncio.create_task(running, name=f"keyed request {key.serial}")
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        try:
+            await pipe.copy_to(writer)
+        finally:
+            pipe.detach()
+            if not work.dispatched:
+                task.cancel()
+
+    async def _run_to_end(
+        self, work: Work, key: RequestKey, record: KeyRecord, pipe: AnswerPipe
+    ) -> None:
+        state: KeyState = OutcomeUnknown(INTERRUPTED, "the request did not end")
+        failure: ResultError | None = None
+        try:
+            await self._serve(work, pipe)
+            state = pipe.result
+        except ResultError as error:
+            failure = error
+            if error.code.outcome is Outcome.NOT_RUN:
+                state = NotRun(error)
+            else:
+                state = OutcomeUnknown(error.code, error.detail)
+        except CancelledError:
+            if not work.dispatched:
+                state = NotRun(ResultError(CANCELLED, "the first caller gave up"))
+            raise
+        finally:
+            self._table.settle(key, record, state)
+        await pipe.end(failure)
+
+    async def _answer_duplicate(
+        self, request: Request, record: KeyRecord, writer: ResponseWriter
+    ) -> None:
+        try:
+            async with asyncio.timeout_at(request.deadline and request.deadline.at):
+                await record.ended.wait()
+        except TimeoutError as error:
+            detail = f"{request.method} {request.path}"
+            raise ResultError(DUPLICATE_TIMEOUT, detail) from error
+        match record.state:
+            case Done(answer):
+                await writer.start(answer.status, answer.headers)
+                await writer.write(answer.body)
+                await writer.finish()
+            case Ran(status):
+                raise ResultError(KEY_ALREADY_RUN, f"the answer had status {status}")
+            case NotRun(error):
+                raise ResultError(error.code, error.detail, error.retry_after)
+            case OutcomeUnknown(code, detail):
+                raise ResultError(KEY_OUTCOME_UNKNOWN, f"{code.name}: {detail}")
+            case Running() | Delegated():
+                raise ResultError(KEY_OUTCOME_UNKNOWN, "the request has not ended")
+            case _:
+                assert_never(record.state)
+
+
+def strip_delegation(request: Request) -> None:
+    """Remove the field that only agents may set."""
+    request.headers = [pair for pair in request.headers if pair[0] != DELEGATION_FIELD]
--- /dev/null
+++ b/balsamspool/requests/relay.py
@@ -0,0 +1,90 @@
+"""Running a request at a peer: the interface between serving and relay."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from balsamspool.kernel.errors import ResultCode
+from balsamspool.plugins.mesh.message import PeerAddress
+from balsamspool.requests.answer import ResponseWriter
+from balsamspool.requests.request import Request
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The whole answer of the peer was written."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The peer states that it did not and will not run the request.
+
+    Attributes:
+        code: Why the peer did not run it.
+        detail: What happened, with the names and values involved.
+        retry_after: Seconds after which a caller may try again, if known.
+    """
+
+    code: ResultCode
+    detail: str
+    retry_after: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """Nothing certain is known about the execution of the request.
+
+    Attributes:
+        code: What went wrong.
+        detail: What happened, with the names and values involved.
+    """
+
+    code: ResultCode
+    detail: str
+
+
+RelayResult = Answered | NotRun | Unknown
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """An agent of the same service, as it last described itself.
+
+    Attributes:
+        instance: Name of the instance.
+        address: Where its mesh socket listens.
+        accepting: Whether it takes new work.
+        load: Slots and queue in use, 0 to 255; 128 means that all slots are busy.
+        expected_wait: Predicted wait for a slot in seconds.
+    """
+
+    instance: str
+    address: PeerAddress
+    accepting: bool
+    load: int
+    expected_wait: float
+
+
+class Relay(Protocol):
+    """Runs requests at peers."""
+
+    async def run_at(
+        self,
+        peer: PeerAddress,
+        request: Request,
+        writer: ResponseWriter,
+        incarnation: bytes | None,
+    ) -> RelayResult:
+        """Run a request at a peer and write its answer.
+
+        Args:
+            peer: Where the peer's mesh socket listens.
+            request: The request.
+            writer: Where the answer goes.
+            incarnation: Incarnation that the peer must have, None for any.
+
+        Returns:
+            What is known of the request afterwards.
+        """
+
+    def peers(self) -> list[PeerLoad]:
+        """Return the agents of the same service that are known."""
--- a/balsamspool/requests/request.py
+++ b/balsamspool/requests/request.py
@@ -19,6 +19,8 @@
         body: Chunks of the body.
         deadline: Time by which the caller wants the answer, None until classified.
         trace_context: Value of ``traceparent`` for the next hop, empty for none.
+        relayed: Whether a peer relayed it, so that it must not be relayed again.
+        content: Whole body if it has been read, so that it can be sent again, or None.
     """
 
     method: str
@@ -28,6 +30,7 @@
     deadline: Deadline | None = None
     trace_context: str = ""
     relayed: bool = field(default=False)
+    content: bytes | None = None
 
     def header(self, name: str) -> str | None:
         """Return the first header field with a name in lower case, or None."""
