--- a/balsamspool/plugins/admission/keys.py
+++ b/balsamspool/plugins/admission/keys.py
@@ -11,6 +11,7 @@
 from asyncio import Event
 from base64 import urlsafe_b64decode, urlsafe_b64encode
 from binascii import Error as Base64Error
+from collections import Counter
 from dataclasses import dataclass, field
 from ipaddress import IPv4Address
 from struct import Struct
@@ -275,6 +276,7 @@
         "_not_run",
         "_records",
         "_serial",
+        "_tally",
     )
 
     def __init__(
@@ -287,6 +289,7 @@
         self._not_run: dict[int, None] = {}
         self._kept_bytes = 0
         self._serial = 0
+        self._tally: Counter[type] = Counter()
 
     def __len__(self) -> int:
         return len(self._records)
@@ -298,7 +301,7 @@
 
     def count(self, state: type[KeyState]) -> int:
         """Return the number of records in a state."""
-        return sum(isinstance(r.state, state) for r in self._records.values())
+        return self._tally[state]
 
     def next_serial(self) -> int:
         """Return a serial that was never given out before."""
@@ -332,10 +335,20 @@
         if record is None:
             self._make_room()
             heapq.heappush(self._expiry, (key.expires_ms, key.serial))
+        else:
+            self._tally[type(record.state)] -= 1
         self._not_run.pop(key.serial, None)
         # A new record, since duplicates still read the state of the old one.
-        self._records[key.serial] = KeyRecord(digest, key.expires_ms)
-        return First(self._records[key.serial])
+        record = KeyRecord(digest, key.expires_ms)
+        self._records[key.serial] = record
+        self._tally[Running] += 1
+        return First(record)
+
+    def mark(self, record: KeyRecord, state: KeyState) -> None:
+        """Set the state of a record that has not been settled."""
+        self._tally[type(record.state)] -= 1
+        self._tally[type(state)] += 1
+        record.state = state
 
     def settle(self, key: RequestKey, record: KeyRecord, state: KeyState) -> None:
         """Set the final state of a record once and wake its duplicates.
@@ -354,7 +367,7 @@
                 self._kept_bytes += answer.size
             case NotRun():
                 self._not_run[key.serial] = None
-        record.state = state
+        self.mark(record, state)
         record.ended.set()
 
     def _may_keep(self, answer: KeptAnswer) -> bool:
@@ -370,8 +383,7 @@
             raise ResultError(KEYS_FULL, detail, retry_after=1.0)
         # Nothing is lost with a request that was not dispatched.
         serial = next(iter(self._not_run))
-        del self._not_run[serial]
-        del self._records[serial]
+        self._drop(serial, self._records[serial])
         # Entries of evicted records stay in the heap until they expire.
         if len(self._expiry) > 2 * self._max_keys:
             self._expiry = [(r.expires_ms, s) for s, r in self._records.items()]
@@ -393,6 +405,7 @@
     def _drop(self, serial: int, record: KeyRecord) -> None:
         del self._records[serial]
         self._not_run.pop(serial, None)
+        self._tally[type(record.state)] -= 1
         if isinstance(record.state, Done):
             self._kept_bytes -= record.state.answer.size
 
--- a/balsamspool/plugins/backend/plugin.py
+++ b/balsamspool/plugins/backend/plugin.py
@@ -36,7 +36,7 @@
     Unwell,
 )
 from balsamspool.plugins.backend.outlier import OutlierJudge, Standing
-from balsamspool.requests.request import Headers, Request
+from balsamspool.requests.request import TIMEOUT_HEADER, Headers, Request
 from balsamspool.requests.tracing import current_trace_context, parent_of
 
 _logger = logging.getLogger(__name__)
@@ -46,7 +46,7 @@
 _BODYLESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
 # Set anew for the next hop, or only meant for this one.
 _OWN_HEADERS = frozenset(
-    ("request-timeout-ms", "traceparent", "expect", "balsamspool-delegation")
+    (TIMEOUT_HEADER, "traceparent", "expect", "balsamspool-delegation")
 )
 
 # A deadline shorter than this says more of the caller than of the backend server.
@@ -213,7 +213,7 @@
         fields = [pair for pair in fields if pair[0] != "content-length"]
     if request.deadline is not None:
         left = str(max(1, int(request.deadline.remaining * 1000)))
-        fields.append(("request-timeout-ms", left))
+        fields.append((TIMEOUT_HEADER, left))
     if trace_context := current_trace_context(request.trace_context):
         fields.append(("traceparent", trace_context))
     return fields
--- a/balsamspool/plugins/serving/body.py
+++ b/balsamspool/plugins/serving/body.py
@@ -30,8 +30,8 @@
         ResultError: With code 2103 if the body is too large, 2102 if it did not arrive
             before the deadline.
     """
-    announced = request.header("content-length") or ""
-    if announced.isdigit() and int(announced) > limit:
+    announced = request.number("content-length")
+    if announced is not None and announced > limit:
         detail = f"{announced} bytes are more than {limit}"
         raise ResultError(BODY_TOO_LARGE, detail)
     data = bytearray()
--- a/balsamspool/plugins/serving/codes.py
+++ b/balsamspool/plugins/serving/codes.py
@@ -58,3 +58,10 @@
     Outcome.UNKNOWN,
     504,
 )
+FEED_ENDED = result_code(
+    2109,
+    "feed-ended",
+    "The host leaves and the time that the text grants to open feeds is over.",
+    Outcome.RAN,
+    503,
+)
--- a/balsamspool/plugins/serving/keyed.py
+++ b/balsamspool/plugins/serving/keyed.py
@@ -263,16 +263,15 @@
     def delegate(self, work: Work, peer: PeerAddress) -> None:
         """Permit a peer to run a request, in its record and in its header fields."""
         if work.key is not None and work.record is not None:
-            work.record.state = Delegated(peer)
+            self._table.mark(work.record, Delegated(peer))
             permission = self._codec.delegation(work.key, peer)
-            strip_delegation(work.request)
-            work.request.headers.append((DELEGATION_FIELD, permission))
+            work.request.replace_header(DELEGATION_FIELD, permission)
 
     def revoke(self, work: Work) -> None:
         """Take a permission back after the peer stated that it did not run."""
         if work.record is not None:
-            work.record.state = Running()
-        strip_delegation(work.request)
+            self._table.mark(work.record, Running())
+        work.request.replace_header(DELEGATION_FIELD, None)
 
     def _is_delegated(self, request: Request, text: str) -> bool:
         permission = request.header(DELEGATION_FIELD)
@@ -290,6 +289,7 @@
         issuer = f"{key.issuer.address}:{key.issuer.peer_port}"
         if relay_to_issuer is None or request.relayed:
             raise ResultError(KEY_OUTCOME_UNKNOWN, f"issuer {issuer} is not reached")
+        request.pass_deadline()
         # The issuer compares the incarnation in the key itself: a relay that refuses a
         # wrong incarnation would state "not run" for a process that has gone.
         match await relay_to_issuer.run_at(key.issuer, request, writer, None):
@@ -378,8 +378,3 @@
                 raise ResultError(KEY_OUTCOME_UNKNOWN, "the request has not ended")
             case _:
                 assert_never(record.state)
-
-
-def strip_delegation(request: Request) -> None:
-    """Remove the field that only agents may set."""
-    request.headers = [pair for pair in request.headers if pair[0] != DELEGATION_FIELD]
--- a/balsamspool/requests/request.py
+++ b/balsamspool/requests/request.py
@@ -7,6 +7,10 @@
 
 Headers = list[tuple[str, str]]
 
+TIMEOUT_HEADER = "request-timeout-ms"
+# Longer numbers are no lengths or times and would be slow to convert.
+MAX_DIGITS = 18
+
 
 @dataclass(slots=True)
 class Request:
@@ -35,3 +39,21 @@
     def header(self, name: str) -> str | None:
         """Return the first header field with a name in lower case, or None."""
         return next((value for key, value in self.headers if key == name), None)
+
+    def number(self, name: str) -> int | None:
+        """Return the first header field with a name as a number, or None."""
+        value = self.header(name) or ""
+        valid = value.isascii() and value.isdigit() and len(value) <= MAX_DIGITS
+        return int(value) if valid else None
+
+    def replace_header(self, name: str, value: str | None) -> None:
+        """Set the only header field with a name in lower case; None removes it."""
+        self.headers = [pair for pair in self.headers if pair[0] != name]
+        if value is not None:
+            self.headers.append((name, value))
+
+    def pass_deadline(self) -> None:
+        """Set the header field that carries the time left to the next hop."""
+        if self.deadline is not None:
+            left = max(1, int(self.deadline.remaining * 1000))
+            self.replace_header(TIMEOUT_HEADER, str(left))
