Check serving across agents and correct two false "not run" answers

Cause: histories over three agents with a lossy relay showed a ticket that was called "not run" after it had run: a peer refused a later message with the same key before it looked at the key. A body that is too large or late gave the same false answer. Change: refusals by mesh or relay, and failures before the key table is consulted, are "outcome unknown" for a key that may have run. A relay after a refused connection is charged to the retry budget.

--- a/balsamspool/plugins/admission/keys.py
+++ b/balsamspool/plugins/admission/keys.py
@@ -344,6 +344,13 @@
         self._tally[Running] += 1
         return First(record)
 
+    def is_unused(self, key: RequestKey) -> bool:
+        """Return whether no request with a key of this process can have run."""
+        record = self._records.get(key.serial)
+        if record is not None:
+            return isinstance(record.state, NotRun)
+        return key.expires_ms > _now_ms()
+
     def mark(self, record: KeyRecord, state: KeyState) -> None:
         """Set the state of a record that has not been settled."""
         self._tally[type(record.state)] -= 1
--- a/balsamspool/plugins/serving/handler.py
+++ b/balsamspool/plugins/serving/handler.py
@@ -299,9 +299,8 @@
     def _peers(self, work: Work) -> Sequence[PeerLoad]:
         if self._relay is None or work.request.relayed:
             return []
-        if work.tried and (
-            len(work.tried) >= MAX_PEERS or not self._budget.try_spend()
-        ):
+        retry = work.refusal is not None
+        if retry and (len(work.tried) >= MAX_PEERS or not self._budget.try_spend()):
             return []
         return [peer for peer in self._relay.peers() if peer.address not in work.tried]
 
--- a/balsamspool/plugins/serving/keyed.py
+++ b/balsamspool/plugins/serving/keyed.py
@@ -55,6 +55,9 @@
 DELEGATION_FIELD = "balsamspool-delegation"
 # Parts of an answer that wait for a caller who reads slowly.
 PIPE_PARTS = 4
+# Codes of mesh and relay. A peer that refuses a message there has not looked at its
+# key, so an earlier message with the same key may have run.
+_RELAYED = range(1800, 1900)
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,7 +244,13 @@
             detail = f"the key is for service number {key.service}"
             raise ResultError(KEY_INVALID, detail)
         limit = min(KEYED_BODY_BYTES, work.service.limits.request_body_bytes)
-        await read_body(request, KEYED_BODY_BYTES, limit)
+        try:
+            await read_body(request, KEYED_BODY_BYTES, limit)
+        except ResultError as error:
+            # "Not run" would be wrong if an earlier request with the key has run.
+            if self._is_own(key) and self._table.is_unused(key):
+                raise
+            raise ResultError(KEY_OUTCOME_UNKNOWN, error.detail) from error
         if key.issuer == self._address:
             await self._run_own(work, text, key, writer)
         elif self._is_delegated(request, text):
@@ -273,6 +282,10 @@
             self._table.mark(work.record, Running())
         work.request.replace_header(DELEGATION_FIELD, None)
 
+    def _is_own(self, key: RequestKey) -> bool:
+        same_process = key.incarnation == self._identity.incarnation
+        return key.issuer == self._address and same_process
+
     def _is_delegated(self, request: Request, text: str) -> bool:
         permission = request.header(DELEGATION_FIELD)
         if not request.relayed or permission is None:
@@ -295,16 +308,16 @@
         match await relay_to_issuer.run_at(key.issuer, request, writer, None):
             case relay.Answered():
                 return
-            case relay.NotRun(code, detail, retry_after):
+            case relay.NotRun(code, detail, retry_after) if code.number not in _RELAYED:
                 raise ResultError(code, detail, retry_after)
-            case relay.Unknown(code, detail):
+            case relay.NotRun(code, detail) | relay.Unknown(code, detail):
                 reason = f"issuer {issuer}: {code.name}, {detail}"
                 raise ResultError(KEY_OUTCOME_UNKNOWN, reason)
 
     async def _run_own(
         self, work: Work, text: str, key: RequestKey, writer: ResponseWriter
     ) -> None:
-        if key.incarnation != self._identity.incarnation:
+        if not self._is_own(key):
             detail = "the key was issued before this agent was started"
             raise ResultError(KEY_OUTCOME_UNKNOWN, detail)
         request = work.request
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -16,7 +16,7 @@
 from prometheus_client import CollectorRegistry
 
 from balsamspool.kernel.clock import now
-from balsamspool.kernel.errors import ResultError
+from balsamspool.kernel.errors import Outcome, ResultError
 from balsamspool.kernel.identity import Identity, Role
 from balsamspool.kernel.keyring import KeyRing, KeySet
 from balsamspool.kernel.lifecycle import ProcessState
@@ -214,7 +214,12 @@
         copy = Request(
             request.method, request.path, request.headers, request.body, relayed=True
         )
-        await self.agents[peer].serving.handle(copy, writer)
+        try:
+            await self.agents[peer].serving.run(copy, writer)
+        except ResultError as error:
+            if error.code.outcome is Outcome.NOT_RUN and not writer.started:
+                return NotRun(error.code, error.detail, error.retry_after)
+            return Unknown(error.code, error.detail)
         return Answered()
 
 
@@ -307,6 +312,21 @@
 
         run(scenario)
 
+    def test_incomplete_duplicate_is_not_called_not_run(self):
+        """Guards against "not run" for a ticket whose first request has run."""
+
+        async def scenario():
+            agent = await Agent().start()
+            key = await agent.key()
+            large = {"body": bytes(70_000)}
+            unused = await agent.ask("POST", "/ticket", key, **large)
+            self.assertEqual((unused.status, unused.outcome), (413, "not-run"))
+            self.assertEqual((await agent.ask("POST", "/ticket", key)).status, 201)
+            used = await agent.ask("POST", "/ticket", key, **large)
+            self.assertEqual(used.outcome, "unknown")
+
+        run(scenario)
+
     def test_leaving_issuer_delegates_once_and_keeps_the_answer(self):
         """Guards against a key that is lost, or run twice, when its issuer leaves."""
 
