Harden the mesh against stale, replayed and foreign frames

Cause: frames had no age and no replay check, a cancelled pynng asend leaked its message, and strangers' connections were neither bounded nor counted.

--- a/balsamspool/plugins/mesh/__init__.py
+++ b/balsamspool/plugins/mesh/__init__.py
@@ -1,6 +1,21 @@
 """Mesh plug-in: authenticated messages between the system's own processes."""
 
-from balsamspool.plugins.mesh.message import Message, PeerAddress, mesh_message
+from balsamspool.plugins.mesh.message import (
+    Message,
+    NotSent,
+    PeerAddress,
+    SendResult,
+    Sent,
+    mesh_message,
+)
 from balsamspool.plugins.mesh.plugin import MeshPlugin
 
-__all__ = ["MeshPlugin", "Message", "PeerAddress", "mesh_message"]
+__all__ = [
+    "MeshPlugin",
+    "Message",
+    "NotSent",
+    "PeerAddress",
+    "SendResult",
+    "Sent",
+    "mesh_message",
+]
--- a/balsamspool/plugins/mesh/_codec.py
+++ b/balsamspool/plugins/mesh/_codec.py
@@ -4,6 +4,7 @@
 of 16 octets. The tag is a keyed BLAKE2s over all that precedes it.
 """
 
+from dataclasses import dataclass
 from hashlib import blake2s
 from hmac import compare_digest
 from typing import Any
@@ -27,12 +28,29 @@
     number: int
     instance: str
     incarnation: bytes
+    receiver: bytes
     address: str
     peer_port: int
     message_id: int
+    sent_at: float
     body: msgspec.Raw
 
 
+@dataclass(frozen=True, slots=True)
+class OpenedFrame:
+    """An authentic frame.
+
+    Attributes:
+        message: The message with its sender.
+        receiver: Incarnation for which it is meant, empty for any.
+        sent_at: Time of the sender's event loop in seconds.
+    """
+
+    message: Message
+    receiver: bytes
+    sent_at: float
+
+
 class MeshCodec:
     """Seals and opens the frames of the mesh.
 
@@ -48,31 +66,39 @@
         self._identity = identity
         self._next_id = 0
 
-    def seal(self, body: Any) -> bytes:
-        """Return the frame for a message."""
+    def seal(self, body: Any, sent_at: float, receiver: bytes = b"") -> bytes:
+        """Return the frame for a message.
+
+        Args:
+            body: Instance of a registered message class.
+            sent_at: Time of the event loop in seconds.
+            receiver: Incarnation for which it is meant, empty for any.
+        """
         self._next_id += 1
         identity = self._identity
         frame = _Frame(
             number=number_of(type(body)),
             instance=identity.instance,
             incarnation=identity.incarnation,
+            receiver=receiver,
             address=identity.address,
             peer_port=identity.peer_port,
             message_id=self._next_id,
+            sent_at=sent_at,
             body=msgspec.Raw(msgspec.msgpack.encode(body)),
         )
         number = self._keyring.active
         data = bytes((VERSION, number)) + msgspec.msgpack.encode(frame)
         return data + self._tag(number, data)
 
-    def open(self, data: bytes) -> Message | None:
+    def open(self, data: bytes) -> OpenedFrame | None:
         """Verify and read a frame.
 
         Args:
             data: Frame from the network.
 
         Returns:
-            The message, or None if the frame is not authentic or not well formed.
+            The frame, or None if it is not authentic or not well formed.
         """
         if len(data) < _HEAD_BYTES + TAG_BYTES or data[0] != VERSION:
             return None
@@ -87,13 +113,14 @@
             body = msgspec.msgpack.decode(frame.body, type=body_type)
         except (ResultError, msgspec.DecodeError):
             return None
-        return Message(
+        message = Message(
             sender=PeerAddress(frame.address, frame.peer_port),
             instance=frame.instance,
             incarnation=frame.incarnation,
             message_id=frame.message_id,
             body=body,
         )
+        return OpenedFrame(message, frame.receiver, frame.sent_at)
 
     def _tag(self, number: int, data: bytes) -> bytes:
         key = self._keyring.key(number, _PURPOSE)
--- a/balsamspool/plugins/mesh/message.py
+++ b/balsamspool/plugins/mesh/message.py
@@ -6,6 +6,8 @@
 
 M = TypeVar("M")
 
+DEFAULT_LIFETIME_SECONDS = 5.0
+
 
 @dataclass(frozen=True, slots=True)
 class PeerAddress:
@@ -30,6 +32,7 @@
         incarnation: Incarnation of the sender.
         message_id: Number that grows with each message of that incarnation.
         body: The message itself.
+        age: Estimated seconds since it was queued, beyond the least delay seen.
     """
 
     sender: PeerAddress
@@ -37,17 +40,46 @@
     incarnation: bytes
     message_id: int
     body: Any
+    age: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """The socket took the message. It may still be lost."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """The message was dropped before the socket took it; no peer ever sees it.
+
+    Attributes:
+        reason: Why it was dropped.
+    """
+
+    reason: str
+
+
+SendResult = Sent | NotSent
+
+
+@dataclass(frozen=True, slots=True)
+class _Registered:
+    number: int
+    lifetime: float
 
 
 _types: dict[int, type] = {}
-_numbers: dict[type, int] = {}
+_registered: dict[type, _Registered] = {}
 
 
-def mesh_message(number: int) -> Callable[[type[M]], type[M]]:
+def mesh_message(
+    number: int, lifetime: float = DEFAULT_LIFETIME_SECONDS
+) -> Callable[[type[M]], type[M]]:
     """Register a data class as a message of the mesh.
 
     Args:
         number: Number that stands for the class on the wire.
+        lifetime: Seconds after which a message is dropped unread.
 
     Returns:
         A class decorator.
@@ -56,7 +88,7 @@
     def decorate(cls: type[M]) -> type[M]:
         if _types.setdefault(number, cls) is not cls:
             raise ValueError(f"message number {number} is already taken")
-        _numbers[cls] = number
+        _registered[cls] = _Registered(number, lifetime)
         return cls
 
     return decorate
@@ -64,7 +96,12 @@
 
 def number_of(cls: type) -> int:
     """Return the number of a message class."""
-    return _numbers[cls]
+    return _registered[cls].number
+
+
+def lifetime_of(cls: type) -> float:
+    """Return the time to live of a message class in seconds."""
+    return _registered[cls].lifetime
 
 
 def type_of(number: int) -> type | None:
--- a/balsamspool/plugins/mesh/peer.py
+++ b/balsamspool/plugins/mesh/peer.py
@@ -2,13 +2,26 @@
 
 import asyncio
 import contextlib
+from dataclasses import dataclass
 
-from pynng import NNGException, Push0
+from pynng import NNGException, Push0, TryAgain
 
-from balsamspool.plugins.mesh.message import PeerAddress
+from balsamspool.kernel.clock import now
+from balsamspool.plugins.mesh.message import NotSent, PeerAddress, SendResult, Sent
 
 QUEUE_LIMIT = 1024
+QUEUE_BYTES = 4 * 1024 * 1024
 SEND_SECONDS = 2.0
+IDLE_SECONDS = 60.0
+REDIAL_MIN_MS = 100
+REDIAL_MAX_MS = 1000
+
+
+@dataclass(slots=True)
+class _Outgoing:
+    frame: bytes
+    expires_at: float
+    result: asyncio.Future[SendResult]
 
 
 class Peer:
@@ -16,50 +29,113 @@
 
     Args:
         address: Where the peer's mesh socket listens.
+        idle_seconds: Time without frames after which ``run`` returns.
     """
 
-    __slots__ = ("_address", "_dropped", "_queue")
+    __slots__ = ("_address", "_bytes", "_idle_seconds", "_queue")
 
-    def __init__(self, address: PeerAddress) -> None:
+    def __init__(
+        self, address: PeerAddress, idle_seconds: float = IDLE_SECONDS
+    ) -> None:
         self._address = address
-        self._queue: asyncio.Queue[bytes] = asyncio.Queue(QUEUE_LIMIT)
-        self._dropped = 0
+        self._idle_seconds = idle_seconds
+        self._queue: asyncio.Queue[_Outgoing] = asyncio.Queue(QUEUE_LIMIT)
+        self._bytes = 0
 
-    @property
-    def dropped(self) -> int:
-        """Number of frames that were not sent."""
-        return self._dropped
-
-    def send(self, frame: bytes) -> bool:
+    def send(self, frame: bytes, lifetime: float) -> asyncio.Future[SendResult]:
         """Queue a frame.
 
+        Args:
+            frame: The frame.
+            lifetime: Seconds after which it is no longer worth sending.
+
         Returns:
-            False if the queue is full and the frame was dropped.
+            Future that says whether the socket took the frame.
         """
-        try:
-            self._queue.put_nowait(frame)
-        except asyncio.QueueFull:
-            self._dropped += 1
-            return False
-        return True
+        result: asyncio.Future[SendResult] = asyncio.get_running_loop().create_future()
+        if self._queue.full() or self._bytes + len(frame) > QUEUE_BYTES:
+            result.set_result(NotSent("queue-full"))
+            return result
+        expires_at = now() + min(lifetime, SEND_SECONDS)
+        self._queue.put_nowait(_Outgoing(frame, expires_at, result))
+        self._bytes += len(frame)
+        return result
 
     async def run(self) -> None:
-        """Send queued frames until cancelled."""
-        url = f"tcp://{self._address.address}:{self._address.peer_port}"
-        with Push0(send_buffer_size=1) as socket:
-            socket.dial(url, block=False)
+        """Send queued frames; return when none was queued for the idle time."""
+        socket = self._dial()
+        try:
             while True:
-                frame = await self._queue.get()
                 try:
-                    async with asyncio.timeout(SEND_SECONDS):
-                        await socket.asend(frame)
-                except (TimeoutError, NNGException):
-                    self._dropped += 1
-                    self._drop_waiting()
+                    async with asyncio.timeout(self._idle_seconds):
+                        outgoing = await self._queue.get()
+                except TimeoutError:
+                    if self._queue.empty():
+                        return
+                    continue
+                self._bytes -= len(outgoing.frame)
+                if await self._send_in_time(socket, outgoing):
+                    _settle(outgoing, Sent())
+                    continue
+                _settle(outgoing, NotSent("timeout"))
+                # What the socket still holds is as old, so a new one takes its place.
+                socket.close()
+                socket = self._dial()
+        finally:
+            socket.close()
+            self._drop_waiting()
+
+    def _dial(self) -> Push0:
+        # Without a send buffer the socket takes a frame only when a connection can
+        # carry it, so a frame that was not taken is certainly not sent.
+        socket = Push0(
+            send_buffer_size=0,
+            reconnect_time_min=REDIAL_MIN_MS,
+            reconnect_time_max=REDIAL_MAX_MS,
+        )
+        url = f"tcp://{self._address.address}:{self._address.peer_port}"
+        socket.dial(url, block=False)
+        return socket
+
+    async def _send_in_time(self, socket: Push0, outgoing: _Outgoing) -> bool:
+        # pynng's asend does not free the message when the send is cancelled; a send
+        # that does not block does.
+        while now() < outgoing.expires_at:
+            try:
+                socket.send(outgoing.frame, block=False)
+            except TryAgain:
+                if not await _wait_writable(socket, outgoing.expires_at):
+                    return False
+            except NNGException:
+                return False
+            else:
+                return True
+        return False
 
     def _drop_waiting(self) -> None:
-        """Drop what waits behind a frame that could not be sent; it is as old."""
         with contextlib.suppress(asyncio.QueueEmpty):
             while True:
-                self._queue.get_nowait()
-                self._dropped += 1
+                outgoing = self._queue.get_nowait()
+                self._bytes -= len(outgoing.frame)
+                _settle(outgoing, NotSent("closed"))
+
+
+async def _wait_writable(socket: Push0, until: float) -> bool:
+    """Wait until a socket may take a frame; False if the time comes first."""
+    loop = asyncio.get_running_loop()
+    writable = asyncio.Event()
+    descriptor = socket.send_fd
+    loop.add_reader(descriptor, writable.set)
+    try:
+        async with asyncio.timeout_at(until):
+            await writable.wait()
+    except TimeoutError:
+        return False
+    finally:
+        loop.remove_reader(descriptor)
+    return True
+
+
+def _settle(outgoing: _Outgoing, result: SendResult) -> None:
+    if not outgoing.result.done():
+        outgoing.result.set_result(result)
