--- /dev/null
+++ b/balsamspool/plugins/relay/events.py
@@ -0,0 +1,18 @@
+"""Log events of the relay plug-in."""
+
+import logging
+
+from balsamspool.kernel.events import log_event
+
+RELAY_FAILED = log_event(
+    1850,
+    "relay-task-failed",
+    logging.ERROR,
+    "Running a peer's request raised an unexpected exception.",
+)
+RELAY_ENDED_EARLY = log_event(
+    1851,
+    "relay-peer-silent",
+    logging.WARNING,
+    "A peer's request was cancelled because nothing was heard from the peer.",
+)
--- /dev/null
+++ b/balsamspool/plugins/relay/plugin.py
@@ -0,0 +1,192 @@
+"""Plug-in that relays requests between the agents of a service."""
+
+import asyncio
+from collections.abc import Callable
+
+from prometheus_client import Counter, Gauge
+
+from balsamspool.kernel.clock import now
+from balsamspool.kernel.identity import Role
+from balsamspool.kernel.lifecycle import Kernel, ProcessState
+from balsamspool.kernel.registry import Plugin, register
+from balsamspool.plugins.membership import MembershipPlugin
+from balsamspool.plugins.mesh import MeshPlugin, Message, PeerAddress
+from balsamspool.plugins.relay.client import RelayClient
+from balsamspool.plugins.relay.load import (
+    ACCEPTING,
+    LEAVING,
+    LoadTable,
+    OwnLoad,
+    PeerSample,
+)
+from balsamspool.plugins.relay.messages import (
+    LoadReport,
+    RelayBody,
+    RelayCancel,
+    RelayCredit,
+    RelayData,
+    RelayEnd,
+    RelayFailed,
+    RelayHead,
+    RelayHeartbeat,
+    RelayNotRun,
+    RelayRequest,
+)
+from balsamspool.plugins.relay.server import RelayServer
+from balsamspool.plugins.serving import ServingPlugin
+from balsamspool.requests.answer import ResponseWriter
+from balsamspool.requests.relay import PeerLoad, RelayResult
+from balsamspool.requests.request import Request
+
+HEARTBEAT_SECONDS = 1.0
+
+_TO_SERVER = (RelayRequest, RelayBody, RelayCancel)
+_TO_CLIENT = (RelayHead, RelayData, RelayEnd, RelayFailed, RelayNotRun)
+_TO_BOTH = (RelayCredit, RelayHeartbeat)
+
+
+@register(
+    "relay",
+    roles=[Role.AGENT],
+    requires=["mesh", "serving", "membership", "configuration"],
+)
+class RelayPlugin(Plugin):
+    """Runs requests at peers, and requests of peers here.
+
+    Args:
+        kernel: Kernel that runs the plug-in.
+    """
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._mesh = kernel.plugin(MeshPlugin)
+        self._serving = kernel.plugin(ServingPlugin)
+        self._membership = kernel.plugin(MembershipPlugin)
+        self._client = RelayClient(self._mesh, kernel.identity.incarnation)
+        self._server = RelayServer(
+            self._mesh, self._serving.handle, kernel.spawn, self._is_leaving
+        )
+        self._loads = LoadTable()
+        self._sample = PeerSample()
+        self._load_source: Callable[[], OwnLoad] = OwnLoad
+        self._results = Counter(
+            "balsamspool_relay_finished_requests",
+            "Requests relayed to peers by result",
+            ["result"],
+            registry=kernel.metrics,
+        )
+        self._bytes = Counter(
+            "balsamspool_relay_received_bytes",
+            "Bytes of relayed bodies received",
+            ["kind"],
+            registry=kernel.metrics,
+        )
+        progress = Gauge(
+            "balsamspool_relay_progress_requests",
+            "Relayed requests in progress",
+            ["side"],
+            registry=kernel.metrics,
+        )
+        progress.labels("issuer").set_function(lambda: self._client.in_progress)
+        progress.labels("peer").set_function(lambda: self._server.in_progress)
+
+    async def start(self) -> None:
+        """Subscribe to messages and start heartbeats and load reports."""
+        for body_type in _TO_SERVER:
+            self._mesh.subscribe(body_type, self._on_request_message)
+        for body_type in _TO_CLIENT:
+            self._mesh.subscribe(body_type, self._on_answer_message)
+        for body_type in _TO_BOTH:
+            self._mesh.subscribe(body_type, self._on_shared_message)
+        self._mesh.subscribe(LoadReport, self._on_load)
+        set_relay = getattr(self._serving, "set_relay", None)
+        if set_relay is not None:
+            set_relay(self)
+        self._kernel.spawn(self._beat(), "relay heartbeats")
+        self._kernel.spawn(self._report_loads(), "load reports")
+
+    async def drain(self) -> None:
+        """Tell peers that this agent leaves and finish requests in progress."""
+        for peer in self._service_peers():
+            self._mesh.send(peer, self._own_report())
+        await self._server.wait_idle()
+
+    def status(self) -> dict[str, object]:
+        """Return the number of relayed requests and of peers with known load."""
+        return {
+            "issued": self._client.in_progress,
+            "running": self._server.in_progress,
+            "known_loads": len(self._loads.loads(now())),
+        }
+
+    def set_load_source(self, source: Callable[[], OwnLoad]) -> None:
+        """Set the function that returns the load of this agent."""
+        self._load_source = source
+
+    async def run_at(
+        self,
+        peer: PeerAddress,
+        request: Request,
+        writer: ResponseWriter,
+        incarnation: bytes | None,
+    ) -> RelayResult:
+        """Run a request at a peer and write its answer; see ``Relay``.
+
+        Without an incarnation, the request is bound to the one that last reported
+        its load from that address, if there is one.
+        """
+        bound = incarnation or self._loads.incarnation(peer, now())
+        result = await self._client.run(peer, request, writer, bound)
+        self._results.labels(type(result).__name__).inc()
+        return result
+
+    def peers(self) -> list[PeerLoad]:
+        """Return the peers of this service whose load is known now."""
+        return self._loads.loads(now())
+
+    def _on_request_message(self, message: Message) -> None:
+        if isinstance(message.body, RelayBody):
+            self._bytes.labels("request").inc(len(message.body.data))
+        self._server.receive(message)
+
+    def _on_answer_message(self, message: Message) -> None:
+        if isinstance(message.body, RelayData):
+            self._bytes.labels("answer").inc(len(message.body.data))
+        self._client.receive(message)
+
+    def _on_shared_message(self, message: Message) -> None:
+        if message.body.relay.issuer == self._kernel.identity.incarnation:
+            self._client.receive(message)
+        else:
+            self._server.receive(message)
+
+    def _on_load(self, message: Message) -> None:
+        self._loads.note(message, now())
+
+    def _is_leaving(self) -> bool:
+        return self._kernel.state in (ProcessState.LEAVING, ProcessState.STOPPED)
+
+    def _own_report(self) -> LoadReport:
+        own = self._load_source()
+        state = LEAVING if self._is_leaving() else ACCEPTING
+        return LoadReport(state, own.load, own.expected_wait)
+
+    def _service_peers(self) -> list[PeerAddress]:
+        own = self._kernel.identity.instance
+        return [
+            PeerAddress(host.address, host.peer_port)
+            for host in self._membership.hosts(self._serving.service_name)
+            if host.instance != own
+        ]
+
+    async def _report_loads(self) -> None:
+        while True:
+            await asyncio.sleep(self._sample.next_delay())
+            for peer in self._sample.choose(self._service_peers()):
+                self._mesh.send(peer, self._own_report())
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+            self._client.beat()
+            self._server.beat()
--- /dev/null
+++ b/balsamspool/plugins/relay/server.py
@@ -0,0 +1,304 @@
+"""Peer's side of the relay: runs requests that other agents issued."""
+
+import asyncio
+import contextlib
+import logging
+from collections import OrderedDict
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from opentelemetry.trace import SpanKind
+
+from balsamspool.kernel.clock import Deadline, now
+from balsamspool.kernel.errors import ResultCode, ResultError
+from balsamspool.plugins.mesh.message import Message, NotSent, PeerAddress, Sent
+from balsamspool.plugins.relay.codes import (
+    RELAY_PEER_FAILED,
+    RELAY_PEER_FULL,
+    RELAY_PEER_LEAVING,
+    RELAY_SILENT,
+    RELAY_TOO_LATE,
+)
+from balsamspool.plugins.relay.events import RELAY_ENDED_EARLY, RELAY_FAILED
+from balsamspool.plugins.relay.link import (
+    MeshLink,
+    context_of,
+    current_traceparent,
+    tracer,
+)
+from balsamspool.plugins.relay.messages import (
+    RelayBody,
+    RelayCancel,
+    RelayCredit,
+    RelayData,
+    RelayEnd,
+    RelayFailed,
+    RelayHead,
+    RelayHeartbeat,
+    RelayId,
+    RelayNotRun,
+    RelayRequest,
+)
+from balsamspool.plugins.relay.stream import (
+    WINDOW_COST,
+    CreditGate,
+    PartReader,
+    split,
+)
+from balsamspool.requests.answer import ResponseWriter
+from balsamspool.requests.request import Headers, Request
+
+_logger = logging.getLogger(__name__)
+
+SESSION_LIMIT = 1024
+# No relay message lives longer than 5 s; a frame cannot arrive after this time.
+ID_SECONDS = 60.0
+ID_LIMIT = 65_536
+CREDIT_STEP = WINDOW_COST // 4
+TIMEOUT_HEADER = "request-timeout-ms"
+
+Handle = Callable[[Request, ResponseWriter], Awaitable[None]]
+Spawn = Callable[[Coroutine[Any, Any, None], str], "asyncio.Task[None]"]
+
+
+@dataclass(slots=True)
+class _Session:
+    """A request of a peer that runs here."""
+
+    relay: RelayId
+    issuer: PeerAddress
+    reader: PartReader[bytes] = field(default_factory=PartReader)
+    gate: CreditGate = field(default_factory=CreditGate)
+    credited: int = WINDOW_COST
+    task: "asyncio.Task[None] | None" = None
+
+
+class RelayWriter(ResponseWriter):
+    """Sends an answer to the process that issued the request.
+
+    Args:
+        mesh: Mesh that carries the messages.
+        session: The request.
+    """
+
+    __slots__ = ("_bytes", "_count", "_ended", "_mesh", "_session")
+
+    def __init__(self, mesh: MeshLink, session: _Session) -> None:
+        self._mesh = mesh
+        self._session = session
+        self._count = 0
+        self._bytes = 0
+        self._ended = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the status has been sent."""
+        return self._count > 0
+
+    @property
+    def ended(self) -> bool:
+        """Whether the answer was finished or aborted."""
+        return self._ended
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send status and header fields."""
+        await self._session.gate.take(0)
+        self._count = 1
+        await self._deliver(RelayHead(self._session.relay, status, headers))
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body; waits while the issuer gives no credit."""
+        for part in split(data):
+            await self._session.gate.take(len(part))
+            sequence, self._count = self._count, self._count + 1
+            self._bytes += len(part)
+            await self._deliver(RelayData(self._session.relay, sequence, part))
+
+    async def finish(self) -> None:
+        """Mark the answer as whole."""
+        self._ended = True
+        await self._deliver(RelayEnd(self._session.relay, self._count, self._bytes))
+
+    async def abort(self, error: ResultError) -> None:
+        """State that the answer will not be whole."""
+        self._ended = True
+        code = error.code
+        await self._deliver(
+            RelayFailed(
+                self._session.relay, code.number, error.detail, code.outcome.value
+            )
+        )
+
+    async def _deliver(self, body: Any) -> None:
+        session = self._session
+        match await self._mesh.deliver(session.issuer, body, session.relay.issuer):
+            case NotSent(reason):
+                raise ResultError(RELAY_SILENT, f"answer not sent, mesh: {reason}")
+            case Sent():
+                pass
+
+
+class RelayServer:
+    """Runs requests of peers, each ID at most once.
+
+    Args:
+        mesh: Mesh that carries the messages.
+        handle: Runs a request and writes its answer.
+        spawn: Starts a task with a name.
+        leaving: Returns whether this process takes no new work.
+    """
+
+    __slots__ = ("_handle", "_leaving", "_mesh", "_seen", "_sessions", "_spawn")
+
+    def __init__(
+        self,
+        mesh: MeshLink,
+        handle: Handle,
+        spawn: Spawn,
+        leaving: Callable[[], bool],
+    ) -> None:
+        self._mesh = mesh
+        self._handle = handle
+        self._spawn = spawn
+        self._leaving = leaving
+        self._sessions: dict[RelayId, _Session] = {}
+        self._seen: OrderedDict[RelayId, float] = OrderedDict()
+
+    @property
+    def in_progress(self) -> int:
+        """Number of peers' requests that run here."""
+        return len(self._sessions)
+
+    def receive(self, message: Message) -> None:
+        """Take a message about a request that a peer issued."""
+        body = message.body
+        if body.relay.issuer != message.incarnation:
+            return
+        if isinstance(body, RelayRequest):
+            self._open(message, body)
+            return
+        session = self._sessions.get(body.relay)
+        if session is not None:
+            self._apply(session, body)
+        elif isinstance(body, RelayCancel):
+            # A cancel that overtook its request keeps the request from running.
+            self._remember(body.relay)
+
+    def beat(self) -> None:
+        """Tell issuers that their requests still run; cancel those of silent ones."""
+        for session in list(self._sessions.values()):
+            if session.reader.silent and session.task is not None:
+                RELAY_ENDED_EARLY.log(_logger, relay=session.relay.number)
+                session.task.cancel()
+                continue
+            beat = RelayHeartbeat(session.relay, session.reader.credit)
+            self._mesh.send(session.issuer, beat, session.relay.issuer)
+
+    async def wait_idle(self) -> None:
+        """Wait until no request of a peer runs here."""
+        while self._sessions:
+            tasks = [s.task for s in self._sessions.values() if s.task is not None]
+            await asyncio.wait(tasks)
+
+    def _open(self, message: Message, opening: RelayRequest) -> None:
+        relay = opening.relay
+        if relay in self._seen:
+            return
+        remaining = None
+        if opening.remaining_ms is not None:
+            remaining = opening.remaining_ms / 1000 - message.age
+        refusal = self._refusal(relay, remaining)
+        if refusal is not None:
+            answer = RelayNotRun(relay, refusal.number, refusal.summary)
+            self._mesh.send(message.sender, answer, relay.issuer)
+            return
+        session = self._sessions[relay] = _Session(relay, message.sender)
+        if not opening.has_body:
+            session.reader.end(0)
+        request = self._request(session, opening, remaining)
+        session.task = self._spawn(
+            self._run(session, request), f"relayed request {relay.number}"
+        )
+        session.task.add_done_callback(lambda _: self._sessions.pop(relay, None))
+
+    def _refusal(self, relay: RelayId, remaining: float | None) -> ResultCode | None:
+        if not self._remember(relay) or len(self._sessions) >= SESSION_LIMIT:
+            return RELAY_PEER_FULL
+        if self._leaving():
+            return RELAY_PEER_LEAVING
+        if remaining is not None and remaining <= 0:
+            return RELAY_TOO_LATE
+        return None
+
+    def _remember(self, relay: RelayId) -> bool:
+        """Record an ID; False if no room is left for it."""
+        time = now()
+        while self._seen and time - next(iter(self._seen.values())) > ID_SECONDS:
+            self._seen.popitem(last=False)
+        if len(self._seen) >= ID_LIMIT:
+            return False
+        self._seen[relay] = time
+        return True
+
+    def _request(
+        self, session: _Session, opening: RelayRequest, remaining: float | None
+    ) -> Request:
+        headers = list(opening.headers)
+        deadline = None
+        if remaining is not None:
+            headers = [pair for pair in headers if pair[0] != TIMEOUT_HEADER]
+            headers.append((TIMEOUT_HEADER, str(max(1, int(remaining * 1000)))))
+            deadline = Deadline.after(remaining)
+        return Request(
+            method=opening.method,
+            path=opening.path,
+            headers=headers,
+            body=self._body(session),
+            deadline=deadline,
+            trace_context=opening.trace_context,
+            relayed=True,
+        )
+
+    async def _body(self, session: _Session) -> AsyncIterator[bytes]:
+        while (data := await session.reader.read()) is not None:
+            credit = session.reader.credit
+            if credit - session.credited >= CREDIT_STEP:
+                session.credited = credit
+                message = RelayCredit(session.relay, credit)
+                self._mesh.send(session.issuer, message, session.relay.issuer)
+            if data:
+                yield data
+
+    async def _run(self, session: _Session, request: Request) -> None:
+        writer = RelayWriter(self._mesh, session)
+        context = context_of(request.trace_context)
+        with tracer.start_as_current_span(
+            "relay from peer", context=context, kind=SpanKind.SERVER
+        ):
+            request.trace_context = current_traceparent(request.trace_context)
+            failure = ResultError(RELAY_PEER_FAILED, "the answer was not finished")
+            try:
+                await self._handle(request, writer)
+            except ResultError as error:
+                failure = error
+            except Exception as error:
+                RELAY_FAILED.log(_logger, path=request.path, error=repr(error))
+                failure = ResultError(RELAY_PEER_FAILED, repr(error))
+            if not writer.ended:
+                # Without this word the issuer learns of the failure from silence.
+                with contextlib.suppress(ResultError):
+                    await writer.abort(failure)
+
+    def _apply(self, session: _Session, body: object) -> None:
+        match body:
+            case RelayBody(sequence=sequence, data=data, last=last):
+                session.reader.accept(sequence, data, len(data))
+                if last:
+                    session.reader.end(sequence + 1)
+            case RelayCredit(bytes=total) | RelayHeartbeat(bytes=total):
+                session.reader.heard()
+                session.gate.grant(total)
+            case RelayCancel():
+                if session.task is not None:
+                    session.task.cancel()
--- /dev/null
+++ b/balsamspool/requests/relay.py
@@ -0,0 +1,87 @@
+"""What serving and the relay between agents share."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from balsamspool.kernel.errors import ResultCode
+from balsamspool.plugins.mesh.message import PeerAddress
+from balsamspool.requests.answer import ResponseWriter
+from balsamspool.requests.request import Request
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """A whole answer of the peer was written."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The peer did not run the request and will not.
+
+    Attributes:
+        code: Result code.
+        detail: What happened.
+    """
+
+    code: ResultCode
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """Whether the peer ran the request is not known.
+
+    Attributes:
+        code: Result code.
+        detail: What happened.
+    """
+
+    code: ResultCode
+    detail: str
+
+
+RelayResult = Answered | NotRun | Unknown
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """The newest load report of a peer.
+
+    Attributes:
+        instance: Name of the instance.
+        address: Where its mesh socket listens.
+        accepting: Whether it takes new requests.
+        load: Slots and queue in use, 0 to 255; 128 means that all slots are busy.
+        expected_wait: Seconds that a new request waits there.
+    """
+
+    instance: str
+    address: PeerAddress
+    accepting: bool
+    load: int
+    expected_wait: float
+
+
+class Relay(Protocol):
+    """Runs requests at peers."""
+
+    async def run_at(
+        self,
+        peer: PeerAddress,
+        request: Request,
+        writer: ResponseWriter,
+        incarnation: bytes | None,
+    ) -> RelayResult:
+        """Run a request at a peer and write its answer.
+
+        Args:
+            peer: Where the peer's mesh socket listens.
+            request: The request.
+            writer: Where the answer goes; untouched if the result is ``NotRun``.
+            incarnation: The only incarnation that may run it, None for any.
+        """
+        ...
+
+    def peers(self) -> list[PeerLoad]:
+        """Return the peers of this service whose load is known now."""
+        ...
