--- a/balsamspool/plugins/mesh/_codec.py
+++ b/balsamspool/plugins/mesh/_codec.py
@@ -10,6 +10,7 @@
 keys can exchange the text as long as they share one key.
 """
 
+from dataclasses import dataclass
 from hashlib import blake2s
 from hmac import compare_digest
 from typing import Any
@@ -36,12 +37,29 @@
     number: int
     instance: str
     incarnation: bytes
+    receiver: bytes
     address: str
     peer_port: int
     message_id: int
+    sent_at: float
     body: msgspec.Raw
 
 
+@dataclass(frozen=True, slots=True)
+class OpenedFrame:
+    """An authentic frame.
+
+    Attributes:
+        message: The message with its sender.
+        receiver: Incarnation for which it is meant, empty for any.
+        sent_at: Time of the sender's event loop in seconds.
+    """
+
+    message: Message
+    receiver: bytes
+    sent_at: float
+
+
 class MeshCodec:
     """Seals and opens the frames of the mesh.
 
@@ -57,17 +75,25 @@
         self._identity = identity
         self._next_id = 0
 
-    def seal(self, body: Any) -> bytes:
-        """Return the frame for a message."""
+    def seal(self, body: Any, sent_at: float, receiver: bytes = b"") -> bytes:
+        """Return the frame for a message.
+
+        Args:
+            body: Instance of a registered message class.
+            sent_at: Time of the event loop in seconds.
+            receiver: Incarnation for which it is meant, empty for any.
+        """
         self._next_id += 1
         identity = self._identity
         frame = _Frame(
             number=number_of(type(body)),
             instance=identity.instance,
             incarnation=identity.incarnation,
+            receiver=receiver,
             address=identity.address,
             peer_port=identity.peer_port,
             message_id=self._next_id,
+            sent_at=sent_at,
             body=msgspec.Raw(msgspec.msgpack.encode(body)),
         )
         content = msgspec.msgpack.encode(frame)
@@ -77,14 +103,14 @@
         data = bytes((VERSION, number)) + content
         return data + self._tag(number, data)
 
-    def open(self, data: bytes) -> Message | None:
+    def open(self, data: bytes) -> OpenedFrame | None:
         """Verify and read a frame.
 
         Args:
             data: Frame from the network.
 
         Returns:
-            The message, or None if the frame is not authentic or not well formed.
+            The frame, or None if it is not authentic or not well formed.
         """
         try:
             content = self._verified(data)
@@ -99,13 +125,14 @@
             body = msgspec.msgpack.decode(frame.body, type=body_type)
         except (ResultError, msgspec.DecodeError):
             return None
-        return Message(
+        message = Message(
             sender=PeerAddress(frame.address, frame.peer_port),
             instance=frame.instance,
             incarnation=frame.incarnation,
             message_id=frame.message_id,
             body=body,
         )
+        return OpenedFrame(message, frame.receiver, frame.sent_at)
 
     def _verified(self, data: bytes) -> bytes | None:
         if len(data) < _HEAD_BYTES + TAG_BYTES:
--- a/balsamspool/requests/relay.py
+++ b/balsamspool/requests/relay.py
@@ -11,12 +11,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Answered:
-    """The whole answer of the peer was written."""
+    """A whole answer of the peer was written."""
 
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """The peer states that it did not and will not run the request.
+    """The peer did not and will not run the request.
 
     Attributes:
         code: Why the peer did not run it.
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Unknown:
-    """Nothing certain is known about the execution of the request.
+    """Whether the peer ran the request is not known.
 
     Attributes:
         code: What went wrong.
@@ -52,7 +52,7 @@
     Attributes:
         instance: Name of the instance.
         address: Where its mesh socket listens.
-        accepting: Whether it takes new work.
+        accepting: Whether it takes new requests.
         load: Slots and queue in use, 0 to 255; 128 means that all slots are busy.
         expected_wait: Predicted wait for a slot in seconds.
     """
@@ -79,12 +79,14 @@
         Args:
             peer: Where the peer's mesh socket listens.
             request: The request.
-            writer: Where the answer goes.
-            incarnation: Incarnation that the peer must have, None for any.
+            writer: Where the answer goes; untouched if the result is ``NotRun``.
+            incarnation: The only incarnation that may run it, None for any.
 
         Returns:
             What is known of the request afterwards.
         """
+        ...
 
     def peers(self) -> list[PeerLoad]:
-        """Return the agents of the same service that are known."""
+        """Return the peers of this service whose load is known now."""
+        ...
