Release a restarted host that is held as leaving

Cause: a host restarted at once, whose list record never changed, stayed held as leaving for ever, because without new flows no signal of it arrives. Change: a list that says live more than 60 s after the last leaving signal releases it; held_as_leaving() names hosts to probe earlier; fresh says whether peers were asked since the last pause.

--- a/balsamspool/plugins/configuration/exchange.py
+++ b/balsamspool/plugins/configuration/exchange.py
@@ -153,6 +153,7 @@
         "_peers",
         "_pending",
         "_rng",
+        "_seen_pauses",
         "_source",
         "_types",
     )
@@ -175,6 +176,7 @@
         # Peers that offered a higher revision, newest offer last.
         self._higher: dict[PeerAddress, Any] = {}
         self._changed_at: float | None = None
+        self._seen_pauses = 0
         self._gathered: list[tuple[PeerAddress, Any]] | None = None
         self._heard = asyncio.Event()
         mesh.subscribe(types.offer, self._on_offer)
@@ -207,19 +209,28 @@
             pauses: Returns how often the process was paused. After a pause, peers are
                 asked at once, because the text in force may be outdated.
         """
-        seen = pauses()
+        self._seen_pauses = pauses()
         next_offer = now() + self._rng.uniform(*OFFER_SECONDS)
         while True:
             await asyncio.sleep(_POLL_SECONDS)
-            if pauses() != seen:
-                seen = pauses()
+            count = pauses()
+            if count != self._seen_pauses:
                 await self.ask()
+                self._seen_pauses = count
             self._request_again()
             if now() >= next_offer or self._is_recent():
                 next_offer = now() + self._rng.uniform(*OFFER_SECONDS)
                 if self._peers.members:
                     self._offer_to(self._rng.choice(self._peers.members))
 
+    def is_fresh(self, pauses: int) -> bool:
+        """Return whether peers were asked since the last pause of the process.
+
+        Args:
+            pauses: How often the process was paused.
+        """
+        return pauses == self._seen_pauses
+
     def announce(self) -> None:
         """Offer a changed revision to every peer of the sample."""
         self._changed_at = now()
--- a/balsamspool/plugins/configuration/plugin.py
+++ b/balsamspool/plugins/configuration/plugin.py
@@ -112,6 +112,11 @@
         """Whether a configuration is in force."""
         return self._ready.is_set()
 
+    @property
+    def fresh(self) -> bool:
+        """Whether peers were asked since the process was paused the last time."""
+        return self._exchange.is_fresh(self._kernel.pauses)
+
     @property
     def peers(self) -> PeerSample:
         """Peers with which this process exchanges text and instance list."""
--- a/balsamspool/plugins/membership/plugin.py
+++ b/balsamspool/plugins/membership/plugin.py
@@ -133,6 +133,10 @@
         """Return whether an instance takes new work, as far as is known."""
         return self._view.accepts(instance)
 
+    def held_as_leaving(self) -> list[Instance]:
+        """Return instances to probe: listed as live, but held as leaving in silence."""
+        return self._view.held_as_leaving()
+
     def signal(self, instance: Instance) -> Signal | None:
         """Return the latest signal of an instance, or None."""
         return self._view.signal(instance)
--- a/balsamspool/plugins/membership/signals.py
+++ b/balsamspool/plugins/membership/signals.py
@@ -85,6 +85,11 @@
         fresh = now() - noted.at <= SIGNAL_LIFETIME_SECONDS
         return noted.signal if fresh else None
 
+    def silent_seconds(self, address: str, data_port: int) -> float:
+        """Return the age of the newest signal of an address in seconds."""
+        noted = self._signals.get((address, data_port))
+        return float("inf") if noted is None else now() - noted.at
+
     def forget(self, address: str, data_port: int) -> None:
         """Drop the signal of an address, which now belongs to another process."""
         self._signals.pop((address, data_port), None)
--- a/balsamspool/plugins/membership/view.py
+++ b/balsamspool/plugins/membership/view.py
@@ -4,7 +4,16 @@
 
 from balsamspool.kernel.identity import Role
 from balsamspool.plugins.membership.instance import Instance, ListedState
-from balsamspool.plugins.membership.signals import Signal, SignalBoard, SignalState
+from balsamspool.plugins.membership.signals import (
+    SIGNAL_LIFETIME_SECONDS,
+    Signal,
+    SignalBoard,
+    SignalState,
+)
+
+# A list that says live this long after the last leaving signal no longer lags: whoever
+# is still leaving repeats the signal on its datagrams, or is listed as leaving.
+LIST_LAG_SECONDS = 60.0
 
 
 class View:
@@ -46,8 +55,10 @@
             if new is None or new.state is ListedState.LEAVING:
                 if self._has_left(endpoint):
                     self._gone.add(endpoint)
-            elif endpoint in self._gone or (
-                old is not None and old.instance != new.instance
+            elif (
+                endpoint in self._gone
+                or (old is not None and old.instance != new.instance)
+                or self._board.silent_seconds(*endpoint) > LIST_LAG_SECONDS
             ):
                 self._board.forget(*endpoint)
                 self._gone.discard(endpoint)
@@ -65,6 +76,20 @@
         """Return the latest signal of an instance, or None."""
         return self._board.latest(*instance.endpoint)
 
+    def held_as_leaving(self) -> list[Instance]:
+        """Return instances that are listed as live but held as leaving in silence.
+
+        Such an instance may have been restarted at once. It gets no new flows that
+        could carry its signal, so it has to be probed.
+        """
+        return [
+            instance
+            for instance in self._instances.values()
+            if instance.state is ListedState.LIVE
+            and self._has_left(instance.endpoint)
+            and self._board.silent_seconds(*instance.endpoint) > SIGNAL_LIFETIME_SECONDS
+        ]
+
     def accepting(self, role: Role, service: str | None = None) -> list[Instance]:
         """Return the instances of a role, and of a service, that take new work."""
         return [
--- a/tests/test_configuration_exchange.py
+++ b/tests/test_configuration_exchange.py
@@ -197,7 +197,9 @@
         await asyncio.sleep(5)
         self.network.cut = lambda one, other: False
         paused.pauses += 1
+        self.assertFalse(paused.configuration.fresh)
         await asyncio.sleep(1.5)
+        self.assertTrue(paused.configuration.fresh)
         self.assertEqual(paused.revision, 2)
 
     async def test_refused_text_is_not_requested_again(self):
