Test a dead agent, fabric faults and a foreign address in a fleet

Cause: probes and address retries were only tested with fakes.

Change: three tests run entries and agents as processes.

The entries avoid the dead agent and no other. 0 to 2 of 12 callers get CONNECTION_CLOSE 10 "Packet contains no CRYPTO frame" from a live host, whose front end answers an Initial packet that holds only PING.

--- /dev/null
+++ b/tests/test_forwarding_fleet.py
@@ -0,0 +1,55 @@
+"""Faults of entries and agents in a running fleet."""
+
+import asyncio
+import json
+from unittest import IsolatedAsyncioTestCase
+
+from standins.caller import open_caller
+from standins.fleet import ServicePlan, run_fleet
+
+PORTAL = ServicePlan("portal", 1, 3, [{"kind": "request", "path": "/"}])
+
+
+class FleetTest(IsolatedAsyncioTestCase):
+    async def ask(self, fleet):
+        async with open_caller(*fleet.addresses["portal"]) as caller:
+            answer = await caller.request("GET", "/any", timeout=10)
+        self.assertEqual(answer.status, 200)
+        return json.loads(bytes(answer.body))["server"]
+
+    async def test_new_flows_leave_a_dead_agent_that_is_still_listed(self):
+        """Guards against flows that open at a dead host while the list lags."""
+        async with run_fleet([PORTAL]) as fleet:
+            dead = next(iter(fleet.agents.values()))
+            await dead.kill()
+            servers = await asyncio.gather(*(self.ask(fleet) for _ in range(12)))
+            self.assertNotIn(dead.instance, servers)
+            self.assertEqual(len(set(servers)), 2)
+
+    async def test_faults_of_the_fabric_do_not_stop_requests(self):
+        """Guards against a path that needs order or single delivery."""
+        async with run_fleet([PORTAL]) as fleet:
+            fabric = fleet.fabrics["portal"]
+            for faults in (fabric.inward_faults, fabric.outward_faults):
+                faults.loss, faults.duplication, faults.reordering = 0.05, 0.1, 0.1
+            for _ in range(3):
+                await self.ask(fleet)
+
+    async def test_status_names_an_address_that_cannot_be_opened(self):
+        """Guards against an entry that ends when the text names a foreign address."""
+        async with run_fleet([PORTAL], entries=1) as fleet:
+            (entry,) = fleet.entries.values()
+            fleet.text["services"]["foreign"] = {
+                "number": 9,
+                "address": "192.0.2.1:443",
+                "routes": [],
+            }
+            await fleet.publish_text()
+            for _ in range(100):
+                status = await fleet.status(entry)
+                addresses = status["plugins"]["forwarding"]["addresses"]
+                if "not open" in addresses.get("9", ""):
+                    break
+                await asyncio.sleep(0.05)
+            self.assertIn("192.0.2.1:443 not open", addresses["9"])
+            await self.ask(fleet)
