Count the last window of each benchmark slice where it belongs

Cause: up to 63 datagrams in flight at the end of a slice were counted in the next one, which measures another process.

Change: a slice ends when its window is empty.

--- a/benchmarks/entry_datagrams.py
+++ b/benchmarks/entry_datagrams.py
@@ -111,8 +111,8 @@
     sent = arrived = lost = 0
     before, end = cpu_seconds(pid), monotonic() + seconds
     sink.settimeout(STALL_SECONDS)
-    while monotonic() < end:
-        while sent - arrived - lost < WINDOW:
+    while monotonic() < end or sent > arrived + lost:
+        while monotonic() < end and sent - arrived - lost < WINDOW:
             sender.sendto(datagrams[sent % len(datagrams)], target)
             sent += 1
         try:
