Keep credit for short requests, and drain unfinished handshakes

Cause: uploads that wait in the queue could use up the connection's credit, and a drain closed a connection during its handshake, which the caller cannot always see. An error before a connection owned a datagram reached the socket's callback. Change: 32 KB a request and 512 KB a connection; the drain waits for the handshake; such errors drop the datagram with event 1507. The test caller keeps the code of a reset. Conclusion: ten waiting uploads leave room for a short request.

--- a/balsamspool/plugins/frontend/connection.py
+++ b/balsamspool/plugins/frontend/connection.py
@@ -294,7 +294,7 @@
         if self._exchanges:
             times.append(self._ping_at)
         match self._phase:
-            case Announced(final_at, _) if self._http is not None:
+            case Announced(final_at, _) if self._established:
                 times.append(final_at)
             case Leaving(feeds_until):
                 times.append(feeds_until)
@@ -331,9 +331,7 @@
                     if not isinstance(self._phase, Open):
                         self._http.send_goaway(MAX_REQUEST_STREAM_ID)
                 case HandshakeCompleted():
-                    self._established = True
-                    self._quic.release_handshake()
-                    self._metrics.handshakes.labels("completed").inc()
+                    self._establish()
                 case ConnectionIdRetired(connection_id=connection_id):
                     self._on_retired(connection_id)
                 case ConnectionTerminated():
@@ -347,6 +345,15 @@
                 case StopSendingReceived(stream_id=stream_id):
                     self._cancel(stream_id)
 
+    def _establish(self) -> None:
+        self._established = True
+        self._quic.release_handshake()
+        self._metrics.handshakes.labels("completed").inc()
+        match self._phase:
+            case Announced(_, feeds_until):
+                # The caller has not been able to read a GOAWAY before.
+                self._phase = Announced(now() + GOAWAY_SECONDS, feeds_until)
+
     def _handle_http(self, event: QuicEvent) -> None:
         if self._http is None:
             return
@@ -420,11 +427,12 @@
             self._closed = True
             return
         match self._phase:
-            case Announced(final_at, feeds_until) if now() >= final_at:
-                if self._http is not None:
-                    self._http.send_goaway(self._next_stream_id)
-                    self._phase = Leaving(feeds_until)
-                    self._wake.set()
+            case Announced(final_at, feeds_until) if (
+                self._established and self._http is not None and now() >= final_at
+            ):
+                self._http.send_goaway(self._next_stream_id)
+                self._phase = Leaving(feeds_until)
+                self._wake.set()
             case Leaving(feeds_until):
                 if feeds_until is not None and now() >= feeds_until:
                     self._phase = Leaving(None)
--- a/balsamspool/plugins/frontend/events.py
+++ b/balsamspool/plugins/frontend/events.py
@@ -34,3 +34,9 @@
     logging.INFO,
     "The front end takes new connections again.",
 )
+DATAGRAM_FAILED = log_event(
+    1507,
+    "datagram-failed",
+    logging.ERROR,
+    "A datagram was dropped because of an internal error.",
+)
--- a/balsamspool/plugins/frontend/listener.py
+++ b/balsamspool/plugins/frontend/listener.py
@@ -34,6 +34,7 @@
     CONNECTION_CLOSED,
     CONNECTION_FAILED,
     CONNECTION_OPENED,
+    DATAGRAM_FAILED,
     DRAIN_ENDED,
     DRAIN_STARTED,
 )
@@ -158,6 +159,16 @@
         self, forward: Forward, entry: Address, traced: TracedForward | None
     ) -> None:
         self._metrics.datagrams_in.inc()
+        try:
+            self._take(forward, entry, traced)
+        except Exception as error:
+            # No connection owns the datagram yet, so only the datagram is lost.
+            self._drop("internal-error")
+            DATAGRAM_FAILED.log(_logger, error=repr(error))
+
+    def _take(
+        self, forward: Forward, entry: Address, traced: TracedForward | None
+    ) -> None:
         service = self._service()
         if service is None or service.number != forward.service:
             self._drop("wrong-service")
--- a/balsamspool/plugins/frontend/tls.py
+++ b/balsamspool/plugins/frontend/tls.py
@@ -5,9 +5,11 @@
 
 from balsamspool.plugins.routing.token import TOKEN_BYTES
 
-# Unread bytes that one request and one connection may hold in the agent.
-MAX_STREAM_DATA = 64 * 1024
-MAX_DATA = 256 * 1024
+# Unread bytes that one request and one connection may hold in the agent. Uploads that
+# wait in the queue use up the connection's credit; the heads of other requests need it,
+# too, so it covers 16 such uploads.
+MAX_STREAM_DATA = 32 * 1024
+MAX_DATA = 16 * MAX_STREAM_DATA
 
 
 def quic_configuration(
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -33,6 +33,7 @@
         body: Body received so far.
         whole: Whether the end of the answer has arrived.
         cut: Whether the stream was reset or the connection lost.
+        reset_code: Error code of the reset, None for none.
     """
 
     status: int = 0
@@ -40,6 +41,7 @@
     body: bytearray = field(default_factory=bytearray)
     whole: bool = False
     cut: bool = False
+    reset_code: int | None = None
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -59,7 +61,7 @@
             case ProtocolNegotiated():
                 self._http = H3Connection(self._quic)
             case StreamReset(stream_id=stream_id):
-                self._cut(stream_id)
+                self._cut(stream_id, event.error_code)
             case ConnectionTerminated():
                 self.lost = True
                 for stream_id in list(self._answers):
@@ -144,10 +146,11 @@
             case GoawayReceived():
                 self.goaway = True
 
-    def _cut(self, stream_id: int) -> None:
+    def _cut(self, stream_id: int, code: int | None = None) -> None:
         answer = self._answers.get(stream_id)
         if answer is not None and not answer.whole:
             answer.cut = True
+            answer.reset_code = code
             answer.changed.set()
 
 
--- a/tests/test_frontend_connection.py
+++ b/tests/test_frontend_connection.py
@@ -120,6 +120,18 @@
         self.assertEqual(agent.metric(failures), 1)
         self.assertFalse(agent.kernel._failed)
 
+    async def test_fault_before_a_connection_owns_the_datagram(self):
+        """Guards against an exception that reaches the socket's callback."""
+        agent = await self.open_agent()
+        broken = mock.Mock(side_effect=RuntimeError("fault"))
+        with (
+            mock.patch.object(agent.frontend, "_decide_opening", broken),
+            self.assertLogs("balsamspool", "ERROR") as logs,
+        ):
+            MemoryCaller(agent).start()
+        self.assertEqual(logs.records[0].event.number, 1507)
+        self.assertEqual(self.dropped(agent, "internal-error"), 1)
+
     async def test_fault_in_a_request_is_answered(self):
         """Guards against requests that hang after an internal error."""
         agent, caller = await self.open_pair()
--- a/tests/test_frontend_drain.py
+++ b/tests/test_frontend_drain.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import json
+from unittest import mock
 
 from aioquic.buffer import Buffer
 from aioquic.h3.connection import FrameType, H3Connection
 from aioquic.quic.events import StreamDataReceived
 
 from balsamspool.kernel.clock import now
+from balsamspool.plugins.frontend.connection import Connection
 from balsamspool.plugins.membership import MembershipPlugin
 from balsamspool.plugins.platform import PlatformValue
 from tests.frontend_case import FrontendCase
@@ -85,6 +87,23 @@
         await again.connect()
         self.assertEqual((await again.answer(again.request()))[0], 200)
 
+    async def test_handshake_in_progress_completes_and_ends(self):
+        """Guards against a drain that spins or hangs on an unfinished handshake."""
+        agent = await self.open_agent()
+        caller = MemoryCaller(agent)
+        caller.paused = True
+        caller.start()
+        await asyncio.sleep(0.02)
+        self.set_draining(agent, ["agent-1"])
+        with mock.patch.object(
+            Connection, "_wait", autospec=True, side_effect=Connection._wait
+        ) as wait:
+            await asyncio.sleep(0.7)
+        self.assertLess(wait.await_count, 20)
+        caller.paused = False
+        await caller.until(lambda: caller.terminated is not None)
+        self.assertEqual(caller.terminated.error_code, H3_NO_ERROR)
+
     async def test_host_that_the_platform_lists_as_leaving_refuses(self):
         """Guards against new flows on a host that the platform is about to stop."""
         agent, _ = await self.open_recorded()
--- a/tests/test_frontend_requests.py
+++ b/tests/test_frontend_requests.py
@@ -160,11 +160,26 @@
         stream_id = caller.request("POST", body=bytes(size))
         await asyncio.sleep(0.3)
         stream = caller.quic._streams[stream_id]
-        self.assertLessEqual(stream.sender.highest_offset, 70_000)
+        self.assertLessEqual(stream.sender.highest_offset, 33_000)
         go.set()
         status, body = await caller.answer(stream_id)
         self.assertEqual((status, body), (200, str(size).encode()))
 
+    async def test_waiting_uploads_leave_credit_for_other_requests(self):
+        """Guards against short requests that stall behind uploads in the queue."""
+        agent, caller = await self.open_pair()
+
+        async def handler(request, writer):
+            if request.method == "POST":
+                await asyncio.Event().wait()
+            await answer_ok(request, writer)
+
+        agent.handler = handler
+        for _ in range(10):
+            caller.request("POST", body=bytes(60_000))
+        await asyncio.sleep(0.3)
+        self.assertEqual((await caller.answer(caller.request()))[0], 200)
+
     async def test_credit_of_unread_bodies_returns_to_the_connection(self):
         """Guards against a connection that stalls after requests nobody read."""
         agent, caller = await self.open_pair()
