Measure the cost of an opening packet in a flood

Cause: a flood must not take the agent's processor either. Change: a third figure in benchmarks/agent_flows.py.

--- a/benchmarks/agent_flows.py
+++ b/benchmarks/agent_flows.py
@@ -1,5 +1,7 @@
 """New flows a CPU-second and resident bytes a connection of the agent's front end.
 
+A third figure is the cost of an opening packet in a flood.
+
 Callers and front end run in one process without a network. The callers' own work is
 measured and subtracted; callers are discarded before memory is read.
 
@@ -14,7 +16,8 @@
 
 from fire import Fire
 
-from tests.frontend_harness import AgentHarness, MemoryCaller
+from balsamspool.kernel.clock import now
+from tests.frontend_harness import SERVER, AgentHarness, MemoryCaller
 
 WARM_UP_FLOWS = 30
 PAGE_BYTES = 4096
@@ -77,7 +80,28 @@
     return flows / used, grown / flows
 
 
-def main(flows: int = 300, rounds: int = 5) -> None:
+async def _measure_flood(openings: int) -> float:
+    with tempfile.TemporaryDirectory(prefix="balsamspool-") as folder:
+        agent = AgentHarness(Path(folder))
+        agent.keep_sent = False
+        await agent.frontend.start()
+        caller = MemoryCaller(agent)
+        caller.paused = True
+        caller.quic.connect(SERVER, now())
+        opening = caller.quic.datagrams_to_send(now())[0][0]
+        began = process_time()
+        for number in range(openings):
+            address = (f"198.51.{number // 250}.{1 + number % 250}", 1000)
+            agent.deliver(opening, address)
+        used = process_time() - began
+        tasks = [t for t in asyncio.all_tasks() if t is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    return used / openings
+
+
+def main(flows: int = 300, rounds: int = 5, openings: int = 10_000) -> None:
     """Print a table with a row for each round and the best of each figure.
 
     The best is compared between versions, because other work on the machine only makes
@@ -86,6 +110,7 @@
     Args:
         flows: Number of connections that are opened and kept in a round.
         rounds: Number of rounds, each with a new agent.
+        openings: Number of opening packets of a flood that is answered with Retry.
     """
     print(f"{'round':>8} {'flows a CPU-second':>20} {'bytes a connection':>20}")
     results = []
@@ -97,6 +122,8 @@
     # Later rounds reuse memory that earlier ones released.
     size = results[0][1]
     print(f"{'result':>8} {rate:>20.0f} {size:>20.0f}")
+    costs = [asyncio.run(_measure_flood(openings)) for _ in range(rounds)]
+    print(f"opening packet in a flood: {min(costs) * 1e6:.1f} µs (best round)")
 
 
 if __name__ == "__main__":
