Count handshakes as they end, not at each opening packet

Cause: under a flood each opening packet looked at all handshakes in progress; this and the parsing of addresses for Retry tokens led the profile. Change: a connection reports its handshake; addresses are packed by the socket module.

--- a/balsamspool/plugins/frontend/_retry.py
+++ b/balsamspool/plugins/frontend/_retry.py
@@ -2,7 +2,7 @@
 
 import os
 import struct
-from ipaddress import IPv4Address
+from socket import inet_aton
 
 from cryptography.exceptions import InvalidTag
 from cryptography.hazmat.primitives.ciphers.aead import AESGCM
@@ -51,7 +51,7 @@
             The token.
         """
         number = self._keyring.active
-        proof = _PROOF.pack(IPv4Address(caller[0]).packed, caller[1], time)
+        proof = _PROOF.pack(inet_aton(caller[0]), caller[1], time)
         nonce = os.urandom(_NONCE_BYTES)
         sealed = self._cipher(number).encrypt(nonce, proof + original_id, retry_id)
         return bytes([number]) + nonce + sealed
@@ -79,7 +79,7 @@
         except (InvalidTag, ResultError):
             return None
         address, port, created = _PROOF.unpack_from(opened)
-        if (str(IPv4Address(address)), port) != caller:
+        if (address, port) != (inet_aton(caller[0]), caller[1]):
             return None
         if not 0 <= time - created <= LIFETIME_SECONDS:
             return None
--- a/balsamspool/plugins/frontend/connection.py
+++ b/balsamspool/plugins/frontend/connection.py
@@ -103,6 +103,7 @@
         service: Returns the service as it is configured.
         serving: Runs the requests.
         send: Sends one datagram to a caller through an entry.
+        on_established: Called when the handshake is complete.
         on_retired: Called with each connection ID that the caller has retired.
         metrics: Metrics of the front end.
         span: Span of the connection.
@@ -119,6 +120,7 @@
         "_inbox",
         "_metrics",
         "_next_stream_id",
+        "_on_established",
         "_on_retired",
         "_phase",
         "_ping_at",
@@ -140,6 +142,7 @@
         service: Callable[[], Service | None],
         serving: ServingPlugin,
         send: Send,
+        on_established: Callable[[], None],
         on_retired: Callable[[bytes], None],
         metrics: FrontendMetrics,
         span: Span,
@@ -150,6 +153,7 @@
         self._service = service
         self._serving = serving
         self._send = send
+        self._on_established = on_established
         self._on_retired = on_retired
         self._metrics = metrics
         self._span = span
@@ -347,6 +351,7 @@
 
     def _establish(self) -> None:
         self._established = True
+        self._on_established()
         self._quic.release_handshake()
         self._metrics.handshakes.labels("completed").inc()
         match self._phase:
--- a/balsamspool/plugins/frontend/listener.py
+++ b/balsamspool/plugins/frontend/listener.py
@@ -150,7 +150,7 @@
         connections = self._table.connections
         return {
             "connections": len(connections),
-            "handshakes": len(self._pending()),
+            "handshakes": len(self._handshakes),
             "requests": sum(c.open_requests for c in connections),
             "leaving": self._leaving,
         }
@@ -259,7 +259,7 @@
         service = self._service()
         if service is None or len(self._table) >= service.limits.connections_per_host:
             return RefuseOpening(RefusalReason.CONNECTION_LIMIT)
-        pending = len(self._pending())
+        pending = len(self._handshakes)
         if pending >= self._settings.max_handshakes:
             return RefuseOpening(RefusalReason.HANDSHAKE_LIMIT)
         if original_id is not None:
@@ -323,6 +323,7 @@
             self._service,
             self._serving,
             send,
+            lambda: self._handshakes.discard(connection),
             lambda connection_id: self._table.retire(connection, connection_id),
             self._metrics,
             span,
@@ -357,11 +358,6 @@
             self._metrics.connections.dec()
             CONNECTION_CLOSED.log(_logger, seconds=round(now() - started, 3))
 
-    def _pending(self) -> set[Connection]:
-        done = {c for c in self._handshakes if c.established}
-        self._handshakes -= done
-        return self._handshakes
-
     def _reply(self, forward: Forward, packet: bytes, entry: Address) -> None:
         if forward.hops:
             # The sender is an agent, which cannot reach callers.
