--- a/balsamspool/plugins/frontend/connection.py
+++ b/balsamspool/plugins/frontend/connection.py
@@ -103,6 +103,7 @@
         service: Returns the service as it is configured.
         serving: Runs the requests.
         send: Sends one datagram to a caller through an entry.
+        on_established: Called when the handshake is complete.
         on_retired: Called with each connection ID that the caller has retired.
         metrics: Metrics of the front end.
         span: Span of the connection.
@@ -119,6 +120,7 @@
         "_inbox",
         "_metrics",
         "_next_stream_id",
+        "_on_established",
         "_on_retired",
         "_phase",
         "_ping_at",
@@ -140,6 +142,7 @@
         service: Callable[[], Service | None],
         serving: ServingPlugin,
         send: Send,
+        on_established: Callable[[], None],
         on_retired: Callable[[bytes], None],
         metrics: FrontendMetrics,
         span: Span,
@@ -150,6 +153,7 @@
         self._service = service
         self._serving = serving
         self._send = send
+        self._on_established = on_established
         self._on_retired = on_retired
         self._metrics = metrics
         self._span = span
@@ -294,7 +298,7 @@
         if self._exchanges:
             times.append(self._ping_at)
         match self._phase:
-            case Announced(final_at, _) if self._http is not None:
+            case Announced(final_at, _) if self._established:
                 times.append(final_at)
             case Leaving(feeds_until):
                 times.append(feeds_until)
@@ -331,9 +335,7 @@
                     if not isinstance(self._phase, Open):
                         self._http.send_goaway(MAX_REQUEST_STREAM_ID)
                 case HandshakeCompleted():
-                    self._established = True
-                    self._quic.release_handshake()
-                    self._metrics.handshakes.labels("completed").inc()
+                    self._establish()
                 case ConnectionIdRetired(connection_id=connection_id):
                     self._on_retired(connection_id)
                 case ConnectionTerminated():
@@ -347,6 +349,16 @@
                 case StopSendingReceived(stream_id=stream_id):
                     self._cancel(stream_id)
 
+    def _establish(self) -> None:
+        self._established = True
+        self._on_established()
+        self._quic.release_handshake()
+        self._metrics.handshakes.labels("completed").inc()
+        match self._phase:
+            case Announced(_, feeds_until):
+                # The caller has not been able to read a GOAWAY before.
+                self._phase = Announced(now() + GOAWAY_SECONDS, feeds_until)
+
     def _handle_http(self, event: QuicEvent) -> None:
         if self._http is None:
             return
@@ -420,11 +432,12 @@
             self._closed = True
             return
         match self._phase:
-            case Announced(final_at, feeds_until) if now() >= final_at:
-                if self._http is not None:
-                    self._http.send_goaway(self._next_stream_id)
-                    self._phase = Leaving(feeds_until)
-                    self._wake.set()
+            case Announced(final_at, feeds_until) if (
+                self._established and self._http is not None and now() >= final_at
+            ):
+                self._http.send_goaway(self._next_stream_id)
+                self._phase = Leaving(feeds_until)
+                self._wake.set()
             case Leaving(feeds_until):
                 if feeds_until is not None and now() >= feeds_until:
                     self._phase = Leaving(None)
