Keep the leaving state instead of scanning the list for each request

Cause: a profile showed that each request scanned all listed instances, a cost that grows with the fleet. Change: the state is updated when the list or the text changes. A host whose dependencies are shared takes one slot until the list has arrived. Metrics and the admission span are tested. Conclusion: the cost per request no longer depends on the fleet size.

--- a/balsamspool/plugins/admission/plugin.py
+++ b/balsamspool/plugins/admission/plugin.py
@@ -272,7 +272,9 @@
             for other, candidate in text.services.items()
             if name in candidate.depends_on
         )
-        shares.append(max(1, dependency.concurrent_requests // max(1, sharing)))
+        # No host at all means that the list has not arrived, so the share is unknown.
+        share = dependency.concurrent_requests // sharing if sharing else 1
+        shares.append(max(1, share))
     return min(shares, default=None)
 
 
--- a/balsamspool/plugins/serving/handler.py
+++ b/balsamspool/plugins/serving/handler.py
@@ -30,6 +30,7 @@
     Service,
 )
 from balsamspool.plugins.configuration.codes import NO_CONFIGURATION
+from balsamspool.plugins.configuration.store import Configuration
 from balsamspool.plugins.configuration.text import Route
 from balsamspool.plugins.membership import MembershipPlugin
 from balsamspool.plugins.membership.instance import ListedState
@@ -99,6 +100,8 @@
         self._idle = asyncio.Event()
         self._feeds: set[Timeout] = set()
         self._left_at: float | None = None
+        self._drained_by_text = False
+        self._listed_as_leaving = False
 
     @property
     def service_name(self) -> str:
@@ -110,7 +113,8 @@
         """Whether this agent takes no new requests because it is to leave."""
         return (
             self._kernel.state is ProcessState.LEAVING
-            or self._is_listed_as_leaving()
+            or self._drained_by_text
+            or self._listed_as_leaving
             or self._backend.draining
         )
 
@@ -123,6 +127,9 @@
         """Connect admission with the service and its backend server."""
         self._admission.serve(self._settings.service)
         self._backend.on_recovery(self._admission.backend_recovered)
+        self._configuration.subscribe(self._on_configuration)
+        self._membership.subscribe(self._on_list)
+        self._on_list()
 
     async def drain(self) -> None:
         """Wait for the requests in progress; feeds end after the limit of the text."""
@@ -232,15 +239,14 @@
             limit = min(limit, asked)
         return Deadline.after(limit / 1000)
 
-    def _is_listed_as_leaving(self) -> bool:
+    def _on_configuration(self, configuration: Configuration) -> None:
         name = self._kernel.identity.instance
-        if self._configuration.ready:
-            document = self._configuration.current.document
-            if name in document.draining_hosts:
-                return True
-        # An earlier process on the same instance may still be listed as leaving, but
-        # the platform lists a restarted one as live within its lag.
-        return any(
+        self._drained_by_text = name in configuration.document.draining_hosts
+
+    def _on_list(self) -> None:
+        # Kept, because a scan of the list for each request grows with the fleet.
+        name = self._kernel.identity.instance
+        self._listed_as_leaving = any(
             instance.instance == name and instance.state is ListedState.LEAVING
             for instance in self._membership.instances
         )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -279,6 +279,8 @@
         text.dependencies["billing"] = Dependency(concurrent_requests=12)
         hosts = Counter(portal=4, records=2, other=9)
         self.assertEqual(dependency_share(text, services["portal"], hosts), 2)
+        # Before the list has arrived nothing is known of the other hosts.
+        self.assertEqual(dependency_share(text, services["portal"], Counter()), 1)
         hosts["portal"] = 400
         self.assertEqual(dependency_share(text, services["portal"], hosts), 1)
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -13,14 +13,19 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from prometheus_client import CollectorRegistry
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import SimpleSpanProcessor
+from opentelemetry.sdk.trace.export.in_memory_span_exporter import (
+    InMemorySpanExporter,
+)
+from prometheus_client import CollectorRegistry, generate_latest
 
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.errors import Outcome, ResultError
 from balsamspool.kernel.identity import Identity, Role
 from balsamspool.kernel.keyring import KeyRing, KeySet
 from balsamspool.kernel.lifecycle import ProcessState
-from balsamspool.plugins.admission import AdmissionPlugin
+from balsamspool.plugins.admission import AdmissionPlugin, plugin
 from balsamspool.plugins.admission.keys import First, KeyRecord, KeyTable
 from balsamspool.plugins.admission.plugin import AdmissionSettings
 from balsamspool.plugins.backend import BackendPlugin
@@ -28,6 +33,7 @@
 from balsamspool.plugins.configuration import ConfigurationPlugin
 from balsamspool.plugins.membership import MembershipPlugin
 from balsamspool.plugins.mesh.message import PeerAddress
+from balsamspool.plugins.platform import PlatformValue
 from balsamspool.plugins.serving.handler import ServingPlugin, ServingSettings
 from balsamspool.plugins.serving.keyed import KEY_PATH
 from balsamspool.requests.answer import ResponseWriter
@@ -167,6 +173,22 @@
         configuration = self.kernel.plugins[ConfigurationPlugin]
         configuration.offer(revision, json.dumps(self.text))
 
+    def list_as(self, state):
+        identity = self.kernel.identity
+        listed = {
+            "instance": identity.instance,
+            "role": "agent",
+            "state": state,
+            "failure_domain": "d",
+            "address": identity.address,
+            "data_port": 1,
+            "peer_port": identity.peer_port,
+            "admin_port": 3,
+            "service": "s",
+        }
+        value = PlatformValue(1, json.dumps([listed]))
+        self.kernel.plugins[MembershipPlugin]._on_value(value)
+
     async def start(self):
         await self.kernel.plugins[AdmissionPlugin].start()
         await self.serving.start()
@@ -410,7 +432,7 @@
         """Guards against new work at a server that leaves, in each way of leaving."""
 
         async def scenario():
-            for way in ("process", "text", "backend", "dead"):
+            for way in ("process", "text", "list", "backend", "dead"):
                 agent, peer = await Agent().start(), await Agent().start()
                 match way:
                     case "process":
@@ -418,6 +440,8 @@
                     case "text":
                         agent.text["draining_hosts"] = ["a"]
                         agent.offer(2)
+                    case "list":
+                        agent.list_as("leaving")
                     case "backend":
                         agent.backend.draining = True
                     case "dead":
@@ -450,6 +474,34 @@
 
         run(scenario)
 
+    def test_metrics_and_span_of_admission(self):
+        """Guards against sheds, keys and waits that operators cannot see."""
+        exporter, provider = InMemorySpanExporter(), TracerProvider()
+        provider.add_span_processor(SimpleSpanProcessor(exporter))
+
+        async def scenario():
+            agent = await Agent(slots_per_host=1, queue_per_host=0).start()
+            trace = [("traceparent", f"00-{'ab' * 16}-{'cd' * 8}-01")]
+            with patch.object(plugin, "_tracer", provider.get_tracer("balsamspool")):
+                task, _ = agent.call("POST", "/ticket", trace + await agent.key())
+                await asyncio.sleep(0.01)
+                shed = await agent.ask("GET", "/x")
+                self.assertEqual((shed.status, shed.headers["retry-after"]), (503, "1"))
+                await task
+            return generate_latest(agent.kernel.metrics).decode()
+
+        metrics = run(scenario)
+        for line in (
+            'balsamspool_admission_shed_requests_total{reason="queue-full"} 1.0',
+            'balsamspool_admission_keys{state="Done"} 1.0',
+            "balsamspool_admission_wait_seconds_count 1.0",
+            "balsamspool_admission_busy_slots 0.0",
+        ):
+            self.assertIn(line, metrics)
+        decisions = {s.attributes["decision"]: s for s in exporter.get_finished_spans()}
+        self.assertEqual(set(decisions), {"Admit", "Shed"})
+        self.assertEqual(decisions["Admit"].context.trace_id, int("ab" * 16, 16))
+
     def test_drain_waits_for_requests(self):
         """Guards against a planned stop that cuts a request off."""
 
