Relay queued requests when the agent began to leave meanwhile

Cause: the grace of queued requests began when the leave was first noticed, which could be seconds late while all slots were busy. Change: a queued request is dispatched by a leaving agent only within 2 s of its arrival, at which the agent still accepted. Histories now include pauses of the process, also beyond the lifetime of keys. Conclusion: a leaving host takes no new work after 2 s.

--- a/balsamspool/plugins/serving/handler.py
+++ b/balsamspool/plugins/serving/handler.py
@@ -53,7 +53,7 @@
 
 # Peers that may be asked one after the other, each only after a statement "not run".
 MAX_PEERS = 2
-# Requests that were queued before a leave are still dispatched within this time.
+# A request that was queued before a leave is still dispatched within this time.
 LEAVING_GRACE_SECONDS = 2.0
 
 
@@ -99,7 +99,6 @@
         self._running = 0
         self._idle = asyncio.Event()
         self._feeds: set[Timeout] = set()
-        self._left_at: float | None = None
         self._drained_by_text = False
         self._listed_as_leaving = False
 
@@ -272,11 +271,13 @@
             limit = work.service.limits.request_body_bytes
             await read_body(request, BUFFERED_BYTES, limit)
         self._budget.record_attempt()
+        arrived = now()
         while True:
             match await self._decide(work):
                 case Admit(slot):
                     with slot:
-                        if self._may_dispatch() and await self._run_here(work, writer):
+                        allowed = self._may_dispatch(arrived)
+                        if allowed and await self._run_here(work, writer):
                             return
                     work.local = False
                 case Relay(peer):
@@ -310,14 +311,10 @@
             return []
         return [peer for peer in self._relay.peers() if peer.address not in work.tried]
 
-    def _may_dispatch(self) -> bool:
-        # The agent may have begun to leave while the request waited for its slot.
-        if not self.leaving:
-            self._left_at = None
-            return True
-        if self._left_at is None:
-            self._left_at = now()
-        return now() - self._left_at < LEAVING_GRACE_SECONDS
+    def _may_dispatch(self, arrived: float) -> bool:
+        # The agent may have begun to leave while the request waited for its slot. It
+        # was accepting when the request arrived, so it began no earlier than that.
+        return not self.leaving or now() - arrived < LEAVING_GRACE_SECONDS
 
     async def _run_here(self, work: Work, writer: ResponseWriter) -> bool:
         """Dispatch a request once and return whether it has been answered."""
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -457,6 +457,23 @@
 
         run(scenario)
 
+    def test_queued_request_leaves_with_the_agent(self):
+        """Guards against new work at a server that began to leave seconds ago."""
+
+        async def scenario():
+            agent, peer = await Agent(slots_per_host=1).start(), await Agent().start()
+            first, _ = agent.call("GET", "/x?seconds=5")
+            second, writer = agent.call("GET", "/x?id=second")
+            await asyncio.sleep(1)
+            agent.kernel.state = ProcessState.LEAVING
+            agent.serving.set_relay(FakeRelay(peer))
+            await asyncio.gather(first, second)
+            self.assertEqual(writer.status, 201)
+            runs = agent.backend.runs["second"], peer.backend.runs["second"]
+            self.assertEqual(runs, (0, 1))
+
+        run(scenario)
+
     def test_refused_connection_is_tried_at_peers_within_bounds(self):
         """Guards against endless attempts and against attempts after a dispatch."""
 
@@ -538,6 +555,7 @@
     key: int | None
     query: str
     gives_up: float | None
+    pause: float = 0.0
 
 
 calls = st.lists(
@@ -547,6 +565,8 @@
         key=st.sampled_from([None, 0, 0, 1]),
         query=st.sampled_from(["", "&seconds=1", "&failed=1", "&refused=1", "&cut=1"]),
         gives_up=st.sampled_from([None, None, 0.0, 0.02, 0.3, 1.0]),
+        # The process stands still, at times until all keys have expired.
+        pause=st.sampled_from([0.0, 0.0, 0.0, 0.0, 15.0, 700.0]),
     ),
     max_size=16,
 )
@@ -559,6 +579,7 @@
     queries, told, problems, tasks = {}, [], [], []
     for number, call in enumerate(schedule):
         await asyncio.sleep(call.gap)
+        asyncio.get_running_loop().advance(call.pause)
         if call.key is None:
             name = f"plain-{number}"
             path, headers = f"/x?id={name}{call.query}", []
