Test large request bodies

Cause: no test covered bodies that are streamed while a slot is held. Change: a test streams 300,000 bytes to the stand-in and passes a limit. Conclusion: large bodies arrive whole, and a passed limit keeps its code.

--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -27,6 +27,8 @@
 )
 from balsamspool.plugins.backend.outlier import OutlierJudge, Standing
 from balsamspool.plugins.backend.plugin import BackendPlugin, BackendSettings
+from balsamspool.plugins.serving.body import read_body
+from balsamspool.plugins.serving.codes import BODY_LIMIT_PASSED
 from balsamspool.requests.request import Request
 from standins.backend_server import BackendServerStandIn, Behaviour, Course
 from tests.test_admission_clock import run_paused
@@ -127,6 +129,26 @@
             task.cancel()
             await until(lambda: server.cancelled == 1 and server.busy == 0)
 
+    async def test_large_body_is_streamed_and_its_limit_keeps_its_code(self):
+        """Guards against large bodies that are lost, and against an unclear failure."""
+
+        async def chunks():
+            for _ in range(30):
+                yield bytes(10_000)
+
+        async with run_server() as (server, plugin):
+            for limit, code in ((400_000, None), (200_000, BODY_LIMIT_PASSED)):
+                request = Request("POST", "/x", [], chunks())
+                await read_body(request, 65_536, limit)
+                self.assertIsNone(request.content)
+                try:
+                    _, body = await fetch(plugin, request)
+                    self.assertEqual(json.loads(body)["body_bytes"], 300_000)
+                except ResultError as error:
+                    self.assertIs(error.code, code)
+                else:
+                    self.assertIsNone(code)
+
     async def test_deadline_and_trace_are_passed_on(self):
         """Guards against hops that lose the deadline or the trace."""
         exporter = InMemorySpanExporter()
