--- a/balsamspool/plugins/serving/handler.py
+++ b/balsamspool/plugins/serving/handler.py
@@ -30,6 +30,7 @@
     Service,
 )
 from balsamspool.plugins.configuration.codes import NO_CONFIGURATION
+from balsamspool.plugins.configuration.store import Configuration
 from balsamspool.plugins.configuration.text import Route
 from balsamspool.plugins.membership import MembershipPlugin
 from balsamspool.plugins.membership.instance import ListedState
@@ -52,7 +53,7 @@
 
 # Peers that may be asked one after the other, each only after a statement "not run".
 MAX_PEERS = 2
-# Requests that were queued before a leave are still dispatched within this time.
+# A request that was queued before a leave is still dispatched within this time.
 LEAVING_GRACE_SECONDS = 2.0
 
 
@@ -98,7 +99,8 @@
         self._running = 0
         self._idle = asyncio.Event()
         self._feeds: set[Timeout] = set()
-        self._left_at: float | None = None
+        self._drained_by_text = False
+        self._listed_as_leaving = False
 
     @property
     def service_name(self) -> str:
@@ -110,7 +112,8 @@
         """Whether this agent takes no new requests because it is to leave."""
         return (
             self._kernel.state is ProcessState.LEAVING
-            or self._is_listed_as_leaving()
+            or self._drained_by_text
+            or self._listed_as_leaving
             or self._backend.draining
         )
 
@@ -123,6 +126,9 @@
         """Connect admission with the service and its backend server."""
         self._admission.serve(self._settings.service)
         self._backend.on_recovery(self._admission.backend_recovered)
+        self._configuration.subscribe(self._on_configuration)
+        self._membership.subscribe(self._on_list)
+        self._on_list()
 
     async def drain(self) -> None:
         """Wait for the requests in progress; feeds end after the limit of the text."""
@@ -232,15 +238,14 @@
             limit = min(limit, asked)
         return Deadline.after(limit / 1000)
 
-    def _is_listed_as_leaving(self) -> bool:
+    def _on_configuration(self, configuration: Configuration) -> None:
         name = self._kernel.identity.instance
-        if self._configuration.ready:
-            document = self._configuration.current.document
-            if name in document.draining_hosts:
-                return True
-        # An earlier process on the same instance may still be listed as leaving, but
-        # the platform lists a restarted one as live within its lag.
-        return any(
+        self._drained_by_text = name in configuration.document.draining_hosts
+
+    def _on_list(self) -> None:
+        # Kept, because a scan of the list for each request grows with the fleet.
+        name = self._kernel.identity.instance
+        self._listed_as_leaving = any(
             instance.instance == name and instance.state is ListedState.LEAVING
             for instance in self._membership.instances
         )
@@ -266,11 +271,13 @@
             limit = work.service.limits.request_body_bytes
             await read_body(request, BUFFERED_BYTES, limit)
         self._budget.record_attempt()
+        arrived = now()
         while True:
             match await self._decide(work):
                 case Admit(slot):
                     with slot:
-                        if self._may_dispatch() and await self._run_here(work, writer):
+                        allowed = self._may_dispatch(arrived)
+                        if allowed and await self._run_here(work, writer):
                             return
                     work.local = False
                 case Relay(peer):
@@ -304,14 +311,10 @@
             return []
         return [peer for peer in self._relay.peers() if peer.address not in work.tried]
 
-    def _may_dispatch(self) -> bool:
-        # The agent may have begun to leave while the request waited for its slot.
-        if not self.leaving:
-            self._left_at = None
-            return True
-        if self._left_at is None:
-            self._left_at = now()
-        return now() - self._left_at < LEAVING_GRACE_SECONDS
+    def _may_dispatch(self, arrived: float) -> bool:
+        # The agent may have begun to leave while the request waited for its slot. It
+        # was accepting when the request arrived, so it began no earlier than that.
+        return not self.leaving or now() - arrived < LEAVING_GRACE_SECONDS
 
     async def _run_here(self, work: Work, writer: ResponseWriter) -> bool:
         """Dispatch a request once and return whether it has been answered."""
