Detect a lost last part of a relayed stream

Cause: a request whose last body parts were lost waited for ever without a deadline; the schedule test with delays of 0.5 s found it (virtual time ran past 22,000 s).

--- a/balsamspool/plugins/relay/client.py
+++ b/balsamspool/plugins/relay/client.py
@@ -65,6 +65,7 @@
     reader: PartReader[RelayHead | bytes] = field(default_factory=PartReader)
     gate: CreditGate = field(default_factory=CreditGate)
     credited: int = WINDOW_COST
+    sent: int = 0
 
 
 class RelayClient:
@@ -102,7 +103,7 @@
     def beat(self) -> None:
         """Tell the peers that the answers are still wanted."""
         for session in self._sessions.values():
-            beat = RelayHeartbeat(session.relay, session.reader.credit)
+            beat = RelayHeartbeat(session.relay, session.reader.credit, session.sent)
             self._mesh.send(session.peer, beat, session.incarnation)
 
     async def run(
@@ -182,24 +183,21 @@
             raise ResultError(RELAY_MISMATCH, "the answer has no head")
 
     async def _upload(self, session: _Session, request: Request) -> None:
-        sequence = 0
         try:
             async for chunk in request.body:
                 for data in split(chunk):
-                    await self._send_part(session, sequence, data, last=False)
-                    sequence += 1
-            await self._send_part(session, sequence, b"", last=True)
+                    await self._send_part(session, data, last=False)
+            await self._send_part(session, b"", last=True)
         except ResultError as error:
             session.reader.fail(error)
         except Exception as error:
             # The caller's side of the body may fail in any way its protocol has.
             session.reader.fail(ResultError(RELAY_BODY_FAILED, repr(error)))
 
-    async def _send_part(
-        self, session: _Session, sequence: int, data: bytes, last: bool
-    ) -> None:
+    async def _send_part(self, session: _Session, data: bytes, last: bool) -> None:
         await session.gate.take(len(data))
-        part = RelayBody(session.relay, sequence, data, last)
+        part = RelayBody(session.relay, session.sent, data, last)
+        session.sent += 1
         match await self._mesh.deliver(session.peer, part, session.incarnation):
             case NotSent(reason):
                 raise ResultError(RELAY_BODY_FAILED, f"mesh: {reason}")
@@ -215,9 +213,12 @@
                 reader.accept(sequence, data, len(data))
             case RelayEnd(count=count, bytes=size):
                 reader.end(count, size)
-            case RelayCredit(bytes=total) | RelayHeartbeat(bytes=total):
+            case RelayCredit(bytes=total):
                 reader.heard()
                 session.gate.grant(total)
+            case RelayHeartbeat(bytes=total, sent=sent):
+                reader.announce(sent)
+                session.gate.grant(total)
             case RelayFailed(code=number, detail=detail):
                 code = _known(number, Outcome.UNKNOWN, RELAY_PEER_FAILED)
                 reader.fail(ResultError(code, f"peer: {number}: {detail}"))
--- a/balsamspool/plugins/relay/messages.py
+++ b/balsamspool/plugins/relay/messages.py
@@ -140,10 +140,17 @@
 @mesh_message(39)
 @dataclass(frozen=True, slots=True)
 class RelayHeartbeat:
-    """The sender still works on the request; repeats the credit it gave last."""
+    """The sender still works on the request.
+
+    Attributes:
+        relay: ID of the request.
+        bytes: Total cost that the receiver may have sent, as in ``RelayCredit``.
+        sent: Number of parts that the sender has sent.
+    """
 
     relay: RelayId
     bytes: int
+    sent: int
 
 
 @mesh_message(50, lifetime=2.0)
--- a/balsamspool/plugins/relay/server.py
+++ b/balsamspool/plugins/relay/server.py
@@ -71,6 +71,7 @@
     reader: PartReader[bytes] = field(default_factory=PartReader)
     gate: CreditGate = field(default_factory=CreditGate)
     credited: int = WINDOW_COST
+    sent: int = 0
     task: "asyncio.Task[None] | None" = None
 
 
@@ -82,19 +83,18 @@
         session: The request.
     """
 
-    __slots__ = ("_bytes", "_count", "_ended", "_mesh", "_session")
+    __slots__ = ("_bytes", "_ended", "_mesh", "_session")
 
     def __init__(self, mesh: MeshLink, session: _Session) -> None:
         self._mesh = mesh
         self._session = session
-        self._count = 0
         self._bytes = 0
         self._ended = False
 
     @property
     def started(self) -> bool:
         """Whether the status has been sent."""
-        return self._count > 0
+        return self._session.sent > 0
 
     @property
     def ended(self) -> bool:
@@ -104,21 +104,23 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send status and header fields."""
         await self._session.gate.take(0)
-        self._count = 1
+        self._session.sent = 1
         await self._deliver(RelayHead(self._session.relay, status, headers))
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body; waits while the issuer gives no credit."""
         for part in split(data):
             await self._session.gate.take(len(part))
-            sequence, self._count = self._count, self._count + 1
+            message = RelayData(self._session.relay, self._session.sent, part)
+            self._session.sent += 1
             self._bytes += len(part)
-            await self._deliver(RelayData(self._session.relay, sequence, part))
+            await self._deliver(message)
 
     async def finish(self) -> None:
         """Mark the answer as whole."""
         self._ended = True
-        await self._deliver(RelayEnd(self._session.relay, self._count, self._bytes))
+        session = self._session
+        await self._deliver(RelayEnd(session.relay, session.sent, self._bytes))
 
     async def abort(self, error: ResultError) -> None:
         """State that the answer will not be whole."""
@@ -192,7 +194,7 @@
                 RELAY_ENDED_EARLY.log(_logger, relay=session.relay.number)
                 session.task.cancel()
                 continue
-            beat = RelayHeartbeat(session.relay, session.reader.credit)
+            beat = RelayHeartbeat(session.relay, session.reader.credit, session.sent)
             self._mesh.send(session.issuer, beat, session.relay.issuer)
 
     async def wait_idle(self) -> None:
@@ -296,9 +298,12 @@
                 session.reader.accept(sequence, data, len(data))
                 if last:
                     session.reader.end(sequence + 1)
-            case RelayCredit(bytes=total) | RelayHeartbeat(bytes=total):
+            case RelayCredit(bytes=total):
                 session.reader.heard()
                 session.gate.grant(total)
+            case RelayHeartbeat(bytes=total, sent=sent):
+                session.reader.announce(sent)
+                session.gate.grant(total)
             case RelayCancel():
                 if session.task is not None:
                     session.task.cancel()
--- a/balsamspool/plugins/relay/stream.py
+++ b/balsamspool/plugins/relay/stream.py
@@ -47,6 +47,7 @@
     """
 
     __slots__ = (
+        "_announced",
         "_buffered",
         "_changed",
         "_count",
@@ -63,6 +64,7 @@
     def __init__(self) -> None:
         self._parts: dict[int, Part[T]] = {}
         self._next = 0
+        self._announced = 0
         self._buffered = 0
         self._taken = 0
         self._total = 0
@@ -92,6 +94,13 @@
         """Note a sign of life of the sender."""
         self._heard_at = now()
 
+    def announce(self, count: int) -> None:
+        """Note how many parts the sender has sent, so that a lost last one shows."""
+        self.heard()
+        if count > self._announced:
+            self._announced = count
+            self._note_gap()
+
     def accept(self, sequence: int, value: T, size: int) -> None:
         """Take a part; a repeated one is dropped."""
         self.heard()
@@ -153,7 +162,7 @@
             raise ResultError(RELAY_MISMATCH, detail)
 
     def _note_gap(self) -> None:
-        unfinished = self._count is not None and self._next < self._count
+        unfinished = self._next < max(self._announced, self._count or 0)
         if self._next in self._parts or not (self._parts or unfinished):
             self._gap_since = None
         elif self._gap_since is None:
@@ -161,17 +170,20 @@
         self._changed.set()
 
     async def _wait(self) -> None:
-        due = self._heard_at + SILENCE_SECONDS
+        heard_at = self._heard_at
+        silent_due = heard_at + SILENCE_SECONDS
+        gap_due = silent_due
         if self._gap_since is not None:
-            due = min(due, self._gap_since + GAP_SECONDS)
+            gap_due = self._gap_since + GAP_SECONDS
         try:
-            async with asyncio.timeout_at(due):
+            async with asyncio.timeout_at(min(silent_due, gap_due)):
                 await self._changed.wait()
         except TimeoutError:
-            if self._gap_since is not None and now() >= self._gap_since + GAP_SECONDS:
+            # A part that closes the gap would have ended the wait.
+            if gap_due < silent_due:
                 detail = f"part {self._next} is missing"
                 raise ResultError(RELAY_INCOMPLETE, detail) from None
-            if self.silent or now() >= self._heard_at + SILENCE_SECONDS:
+            if self._heard_at == heard_at:
                 detail = f"nothing for {SILENCE_SECONDS:g} s"
                 raise ResultError(RELAY_SILENT, detail) from None
 
