--- a/balsamspool/plugins/mesh/connections.py
+++ b/balsamspool/plugins/mesh/connections.py
@@ -1,9 +1,10 @@
 """Connections at the listening socket, of peers and of strangers."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
-from pynng import Pipe, Pull0
+from pynng import NNGException, Pipe, Pull0
 
 from balsamspool.kernel.clock import now
 
@@ -56,7 +57,9 @@
         self._unverified.pop(pipe.id, None)
         self._verified.pop(pipe.id, None)
         self._on_dropped(reason)
-        pipe.close()
+        # The stranger may have closed the connection first.
+        with contextlib.suppress(NNGException):
+            pipe.close()
 
     async def watch(self) -> None:
         """Close connections that stay unverified, until cancelled."""
