Connect the parts and test them together

Cause: the parts were built against fakes of each other. Change: the front end answers through the return path's routes and hands opening packets over; load and state of serving and admission travel with each answer and load report; the relay reports a peer's refusal with its code and Retry-After; a paused agent takes no new flows until peers were asked; caller's dot segments are refused; the HTTP client sends paths unchanged; only the system itself sends balsamspool-result.

--- a/balsamspool/plugins/backend/client.py
+++ b/balsamspool/plugins/backend/client.py
@@ -14,6 +14,7 @@
     ConnectionTimeoutError,
     TCPConnector,
 )
+from yarl import URL
 
 from balsamspool.kernel.clock import Deadline
 from balsamspool.kernel.errors import ResultError
@@ -22,6 +23,7 @@
     BACKEND_TIMEOUT,
     BACKEND_UNREACHABLE,
 )
+from balsamspool.requests.answer import RESULT_HEADER
 from balsamspool.requests.request import Headers
 
 CHUNK_BYTES = 64 * 1024
@@ -116,7 +118,8 @@
                 asyncio.timeout_at(deadline.at if deadline else None),
                 self._session.request(
                     method,
-                    self._address + path,
+                    # Otherwise the library resolves dot segments and decodes escapes.
+                    URL(self._address + path, encoded=True),
                     headers=headers,
                     data=body,
                     timeout=timeout,
@@ -124,6 +127,8 @@
                 ) as response,
             ):
                 fields = without_connection_headers(response.headers.items())
+                # Only the system itself may send result codes to callers.
+                fields = [pair for pair in fields if pair[0] != RESULT_HEADER]
                 yield BackendAnswer(response.status, fields, response)
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             raise ResultError(BACKEND_UNREACHABLE, str(error)) from error
--- a/balsamspool/plugins/backend/plugin.py
+++ b/balsamspool/plugins/backend/plugin.py
@@ -208,8 +208,9 @@
 def _request_headers(request: Request) -> Headers:
     fields = without_connection_headers(request.headers)
     fields = [pair for pair in fields if pair[0] not in _OWN_HEADERS]
-    if request.content is not None:
-        # The HTTP client sets the length of a body that it has in full.
+    if request.content is not None or request.method in _BODYLESS_METHODS:
+        # The HTTP client sets the length of a body that it has in full. A length
+        # without its body would keep the backend server waiting until the deadline.
         fields = [pair for pair in fields if pair[0] != "content-length"]
     if request.deadline is not None:
         left = str(max(1, int(request.deadline.remaining * 1000)))
--- a/balsamspool/plugins/forwarding/return_path.py
+++ b/balsamspool/plugins/forwarding/return_path.py
@@ -53,7 +53,7 @@
         self._membership = kernel.plugin(MembershipPlugin)
         self._transport: DatagramTransport | None = None
         self._on_forward: OnForward | None = None
-        self._load: Callable[[], int] = lambda: 0
+        self._signal: Callable[[], Signal] = self._process_signal
         identity = kernel.identity
         self._probes = EntryProbes(identity.instance, identity.failure_domain)
         self._probers: dict[Address, asyncio.Task[None]] = {}
@@ -85,9 +85,9 @@
         """Return the unanswered probes of the chosen entries."""
         return {"entries": self._probes.status()}
 
-    def report_load(self, source: Callable[[], int]) -> None:
-        """Set the function that returns the load of this host, 0 to 255."""
-        self._load = source
+    def report(self, source: Callable[[], Signal]) -> None:
+        """Set the function that returns what this host says of itself."""
+        self._signal = source
 
     def open_route(self, flow: FlowKey) -> ReturnRoute:
         """Return a route for the answers of one flow.
@@ -193,10 +193,9 @@
             jitter = random.uniform(1 - _PROBE_JITTER, 1 + _PROBE_JITTER)
             await asyncio.sleep(PROBE_SECONDS * jitter)
 
-    def _signal(self) -> Signal:
+    def _process_signal(self) -> Signal:
         leaving = self._kernel.state is not ProcessState.ACCEPTING
-        state = SignalState.LEAVING if leaving else SignalState.ACCEPTING
-        return Signal(state, min(max(self._load(), 0), 255))
+        return Signal(SignalState.LEAVING if leaving else SignalState.ACCEPTING, 0)
 
     def _send(self, envelope: Envelope, to: Address) -> None:
         if self._transport is None:
--- a/balsamspool/plugins/frontend/_fields.py
+++ b/balsamspool/plugins/frontend/_fields.py
@@ -14,6 +14,9 @@
 _TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 # Visible ASCII without the fragment sign; anything else must be percent-encoded.
 _PATH = re.compile(r"/[!-\"$-~]*")
+# A backend server may resolve these segments, and so serve another route than the one
+# by which the request was admitted.
+_DOT_SEGMENT = re.compile(r"/(\.|%2e){1,2}(/|$)", re.IGNORECASE)
 _REQUIRED = (":method", ":scheme", ":authority", ":path")
 # Not passed on: they concern this connection, or are set anew for the next hop.
 _OMITTED = frozenset(("host", "expect", "te", "trailer", "content-length", "cookie"))
@@ -95,6 +98,8 @@
     if not _TOKEN.fullmatch(method):
         raise ResultError(REQUEST_MALFORMED, f"method {method!r} is not a token")
     path = pseudo[":path"]
+    if _DOT_SEGMENT.search(path.partition("?")[0]):
+        raise ResultError(REQUEST_MALFORMED, f"path {path!r} has a dot segment")
     if not _PATH.fullmatch(path) and (method, path) != ("OPTIONS", "*"):
         raise ResultError(REQUEST_MALFORMED, f"path {path!r} is not valid")
 
--- a/balsamspool/plugins/frontend/_metrics.py
+++ b/balsamspool/plugins/frontend/_metrics.py
@@ -21,6 +21,7 @@
         "requests",
         "requests_open",
         "retries",
+        "handed_over",
     )
 
     def __init__(self, registry: CollectorRegistry) -> None:
@@ -42,6 +43,11 @@
         self.retries = Counter(
             f"{prefix}_retries", "Retry packets sent", registry=registry
         )
+        self.handed_over = Counter(
+            f"{prefix}_handed_over_datagrams",
+            "Opening packets handed over to a peer",
+            registry=registry,
+        )
         self.requests = Counter(
             f"{prefix}_requests",
             "Ended requests by status (0: none sent), result code and ending",
--- a/balsamspool/plugins/frontend/_quic.py
+++ b/balsamspool/plugins/frontend/_quic.py
@@ -27,6 +27,7 @@
     MAX_STREAM_DATA_FRAME_CAPACITY,
     QuicConnection,
     QuicConnectionId,
+    QuicReceiveContext,
     stream_is_client_initiated,
     stream_is_unidirectional,
 )
@@ -132,6 +133,17 @@
         else:
             self._unread.pop(stream_id, None)
 
+    def _payload_received(
+        self,
+        context: QuicReceiveContext,
+        plain: bytes,
+        crypto_frame_required: bool = False,
+    ) -> tuple[bool, bool]:
+        # The library closes a connection whose first packet carries no CRYPTO frame.
+        # A caller whose first packet went to a host that died retransmits to this one,
+        # and may begin with a packet that holds only PING.
+        return super()._payload_received(context, plain)
+
     def _replenish_connection_ids(self) -> None:
         limit = min(MAX_CONNECTION_IDS, self._remote_active_connection_id_limit)
         while len(self._host_cids) < limit:
--- a/balsamspool/plugins/frontend/connection.py
+++ b/balsamspool/plugins/frontend/connection.py
@@ -22,6 +22,7 @@
 from balsamspool.kernel.errors import ResultError
 from balsamspool.plugins.configuration import FeedRoute
 from balsamspool.plugins.configuration.text import Limits, Service
+from balsamspool.plugins.forwarding import ReturnRoute
 from balsamspool.plugins.frontend._fields import (
     InvalidFields,
     ValidFields,
@@ -34,7 +35,6 @@
     ServerHttp,
     TokenQuicConnection,
 )
-from balsamspool.plugins.frontend._route import ReturnRoute
 from balsamspool.plugins.frontend.codes import REQUEST_MALFORMED
 from balsamspool.plugins.frontend.exchange import Exchange
 from balsamspool.plugins.serving import ServingPlugin
--- a/balsamspool/plugins/frontend/listener.py
+++ b/balsamspool/plugins/frontend/listener.py
@@ -19,6 +19,7 @@
 from balsamspool.kernel.lifecycle import Kernel, ProcessState
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.kernel.settings import Section
+from balsamspool.plugins.admission import AdmissionPlugin
 from balsamspool.plugins.configuration import Configuration, ConfigurationPlugin
 from balsamspool.plugins.configuration.text import Service
 from balsamspool.plugins.forwarding import ReturnPathPlugin
@@ -26,7 +27,6 @@
 from balsamspool.plugins.frontend._metrics import FrontendMetrics
 from balsamspool.plugins.frontend._quic import TokenQuicConnection
 from balsamspool.plugins.frontend._retry import RetryTokens
-from balsamspool.plugins.frontend._route import EntryView, ReturnRoute
 from balsamspool.plugins.frontend._spans import connection_span
 from balsamspool.plugins.frontend._table import ConnectionTable
 from balsamspool.plugins.frontend.connection import Address, Connection
@@ -40,14 +40,28 @@
 )
 from balsamspool.plugins.frontend.opening import (
     AcceptOpening,
+    HandOverOpening,
     OpeningDecision,
     RefusalReason,
     RefuseOpening,
     ValidateAddress,
 )
 from balsamspool.plugins.frontend.tls import quic_configuration
-from balsamspool.plugins.membership import ListedState, MembershipPlugin
-from balsamspool.plugins.routing import RoutingPlugin
+from balsamspool.plugins.membership import ListedState, MembershipPlugin, Signal
+from balsamspool.plugins.membership.signals import SignalState
+from balsamspool.plugins.relay import RelayPlugin
+from balsamspool.plugins.routing import FlowKey, RoutingPlugin
+from balsamspool.plugins.routing.handover import (
+    Accept,
+    HandOver,
+    Handover,
+    HandoverDecision,
+    OwnHost,
+    OwnState,
+    Peer,
+    Refuse,
+)
+from balsamspool.plugins.routing.rendezvous import Candidate
 from balsamspool.plugins.routing.token import TOKEN_BYTES
 from balsamspool.plugins.serving import ServingPlugin
 
@@ -57,6 +71,8 @@
 MIN_OPENING_BYTES = 1200
 # Time for the last packets of connections that a stopping process closes.
 STOP_SECONDS = 1.0
+# Load of a peer that has not reported any.
+MAX_LOAD = 255
 
 Seconds = Annotated[float, Meta(gt=0)]
 
@@ -85,7 +101,15 @@
 @register(
     "frontend",
     roles=[Role.AGENT],
-    requires=["configuration", "membership", "routing", "return-path", "serving"],
+    requires=[
+        "configuration",
+        "membership",
+        "routing",
+        "return-path",
+        "admission",
+        "serving",
+        "relay",
+    ],
 )
 class FrontendPlugin(Plugin):
     """Ends the QUIC connections of the callers.
@@ -111,7 +135,9 @@
         self._metrics = FrontendMetrics(kernel.metrics)
         self._table = ConnectionTable(kernel.identity, self._codec)
         self._retry = RetryTokens(kernel.keyring)
-        self._entries = EntryView(self._membership)
+        self._admission = kernel.plugin(AdmissionPlugin)
+        self._relay = kernel.plugin(RelayPlugin)
+        self._handover = Handover()
         self._tasks: set[asyncio.Task[None]] = set()
         self._handshakes: set[Connection] = set()
         self._leaving = False
@@ -129,6 +155,7 @@
     async def start(self) -> None:
         """Take datagrams from the return path."""
         self._return_path.on_forward(self._on_forward)
+        self._return_path.report(self._signal)
         self._configuration.subscribe(self._on_configuration)
         self._membership.subscribe(self._review_state)
 
@@ -237,15 +264,15 @@
                 return self._accept(forward, header.destination_cid, accepted, traced)
             case ValidateAddress():
                 self._send_retry(forward, header, entry)
+            case HandOverOpening(peer):
+                self._metrics.handed_over.inc()
+                self._return_path.hand_over(forward, peer)
             case RefuseOpening(reason):
                 self._drop(reason.value)
         return None
 
     def _decide_opening(self, forward: Forward, header: QuicHeader) -> OpeningDecision:
-        """Decide what to do with a packet that belongs to no open connection.
-
-        The hand-over to a peer of a leaving or full agent belongs here.
-        """
+        """Decide what to do with a packet that belongs to no open connection."""
         if header.packet_type is not QuicPacketType.INITIAL:
             return RefuseOpening(RefusalReason.UNKNOWN_CONNECTION)
         if len(forward.payload) < MIN_OPENING_BYTES:
@@ -254,11 +281,21 @@
         original_id = self._proven_id(forward, header)
         if original_id is None and self._codec.decode(opening_id) is not None:
             return RefuseOpening(RefusalReason.UNKNOWN_CONNECTION)
-        if self._leaving:
-            return RefuseOpening(RefusalReason.LEAVING)
-        service = self._service()
-        if service is None or len(self._table) >= service.limits.connections_per_host:
-            return RefuseOpening(RefusalReason.CONNECTION_LIMIT)
+        if not self._configuration.fresh:
+            # The caller sends the packet again after the peers have been asked.
+            return RefuseOpening(RefusalReason.OLD_VIEW)
+        state = self._own_state()
+        if original_id is not None and state is not OwnState.ACCEPTING:
+            # The packet names this agent, so a peer could not take it.
+            return RefuseOpening(RefusalReason(state.value))
+        if original_id is None:
+            match self._decide_handover(forward, state):
+                case HandOver(peer):
+                    return HandOverOpening((peer.address, peer.data_port))
+                case Refuse():
+                    return RefuseOpening(RefusalReason(state.value))
+                case Accept():
+                    pass
         pending = len(self._handshakes)
         if pending >= self._settings.max_handshakes:
             return RefuseOpening(RefusalReason.HANDSHAKE_LIMIT)
@@ -268,6 +305,39 @@
             return ValidateAddress()
         return AcceptOpening(opening_id, retry_id=None)
 
+    def _own_state(self) -> OwnState:
+        service = self._service()
+        if self._leaving or not self._serving.accepting:
+            return OwnState.LEAVING
+        if service is None or len(self._table) >= service.limits.connections_per_host:
+            return OwnState.FULL
+        return OwnState.ACCEPTING
+
+    def _decide_handover(self, forward: Forward, state: OwnState) -> HandoverDecision:
+        key = FlowKey(forward.service, forward.caller_address, forward.caller_port)
+        own = OwnHost(self._kernel.identity.instance, state, self._admission.load)
+        return self._handover.decide(
+            key.encode(), own, self._peers(), forward.hops, now()
+        )
+
+    def _peers(self) -> list[Peer]:
+        known = {peer.instance: peer for peer in self._relay.peers()}
+        peers = []
+        for host in self._membership.hosts(self._serving.service_name):
+            report = known.get(host.instance)
+            if report is not None and not report.accepting:
+                continue
+            load = MAX_LOAD if report is None else report.load
+            candidate = Candidate(host.instance, host.address, host.data_port)
+            peers.append(Peer(candidate, load))
+        return peers
+
+    def _signal(self) -> Signal:
+        accepting = self._kernel.state is ProcessState.ACCEPTING
+        takes_flows = accepting and not self._leaving and self._serving.accepting
+        state = SignalState.ACCEPTING if takes_flows else SignalState.LEAVING
+        return Signal(state, self._admission.load)
+
     def _proven_id(self, forward: Forward, header: QuicHeader) -> bytes | None:
         if not header.token:
             return None
@@ -319,7 +389,7 @@
             TokenQuicConnection(
                 self._quic, accepted.original_id, issue_id, accepted.retry_id
             ),
-            ReturnRoute(self._entries),
+            self._return_path.open_route(FlowKey(number, *caller)),
             self._service,
             self._serving,
             send,
@@ -361,8 +431,8 @@
     def _reply(self, forward: Forward, packet: bytes, entry: Address) -> None:
         if forward.hops:
             # The sender is an agent, which cannot reach callers.
-            route = ReturnRoute(self._entries)
-            found = route.current()
+            flow = FlowKey(forward.service, forward.caller_address, forward.caller_port)
+            found = self._return_path.open_route(flow).current()
             if found is None:
                 self._drop("no-entry")
                 return
--- a/balsamspool/plugins/frontend/opening.py
+++ b/balsamspool/plugins/frontend/opening.py
@@ -12,6 +12,7 @@
     HANDSHAKE_LIMIT = "handshake-limit"
     TOO_SMALL = "small-opening"
     UNKNOWN_CONNECTION = "unknown-connection"
+    OLD_VIEW = "old-view"
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,4 +44,15 @@
     reason: RefusalReason
 
 
-OpeningDecision = AcceptOpening | ValidateAddress | RefuseOpening
+@dataclass(frozen=True, slots=True)
+class HandOverOpening:
+    """Pass the packet on to a peer.
+
+    Attributes:
+        peer: Address of the peer's data port.
+    """
+
+    peer: tuple[str, int]
+
+
+OpeningDecision = AcceptOpening | ValidateAddress | HandOverOpening | RefuseOpening
--- a/balsamspool/plugins/relay/client.py
+++ b/balsamspool/plugins/relay/client.py
@@ -157,7 +157,7 @@
             return Answered()
         except PeerRefusedError as error:
             if not writer.started:
-                return NotRun(error.code, error.detail)
+                return NotRun(error.code, error.detail, error.retry_after)
             failure: ResultError = ResultError(RELAY_MISMATCH, error.detail)
         except TimeoutError:
             failure = ResultError(RELAY_TIMEOUT, f"{request.method} {request.path}")
@@ -224,7 +224,8 @@
                 reader.fail(ResultError(code, f"peer: {number}: {detail}"))
             case RelayNotRun(code=number, detail=detail) if not reader.started:
                 code = _known(number, Outcome.NOT_RUN, RELAY_REFUSED)
-                reader.fail(PeerRefusedError(code, f"peer: {number}: {detail}"))
+                detail = f"peer: {number}: {detail}"
+                reader.fail(PeerRefusedError(code, detail, body.retry_after))
             case _:
                 reader.fail(ResultError(RELAY_MISMATCH, type(body).__name__))
 
--- a/balsamspool/plugins/relay/load.py
+++ b/balsamspool/plugins/relay/load.py
@@ -18,19 +18,6 @@
 LEAVING = "leaving"
 
 
-@dataclass(frozen=True, slots=True)
-class OwnLoad:
-    """Load of this agent.
-
-    Attributes:
-        load: Slots and queue in use, 0 to 255; 128 means that all slots are busy.
-        expected_wait: Seconds that a new request waits.
-    """
-
-    load: int = 0
-    expected_wait: float = 0.0
-
-
 @dataclass(frozen=True, slots=True)
 class _Known:
     load: PeerLoad
--- a/balsamspool/plugins/relay/messages.py
+++ b/balsamspool/plugins/relay/messages.py
@@ -130,11 +130,19 @@
 @mesh_message(38)
 @dataclass(frozen=True, slots=True)
 class RelayNotRun:
-    """The peer did not run the request and will not."""
+    """The peer did not run the request and will not.
+
+    Attributes:
+        relay: ID of the request.
+        code: Number of the result code.
+        detail: What happened.
+        retry_after: Seconds after which a caller may try again, if known.
+    """
 
     relay: RelayId
     code: int
     detail: str
+    retry_after: float | None = None
 
 
 @mesh_message(39)
--- a/balsamspool/plugins/relay/plugin.py
+++ b/balsamspool/plugins/relay/plugin.py
@@ -1,14 +1,14 @@
 """Plug-in that relays requests between the agents of a service."""
 
 import asyncio
-from collections.abc import Callable
 
 from prometheus_client import Counter, Gauge
 
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.identity import Role
-from balsamspool.kernel.lifecycle import Kernel, ProcessState
+from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.kernel.registry import Plugin, register
+from balsamspool.plugins.admission import AdmissionPlugin
 from balsamspool.plugins.membership import MembershipPlugin
 from balsamspool.plugins.mesh import MeshPlugin, Message, PeerAddress
 from balsamspool.plugins.relay.client import RelayClient
@@ -16,7 +16,6 @@
     ACCEPTING,
     LEAVING,
     LoadTable,
-    OwnLoad,
     PeerSample,
 )
 from balsamspool.plugins.relay.messages import (
@@ -48,7 +47,7 @@
 @register(
     "relay",
     roles=[Role.AGENT],
-    requires=["mesh", "serving", "membership", "configuration"],
+    requires=["mesh", "admission", "serving", "membership", "configuration"],
 )
 class RelayPlugin(Plugin):
     """Runs requests at peers, and requests of peers here.
@@ -64,11 +63,14 @@
         self._membership = kernel.plugin(MembershipPlugin)
         self._client = RelayClient(self._mesh, kernel.identity.incarnation)
         self._server = RelayServer(
-            self._mesh, self._serving.handle, kernel.spawn, self._is_leaving
+            self._mesh,
+            self._serving.run,
+            kernel.spawn,
+            lambda: self._serving.leaving,
         )
         self._loads = LoadTable()
         self._sample = PeerSample()
-        self._load_source: Callable[[], OwnLoad] = OwnLoad
+        self._admission = kernel.plugin(AdmissionPlugin)
         self._results = Counter(
             "balsamspool_relay_finished_requests",
             "Requests relayed to peers by result",
@@ -99,9 +101,7 @@
         for body_type in _TO_BOTH:
             self._mesh.subscribe(body_type, self._on_shared_message)
         self._mesh.subscribe(LoadReport, self._on_load)
-        set_relay = getattr(self._serving, "set_relay", None)
-        if set_relay is not None:
-            set_relay(self)
+        self._serving.set_relay(self)
         self._kernel.spawn(self._beat(), "relay heartbeats")
         self._kernel.spawn(self._report_loads(), "load reports")
 
@@ -119,10 +119,6 @@
             "known_loads": len(self._loads.loads(now())),
         }
 
-    def set_load_source(self, source: Callable[[], OwnLoad]) -> None:
-        """Set the function that returns the load of this agent."""
-        self._load_source = source
-
     async def run_at(
         self,
         peer: PeerAddress,
@@ -163,13 +159,9 @@
     def _on_load(self, message: Message) -> None:
         self._loads.note(message, now())
 
-    def _is_leaving(self) -> bool:
-        return self._kernel.state in (ProcessState.LEAVING, ProcessState.STOPPED)
-
     def _own_report(self) -> LoadReport:
-        own = self._load_source()
-        state = LEAVING if self._is_leaving() else ACCEPTING
-        return LoadReport(state, own.load, own.expected_wait)
+        state = ACCEPTING if self._serving.accepting else LEAVING
+        return LoadReport(state, self._admission.load, self._admission.expected_wait)
 
     def _service_peers(self) -> list[PeerAddress]:
         own = self._kernel.identity.instance
--- a/balsamspool/plugins/relay/server.py
+++ b/balsamspool/plugins/relay/server.py
@@ -11,7 +11,7 @@
 from opentelemetry.trace import SpanKind
 
 from balsamspool.kernel.clock import Deadline, now
-from balsamspool.kernel.errors import ResultCode, ResultError
+from balsamspool.kernel.errors import Outcome, ResultCode, ResultError
 from balsamspool.plugins.mesh.message import Message, NotSent, PeerAddress, Sent
 from balsamspool.plugins.relay.codes import (
     RELAY_PEER_FAILED,
@@ -146,7 +146,7 @@
 
     Args:
         mesh: Mesh that carries the messages.
-        handle: Runs a request and writes its answer.
+        handle: Runs a request and writes its answer if there is a whole one.
         spawn: Starts a task with a name.
         leaving: Returns whether this process takes no new work.
     """
@@ -290,7 +290,19 @@
             if not writer.ended:
                 # Without this word the issuer learns of the failure from silence.
                 with contextlib.suppress(ResultError):
-                    await writer.abort(failure)
+                    await self._report(session, writer, failure)
+
+    async def _report(
+        self, session: _Session, writer: RelayWriter, failure: ResultError
+    ) -> None:
+        code = failure.code
+        if writer.started or code.outcome is not Outcome.NOT_RUN:
+            await writer.abort(failure)
+            return
+        answer = RelayNotRun(
+            session.relay, code.number, failure.detail, failure.retry_after
+        )
+        self._mesh.send(session.issuer, answer, session.relay.issuer)
 
     def _apply(self, session: _Session, body: object) -> None:
         match body:
--- a/tests/test_configuration_exchange.py
+++ b/tests/test_configuration_exchange.py
@@ -7,6 +7,7 @@
 
 from prometheus_client import CollectorRegistry
 
+from balsamspool.kernel.clock import now
 from balsamspool.kernel.identity import Identity, Role
 from balsamspool.kernel.keyring import KeyRing, KeySet
 from balsamspool.plugins.configuration import plugin as configuration_module
@@ -86,12 +87,12 @@
         self.handlers[body_type] = handler
 
     def send(self, peer, body):
-        self.network.carry(self, peer, self.codec.seal(body))
+        self.network.carry(self, peer, self.codec.seal(body, now()))
 
     def receive(self, frame):
-        message = self.codec.open(frame)
-        if message is not None:
-            self.handlers[type(message.body)](message)
+        opened = self.codec.open(frame)
+        if opened is not None:
+            self.handlers[type(opened.message.body)](opened.message)
 
     def watch(self, name, known_revision, on_value):
         self.watched.append((known_revision(), on_value))
--- a/tests/test_forwarding_return.py
+++ b/tests/test_forwarding_return.py
@@ -95,10 +95,10 @@
     async def test_load_and_state_travel_with_each_answer(self):
         """Guards against entries that never learn the load of a host."""
         (entry,) = await self.start(1)
-        self.path.report_load(lambda: 900)
+        self.path.report(lambda: Signal(SignalState.LEAVING, 255))
         self.path.send(1, CALLER, b"answer", entry.address)
         await asyncio.sleep(0.1)
-        self.assertEqual(entry.returned[0].signal, Signal(SignalState.ACCEPTING, 255))
+        self.assertEqual(entry.returned[0].signal, Signal(SignalState.LEAVING, 255))
 
     async def test_removed_entries_are_no_longer_probed(self):
         """Guards against probe tasks whose number grows with each list."""
--- a/tests/test_frontend_connection.py
+++ b/tests/test_frontend_connection.py
@@ -27,7 +27,9 @@
         for n, ((address, port), state) in enumerate(states.items())
     ]
     membership = agent.kernel.plugin(MembershipPlugin)
-    membership._on_value(PlatformValue(membership._revision + 1, json.dumps(listed)))
+    revision = membership.holding().revision + 1
+    membership._on_value(PlatformValue(revision, json.dumps(listed)))
+    agent.return_path._choose_entries()
 
 
 async def silent_feed(request, writer):
--- a/tests/test_process_rules.py
+++ b/tests/test_process_rules.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 from pathlib import Path
 from unittest import IsolatedAsyncioTestCase
@@ -53,3 +54,19 @@
         self.assertFalse([d for d in descriptors(pid) if "io_uring" in d])
         maps = Path(f"/proc/{pid}/maps").read_text()
         self.assertNotIn("/dev/shm", maps)
+
+    async def test_second_signal_does_not_cut_requests_short(self):
+        """Guards against a stop that ends requests in progress."""
+        async with (
+            run_fleet([SERVICE]) as fleet,
+            open_caller(*fleet.addresses["portal"]) as caller,
+        ):
+            slow = asyncio.create_task(caller.request("GET", "/slow?seconds=2"))
+            await asyncio.sleep(0.5)
+            (agent,) = fleet.agents.values()
+            agent.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.2)
+            agent.send_signal(signal.SIGTERM)
+            answer = await slow
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(await agent.stop(), 0)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -8,7 +8,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from unittest import TestCase
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 from urllib.parse import parse_qs, urlsplit
 
 from hypothesis import given, settings
@@ -31,9 +31,11 @@
 from balsamspool.plugins.backend import BackendPlugin
 from balsamspool.plugins.backend.codes import BACKEND_FAILED, BACKEND_UNREACHABLE
 from balsamspool.plugins.configuration import ConfigurationPlugin
+from balsamspool.plugins.configuration.settings import ConfigurationSettings
 from balsamspool.plugins.membership import MembershipPlugin
+from balsamspool.plugins.mesh import MeshPlugin
 from balsamspool.plugins.mesh.message import PeerAddress
-from balsamspool.plugins.platform import PlatformValue
+from balsamspool.plugins.platform import PlatformPlugin, PlatformValue
 from balsamspool.plugins.serving.handler import ServingPlugin, ServingSettings
 from balsamspool.plugins.serving.keyed import KEY_PATH
 from balsamspool.requests.answer import ResponseWriter
@@ -59,7 +61,11 @@
         self.plugins = {}
 
     def section(self, name):
-        return AdmissionSettings(0.0) if name == "admission" else ServingSettings("s")
+        sections = {
+            "admission": AdmissionSettings(0.0),
+            "serving": ServingSettings("s"),
+        }
+        return sections.get(name) or ConfigurationSettings()
 
     def plugin(self, plugin_type):
         return self.plugins[plugin_type]
@@ -148,6 +154,8 @@
     def __init__(self, **limits):
         kernel = self.kernel = FakeKernel()
         self.backend = FakeBackend()
+        kernel.plugins[MeshPlugin] = Mock()
+        kernel.plugins[PlatformPlugin] = Mock()
         kernel.plugins[ConfigurationPlugin] = ConfigurationPlugin(kernel)
         kernel.plugins[MembershipPlugin] = MembershipPlugin(kernel)
         kernel.plugins[BackendPlugin] = self.backend
