--- a/balsamspool/commands/drain.py
+++ b/balsamspool/commands/drain.py
@@ -46,6 +46,6 @@
         report.instance.instance,
         report.state,
         report.value("frontend", "connections"),
-        report.value("serving", "requests"),
-        report.value("serving", "feeds"),
+        report.value("frontend", "requests"),
+        report.value("admission", "feeds"),
     )
--- a/balsamspool/kernel/registry.py
+++ b/balsamspool/kernel/registry.py
@@ -36,6 +36,11 @@
         """Whether the plug-in has what it needs to do its work."""
         return True
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the plug-in makes this process take no new work."""
+        return False
+
     async def start(self) -> None:
         """Open sockets and start tasks. Plug-ins in ``requires`` have started."""
 
--- a/balsamspool/plugins/telemetry/admin.py
+++ b/balsamspool/plugins/telemetry/admin.py
@@ -70,6 +70,13 @@
             # The exporter blocks until the collector answers or its timeout ends.
             await asyncio.to_thread(self._tracing.shutdown)
 
+    def _state(self) -> ProcessState:
+        state = self._kernel.state
+        leaving = any(plugin.leaving for plugin in self._kernel.plugins.values())
+        if state is ProcessState.ACCEPTING and leaving:
+            return ProcessState.LEAVING
+        return state
+
     async def _metrics(self, request: web.Request) -> web.Response:
         body = generate_latest(self._kernel.metrics)
         return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
@@ -81,11 +88,10 @@
         waiting = [
             name for name, plugin in self._kernel.plugins.items() if not plugin.ready
         ]
-        accepting = self._kernel.state is ProcessState.ACCEPTING
-        if accepting and not waiting:
+        state = self._state()
+        if state is ProcessState.ACCEPTING and not waiting:
             return web.Response(text="ready\n")
-        state = self._kernel.state.value
-        return web.Response(status=503, text=f"{state}, waiting for {waiting}\n")
+        return web.Response(status=503, text=f"{state.value}, waiting for {waiting}\n")
 
     async def _status(self, request: web.Request) -> web.Response:
         identity = self._kernel.identity
@@ -94,7 +100,7 @@
             "role": identity.role.value,
             "failure_domain": identity.failure_domain,
             "incarnation": identity.incarnation.hex(),
-            "state": self._kernel.state.value,
+            "state": self._state().value,
             "pauses": self._kernel.pauses,
             "plugins": {
                 name: plugin.status() for name, plugin in self._kernel.plugins.items()
