Decide in one place whether a host is asked to leave

Cause: serving and the front end each combined the text and the list, and the front end did not follow a backend server that drains, so its connections got no GOAWAY. Change: membership combines text and list; serving adds the process and the backend server; the front end follows serving. Conclusion: every way to leave has the same effect.

--- a/balsamspool/plugins/frontend/listener.py
+++ b/balsamspool/plugins/frontend/listener.py
@@ -20,7 +20,8 @@
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.kernel.settings import Section
 from balsamspool.plugins.admission import AdmissionPlugin
-from balsamspool.plugins.configuration import Configuration, ConfigurationPlugin
+from balsamspool.plugins.backend import BackendPlugin
+from balsamspool.plugins.configuration import ConfigurationPlugin
 from balsamspool.plugins.configuration.text import Service
 from balsamspool.plugins.forwarding import ReturnPathPlugin
 from balsamspool.plugins.forwarding.envelope import Forward, TracedForward
@@ -47,7 +48,7 @@
     ValidateAddress,
 )
 from balsamspool.plugins.frontend.tls import quic_configuration
-from balsamspool.plugins.membership import ListedState, MembershipPlugin, Signal
+from balsamspool.plugins.membership import MembershipPlugin, Signal
 from balsamspool.plugins.membership.signals import SignalState
 from balsamspool.plugins.relay import RelayPlugin
 from balsamspool.plugins.routing import FlowKey, RoutingPlugin
@@ -107,6 +108,7 @@
         "routing",
         "return-path",
         "admission",
+        "backend",
         "serving",
         "relay",
     ],
@@ -136,6 +138,7 @@
         self._table = ConnectionTable(kernel.identity, self._codec)
         self._retry = RetryTokens(kernel.keyring)
         self._admission = kernel.plugin(AdmissionPlugin)
+        self._backend = kernel.plugin(BackendPlugin)
         self._relay = kernel.plugin(RelayPlugin)
         self._handover = Handover()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -156,8 +159,8 @@
         """Take datagrams from the return path."""
         self._return_path.on_forward(self._on_forward)
         self._return_path.report(self._signal)
-        self._configuration.subscribe(self._on_configuration)
         self._membership.subscribe(self._review_state)
+        self._backend.on_draining(self._review_state)
 
     async def drain(self) -> None:
         """Take no new connections and wait until the open ones have ended."""
@@ -447,11 +450,8 @@
     def _service(self) -> Service | None:
         return self._configuration.service(self._serving.service_name)
 
-    def _on_configuration(self, configuration: Configuration) -> None:
-        self._review_state(configuration)
-
-    def _review_state(self, configuration: Configuration | None = None) -> None:
-        leaving = self._is_leaving(configuration)
+    def _review_state(self) -> None:
+        leaving = self._serving.leaving
         if leaving == self._leaving:
             return
         self._leaving = leaving
@@ -464,18 +464,3 @@
         feed_seconds = service.drain.feed_seconds if service is not None else 0.0
         for connection in connections:
             connection.drain(feed_seconds)
-
-    def _is_leaving(self, configuration: Configuration | None) -> bool:
-        if self._kernel.state in (ProcessState.LEAVING, ProcessState.STOPPED):
-            return True
-        instance = self._kernel.identity.instance
-        if configuration is None and self._configuration.ready:
-            configuration = self._configuration.current
-        if configuration is not None and (
-            instance in configuration.document.draining_hosts
-        ):
-            return True
-        return any(
-            listed.instance == instance and listed.state is ListedState.LEAVING
-            for listed in self._membership.instances
-        )
--- a/balsamspool/plugins/membership/plugin.py
+++ b/balsamspool/plugins/membership/plugin.py
@@ -69,6 +69,7 @@
             self,
             random.Random(),
         )
+        self._configuration.subscribe(self._on_configuration)
         self._ignored = Counter(
             "balsamspool_membership_ignored_lists",
             "Instance lists that were not taken over",
@@ -86,9 +87,13 @@
         """All listed instances."""
         return self._view.instances
 
+    @property
+    def asked_to_leave(self) -> bool:
+        """Whether the text or the list takes this process out of use."""
+        return self._view.asks_to_leave(self._kernel.identity.instance)
+
     async def start(self) -> None:
         """Ask peers, then watch the platform."""
-        self._configuration.subscribe(self._on_configuration)
         self._kernel.spawn(self._run(), "instance list exchange")
 
     def status(self) -> dict[str, object]:
@@ -105,7 +110,7 @@
         }
 
     def subscribe(self, callback: Callable[[], None]) -> None:
-        """Call a function after each change of the list."""
+        """Call a function after each change of the list or of the hosts to drain."""
         self._subscribers.append(callback)
 
     def note(
@@ -219,10 +224,14 @@
             for i in instances.values()
         )
         self._ready.set()
-        for callback in self._subscribers:
-            callback()
+        self._notify()
         if self.wants_text():
             self._exchange.announce()
 
     def _on_configuration(self, configuration: Configuration) -> None:
         self._view.drain(configuration.document.draining_hosts)
+        self._notify()
+
+    def _notify(self) -> None:
+        for callback in self._subscribers:
+            callback()
--- a/balsamspool/plugins/membership/view.py
+++ b/balsamspool/plugins/membership/view.py
@@ -100,6 +100,13 @@
             and self.accepts(instance)
         ]
 
+    def asks_to_leave(self, name: str) -> bool:
+        """Return whether the text or the list takes an instance out of use."""
+        listed = self._instances.get(name)
+        return name in self._draining or (
+            listed is not None and listed.state is ListedState.LEAVING
+        )
+
     def accepts(self, instance: Instance) -> bool:
         """Return whether an instance takes new work, as far as is known."""
         if instance.instance in self._draining:
--- a/balsamspool/plugins/serving/handler.py
+++ b/balsamspool/plugins/serving/handler.py
@@ -30,10 +30,8 @@
     Service,
 )
 from balsamspool.plugins.configuration.codes import NO_CONFIGURATION
-from balsamspool.plugins.configuration.store import Configuration
 from balsamspool.plugins.configuration.text import Route
 from balsamspool.plugins.membership import MembershipPlugin
-from balsamspool.plugins.membership.instance import ListedState
 from balsamspool.plugins.serving.body import (
     BUFFERED_BYTES,
     content_chunks,
@@ -99,8 +97,6 @@
         self._running = 0
         self._idle = asyncio.Event()
         self._feeds: set[Timeout] = set()
-        self._drained_by_text = False
-        self._listed_as_leaving = False
 
     @property
     def service_name(self) -> str:
@@ -111,9 +107,8 @@
     def leaving(self) -> bool:
         """Whether this agent takes no new requests because it is to leave."""
         return (
-            self._kernel.state is ProcessState.LEAVING
-            or self._drained_by_text
-            or self._listed_as_leaving
+            self._kernel.state in (ProcessState.LEAVING, ProcessState.STOPPED)
+            or self._membership.asked_to_leave
             or self._backend.draining
         )
 
@@ -126,9 +121,6 @@
         """Connect admission with the service and its backend server."""
         self._admission.serve(self._settings.service)
         self._backend.on_recovery(self._admission.backend_recovered)
-        self._configuration.subscribe(self._on_configuration)
-        self._membership.subscribe(self._on_list)
-        self._on_list()
 
     async def drain(self) -> None:
         """Wait for the requests in progress; feeds end after the limit of the text."""
@@ -238,18 +230,6 @@
             limit = min(limit, asked)
         return Deadline.after(limit / 1000)
 
-    def _on_configuration(self, configuration: Configuration) -> None:
-        name = self._kernel.identity.instance
-        self._drained_by_text = name in configuration.document.draining_hosts
-
-    def _on_list(self) -> None:
-        # Kept, because a scan of the list for each request grows with the fleet.
-        name = self._kernel.identity.instance
-        self._listed_as_leaving = any(
-            instance.instance == name and instance.state is ListedState.LEAVING
-            for instance in self._membership.instances
-        )
-
     async def _serve_feed(self, work: Work, writer: ResponseWriter) -> None:
         try:
             async with asyncio.timeout(None) as timeout:
