Move the decision on opening packets into a module of its own

Change: opening_policy.py decides; the listener carries out; TokenCheck is used. Conclusion: the decision can be read and tested without the listener.

--- a/balsamspool/plugins/frontend/_table.py
+++ b/balsamspool/plugins/frontend/_table.py
@@ -58,22 +58,6 @@
             found = self._openings.get((connection_id, caller))
         return found
 
-    def is_own(self, token: RoutingToken, service: int) -> bool:
-        """Return whether a token names this process and a service."""
-        identity = self._identity
-        return self.is_here(token, service) and (
-            token.incarnation == identity.incarnation[:INCARNATION_BYTES]
-        )
-
-    def is_here(self, token: RoutingToken, service: int) -> bool:
-        """Return whether a token names this address and a service in any start."""
-        identity = self._identity
-        return (token.service, token.address, token.data_port) == (
-            service,
-            identity.address,
-            identity.data_port,
-        )
-
     def new_id(self, service: int) -> bytes:
         """Return a connection ID that is not in use."""
         identity = self._identity
--- a/balsamspool/plugins/frontend/listener.py
+++ b/balsamspool/plugins/frontend/listener.py
@@ -42,38 +42,31 @@
 from balsamspool.plugins.frontend.opening import (
     AcceptOpening,
     HandOverOpening,
-    OpeningDecision,
-    RefusalReason,
     RefuseOpening,
     ValidateAddress,
 )
+from balsamspool.plugins.frontend.opening_policy import (
+    MIN_OPENING_BYTES,
+    HandshakeLimits,
+    OpeningPolicy,
+)
 from balsamspool.plugins.frontend.tls import quic_configuration
 from balsamspool.plugins.membership import MembershipPlugin, Signal
 from balsamspool.plugins.membership.signals import SignalState
-from balsamspool.plugins.relay import RelayPlugin
-from balsamspool.plugins.routing import FlowKey, RoutingPlugin
-from balsamspool.plugins.routing.handover import (
-    Accept,
-    HandOver,
-    Handover,
-    HandoverDecision,
-    OwnHost,
-    OwnState,
-    Peer,
-    Refuse,
-)
-from balsamspool.plugins.routing.rendezvous import Candidate
+from balsamspool.plugins.routing import FlowKey, RoutingPlugin, TokenCheck
 from balsamspool.plugins.routing.token import TOKEN_BYTES
+from balsamspool.plugins.routing.token_check import (
+    ForeignToken,
+    NoToken,
+    OwnToken,
+    TokenMismatch,
+)
 from balsamspool.plugins.serving import ServingPlugin
 
 _logger = logging.getLogger(__name__)
 
-# A caller pads every datagram with an opening packet to this size (RFC 9000, 14.1).
-MIN_OPENING_BYTES = 1200
 # Time for the last packets of connections that a stopping process closes.
 STOP_SECONDS = 1.0
-# Load of a peer that has not reported any.
-MAX_LOAD = 255
 
 Seconds = Annotated[float, Meta(gt=0)]
 
@@ -125,22 +118,26 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         settings: FrontendSettings = kernel.settings.section("frontend")
-        self._settings = settings
+        self._handshake_seconds = settings.handshake_seconds
         self._quic = quic_configuration(
             settings.certificate, settings.private_key, settings.idle_seconds
         )
-        self._codec = kernel.plugin(RoutingPlugin).codec
+        codec = kernel.plugin(RoutingPlugin).codec
         self._return_path = kernel.plugin(ReturnPathPlugin)
         self._serving = kernel.plugin(ServingPlugin)
         self._configuration = kernel.plugin(ConfigurationPlugin)
         self._membership = kernel.plugin(MembershipPlugin)
         self._metrics = FrontendMetrics(kernel.metrics)
-        self._table = ConnectionTable(kernel.identity, self._codec)
+        identity = kernel.identity
+        self._table = ConnectionTable(identity, codec)
+        self._check = TokenCheck(
+            codec, identity.address, identity.data_port, identity.incarnation
+        )
         self._retry = RetryTokens(kernel.keyring)
         self._admission = kernel.plugin(AdmissionPlugin)
         self._backend = kernel.plugin(BackendPlugin)
-        self._relay = kernel.plugin(RelayPlugin)
-        self._handover = Handover()
+        limits = HandshakeLimits(settings.max_handshakes, settings.retry_handshakes)
+        self._openings = OpeningPolicy(kernel, codec, self._retry, limits)
         self._tasks: set[asyncio.Task[None]] = set()
         self._handshakes: set[Connection] = set()
         self._leaving = False
@@ -150,6 +147,11 @@
         """Whether new connections are refused because this host takes no new work."""
         return self._leaving
 
+    @property
+    def check(self) -> TokenCheck:
+        """Checks whether a connection ID names this process."""
+        return self._check
+
     @property
     def table(self) -> ConnectionTable:
         """Open connections."""
@@ -249,11 +251,14 @@
         self._reply(forward, packet, entry)
 
     def _names_other(self, service: int, header: QuicHeader) -> bool:
-        token = self._codec.decode(header.destination_cid)
-        if token is None or self._table.is_own(token, service):
-            return False
-        # A caller may answer a Retry after this agent has started again.
-        return not (header.token and self._table.is_here(token, service))
+        match self._check.check(header.destination_cid, service):
+            case OwnToken() | NoToken():
+                return False
+            case ForeignToken(TokenMismatch.INCARNATION):
+                # A caller may answer a Retry after this agent has started again.
+                return not header.token
+            case ForeignToken():
+                return True
 
     def _open(
         self,
@@ -262,7 +267,9 @@
         entry: Address,
         traced: TracedForward | None,
     ) -> Connection | None:
-        match self._decide_opening(forward, header):
+        match self._openings.decide(
+            forward, header, len(self._table), len(self._handshakes)
+        ):
             case AcceptOpening() as accepted:
                 return self._accept(forward, header.destination_cid, accepted, traced)
             case ValidateAddress():
@@ -274,79 +281,12 @@
                 self._drop(reason.value)
         return None
 
-    def _decide_opening(self, forward: Forward, header: QuicHeader) -> OpeningDecision:
-        """Decide what to do with a packet that belongs to no open connection."""
-        if header.packet_type is not QuicPacketType.INITIAL:
-            return RefuseOpening(RefusalReason.UNKNOWN_CONNECTION)
-        if len(forward.payload) < MIN_OPENING_BYTES:
-            return RefuseOpening(RefusalReason.TOO_SMALL)
-        opening_id = header.destination_cid
-        original_id = self._proven_id(forward, header)
-        if original_id is None and self._codec.decode(opening_id) is not None:
-            return RefuseOpening(RefusalReason.UNKNOWN_CONNECTION)
-        if not self._configuration.fresh:
-            # The caller sends the packet again after the peers have been asked.
-            return RefuseOpening(RefusalReason.OLD_VIEW)
-        state = self._own_state()
-        if original_id is not None and state is not OwnState.ACCEPTING:
-            # The packet names this agent, so a peer could not take it.
-            return RefuseOpening(RefusalReason(state.value))
-        if original_id is None:
-            match self._decide_handover(forward, state):
-                case HandOver(peer):
-                    return HandOverOpening((peer.address, peer.data_port))
-                case Refuse():
-                    return RefuseOpening(RefusalReason(state.value))
-                case Accept():
-                    pass
-        pending = len(self._handshakes)
-        if pending >= self._settings.max_handshakes:
-            return RefuseOpening(RefusalReason.HANDSHAKE_LIMIT)
-        if original_id is not None:
-            return AcceptOpening(original_id, retry_id=opening_id)
-        if pending >= self._settings.retry_handshakes:
-            return ValidateAddress()
-        return AcceptOpening(opening_id, retry_id=None)
-
-    def _own_state(self) -> OwnState:
-        service = self._service()
-        if self._leaving or not self._serving.accepting:
-            return OwnState.LEAVING
-        if service is None or len(self._table) >= service.limits.connections_per_host:
-            return OwnState.FULL
-        return OwnState.ACCEPTING
-
-    def _decide_handover(self, forward: Forward, state: OwnState) -> HandoverDecision:
-        key = FlowKey(forward.service, forward.caller_address, forward.caller_port)
-        own = OwnHost(self._kernel.identity.instance, state, self._admission.load)
-        return self._handover.decide(
-            key.encode(), own, self._peers(), forward.hops, now()
-        )
-
-    def _peers(self) -> list[Peer]:
-        known = {peer.instance: peer for peer in self._relay.peers()}
-        peers = []
-        for host in self._membership.hosts(self._serving.service_name):
-            report = known.get(host.instance)
-            if report is not None and not report.accepting:
-                continue
-            load = MAX_LOAD if report is None else report.load
-            candidate = Candidate(host.instance, host.address, host.data_port)
-            peers.append(Peer(candidate, load))
-        return peers
-
     def _signal(self) -> Signal:
         accepting = self._kernel.state is ProcessState.ACCEPTING
         takes_flows = accepting and not self._leaving and self._serving.accepting
         state = SignalState.ACCEPTING if takes_flows else SignalState.LEAVING
         return Signal(state, self._admission.load)
 
-    def _proven_id(self, forward: Forward, header: QuicHeader) -> bytes | None:
-        if not header.token:
-            return None
-        caller = (forward.caller_address, forward.caller_port)
-        return self._retry.open(caller, header.token, header.destination_cid, now())
-
     def _send_retry(self, forward: Forward, header: QuicHeader, entry: Address) -> None:
         assert header.version is not None
         caller = (forward.caller_address, forward.caller_port)
@@ -400,7 +340,7 @@
             lambda connection_id: self._table.retire(connection, connection_id),
             self._metrics,
             span,
-            self._settings.handshake_seconds,
+            self._handshake_seconds,
         )
         self._table.add(connection, opening_id, caller)
         for connection_id in issued:
--- a/tests/test_frontend_connection.py
+++ b/tests/test_frontend_connection.py
@@ -10,6 +10,7 @@
 
 from balsamspool.kernel.clock import now
 from balsamspool.plugins.frontend.connection import INBOX_DATAGRAMS
+from balsamspool.plugins.frontend.opening_policy import OpeningPolicy
 from balsamspool.plugins.membership import MembershipPlugin
 from balsamspool.plugins.platform import PlatformValue
 from tests.frontend_case import FrontendCase
@@ -127,7 +128,7 @@
         agent = await self.open_agent()
         broken = mock.Mock(side_effect=RuntimeError("fault"))
         with (
-            mock.patch.object(agent.frontend, "_decide_opening", broken),
+            mock.patch.object(OpeningPolicy, "decide", broken),
             self.assertLogs("balsamspool", "ERROR") as logs,
         ):
             MemoryCaller(agent).start()
--- a/tests/test_quic_ids.py
+++ b/tests/test_quic_ids.py
@@ -5,6 +5,7 @@
 from aioquic.quic.packet import QuicPacketType, encode_quic_version_negotiation
 
 from balsamspool.plugins.routing.token import MAX_SERIAL
+from balsamspool.plugins.routing.token_check import OwnToken
 from tests.frontend_case import FrontendCase
 from tests.frontend_harness import CALLER, SERVICE, MemoryCaller
 
@@ -22,9 +23,8 @@
             seen.update(table.ids)
         self.assertGreater(len(seen), 40)
         for connection_id in seen:
-            token = agent.codec.decode(connection_id)
-            self.assertIsNotNone(token)
-            self.assertTrue(table.is_own(token, SERVICE))
+            verdict = agent.frontend.check.check(connection_id, SERVICE)
+            self.assertIsInstance(verdict, OwnToken)
         (connection,) = table.connections
         self.assertEqual(set(table.ids), set(connection.connection_ids))
         self.assertLessEqual(len(table.ids), 8)
@@ -136,8 +136,9 @@
         retry = agent.sent[0][1]
         self.assertEqual((retry[0] >> 4) & 3, QuicPacketType.RETRY.value)
         at = 6 + retry[5]
-        token = agent.codec.decode(retry[at + 1 : at + 1 + retry[at]])
-        self.assertTrue(agent.frontend.table.is_own(token, SERVICE))
+        retry_id = retry[at + 1 : at + 1 + retry[at]]
+        verdict = agent.frontend.check.check(retry_id, SERVICE)
+        self.assertIsInstance(verdict, OwnToken)
         self.assertEqual((await caller.answer(caller.request()))[0], 200)
 
     async def test_retry_outlives_a_restart_and_a_rotation(self):
