Measure the steps of the entry's code path

Cause: the comparison with a relay does not say which step costs what. Change: entry_datagrams has a mode 'steps' that times header, token, tag, seal, open and send and both whole paths in a loop.

--- a/benchmarks/entry_datagrams.py
+++ b/benchmarks/entry_datagrams.py
@@ -30,6 +30,7 @@
 from balsamspool.plugins.membership import Signal  # noqa: E402
 from balsamspool.plugins.membership.signals import SignalState  # noqa: E402
 from balsamspool.plugins.routing.token import RoutingToken, TokenCodec  # noqa: E402
+from benchmarks.entry_steps import run_steps  # noqa: E402
 from standins.fleet import SECRET, ServicePlan, free_port, run_fleet  # noqa: E402
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -164,6 +165,14 @@
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve())
 
+    def steps(self, payload: int = 1_200) -> None:
+        """Print the CPU microseconds of each step of the entry's code path.
+
+        Args:
+            payload: Size of a caller's datagram and of an answer in octets.
+        """
+        run_steps(payload)
+
     def run(self, seconds: float = 3.0, payload: int = 1_200) -> None:
         """Measure relay and entry in alternating slices.
 
