Remember what recent routing tokens say

Cause: every packet of an open flow decrypts the same connection ID again. Change: the router keeps the decision by connection ID in a table of two generations of 32,768, shared by all tokens of a host and service. A change of keys or host networks clears it, and the service is compared at every packet. Flows beyond the size of the table gain nothing.

--- a/balsamspool/plugins/routing/router.py
+++ b/balsamspool/plugins/routing/router.py
@@ -6,11 +6,15 @@
 from ipaddress import IPv4Address, IPv4Network
 
 from balsamspool.plugins.routing.flow import Packet
+from balsamspool.plugins.routing.recent import Recent
 from balsamspool.plugins.routing.rendezvous import Candidate, choose
-from balsamspool.plugins.routing.token import TokenCodec
+from balsamspool.plugins.routing.token import RoutingToken, TokenCodec
 
 # Twice the hosts of the growth target (4,100).
 MAX_KNOWN_HOSTS = 8_192
+# In each of two generations, 6 MB in all. A miss costs a decoding of the token, so an
+# entry that carries more flows is only slower.
+MAX_KNOWN_TOKENS = 32_768
 
 
 class DropReason(Enum):
@@ -22,7 +26,7 @@
     NO_HOST = "no-host"
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class Deliver:
     """Pass the packet on to an agent.
 
@@ -51,6 +55,19 @@
 Decision = Deliver | Drop
 
 
+@dataclass(frozen=True, slots=True)
+class _TokenHost:
+    """What a token says, shared by all tokens that say the same.
+
+    Attributes:
+        service: Number of the service.
+        delivery: The decision for packets of that service.
+    """
+
+    service: int
+    delivery: Deliver
+
+
 class Router:
     """Decides which host a packet belongs to.
 
@@ -58,18 +75,21 @@
         codec: Decodes routing tokens.
     """
 
-    __slots__ = ("_codec", "_known_hosts", "_networks")
+    __slots__ = ("_codec", "_hosts", "_keys_version", "_networks", "_tokens")
 
     def __init__(self, codec: TokenCodec) -> None:
         self._codec = codec
         self._networks: list[tuple[int, int]] = []
-        self._known_hosts: dict[str, bool] = {}
+        self._hosts: dict[tuple[str, int, int], _TokenHost] = {}
+        self._tokens: Recent[_TokenHost] = Recent(MAX_KNOWN_TOKENS)
+        self._keys_version = codec.keys_version
 
     def set_networks(self, networks: Sequence[str]) -> None:
         """Set the networks in which hosts may have their addresses."""
         parsed = [IPv4Network(network) for network in networks]
         self._networks = [(int(n.network_address), int(n.netmask)) for n in parsed]
-        self._known_hosts.clear()
+        self._hosts.clear()
+        self._tokens.clear()
 
     def route(
         self,
@@ -87,13 +107,9 @@
         Returns:
             Deliver or Drop.
         """
-        token = self._codec.decode(packet.connection_id)
-        if token is not None:
-            if token.service != packet.flow.service:
-                return Drop(DropReason.WRONG_SERVICE)
-            if not self._is_host(token.address):
-                return Drop(DropReason.OUTSIDE_NETWORKS)
-            return Deliver(token.address, token.data_port, opens=False)
+        named = self._route_token(packet.flow.service, packet.connection_id)
+        if named is not None:
+            return named
         if not packet.opens:
             return Drop(DropReason.NO_TOKEN)
         key = packet.flow.encode()
@@ -105,13 +121,34 @@
             chosen = choose(key, left) or chosen
         return Deliver(chosen.address, chosen.data_port, opens=True)
 
+    def _route_token(self, service: int, connection_id: bytes) -> Decision | None:
+        if self._keys_version != self._codec.keys_version:
+            # A token under a removed key is none.
+            self._tokens.clear()
+            self._keys_version = self._codec.keys_version
+        host = self._tokens.get(connection_id)
+        if host is None:
+            token = self._codec.decode(connection_id)
+            if token is None:
+                return None
+            host = self._host(token)
+            if host is None:
+                return Drop(DropReason.OUTSIDE_NETWORKS)
+            self._tokens.put(connection_id, host)
+        if host.service != service:
+            return Drop(DropReason.WRONG_SERVICE)
+        return host.delivery
+
+    def _host(self, token: RoutingToken) -> _TokenHost | None:
+        key = (token.address, token.data_port, token.service)
+        host = self._hosts.get(key)
+        if host is None and self._is_host(token.address):
+            if len(self._hosts) >= MAX_KNOWN_HOSTS:
+                self._hosts.clear()
+            delivery = Deliver(token.address, token.data_port, opens=False)
+            host = self._hosts[key] = _TokenHost(token.service, delivery)
+        return host
+
     def _is_host(self, address: str) -> bool:
-        known = self._known_hosts.get(address)
-        if known is not None:
-            return known
         number = int(IPv4Address(address))
-        found = any(number & mask == network for network, mask in self._networks)
-        if len(self._known_hosts) >= MAX_KNOWN_HOSTS:
-            self._known_hosts.clear()
-        self._known_hosts[address] = found
-        return found
+        return any(number & mask == network for network, mask in self._networks)
--- a/balsamspool/plugins/routing/token.py
+++ b/balsamspool/plugins/routing/token.py
@@ -58,6 +58,11 @@
         # A reused AES context encrypts a block in 0.7 µs, a new one takes 20 µs.
         self._ciphers: dict[int, tuple[Any, Any]] = {}
 
+    @property
+    def keys_version(self) -> int:
+        """Counter that grows whenever the keys are replaced."""
+        return self._keyring.version
+
     def encode(self, token: RoutingToken) -> bytes:
         """Return the connection ID for a token, with the active key.
 
