Route a packet with a token without a flow key

Cause: FlowKey and Packet were built for every datagram, but only an opening packet needs them. Change: the entry asks the router with service and connection ID first and builds both objects only if the connection ID is no token.

--- a/balsamspool/plugins/forwarding/_quic_header.py
+++ b/balsamspool/plugins/forwarding/_quic_header.py
@@ -1,6 +1,5 @@
 """The part of a QUIC header that routing needs; see RFC 8999."""
 
-from balsamspool.plugins.routing.flow import FlowKey, Packet
 from balsamspool.plugins.routing.token import TOKEN_BYTES
 
 LONG_HEADER_BIT = 0x80
@@ -11,15 +10,14 @@
 MAX_CONNECTION_ID_BYTES = 20
 
 
-def read_packet(flow: FlowKey, datagram: bytes) -> Packet | None:
-    """Read what routing needs from a QUIC datagram.
+def read_connection_id(datagram: bytes) -> bytes | None:
+    """Read the destination connection ID of a QUIC datagram.
 
     Args:
-        flow: Flow of the datagram.
         datagram: Datagram from a caller.
 
     Returns:
-        The facts about the packet, or None if it is not QUIC.
+        The connection ID, or None if the datagram is not QUIC.
     """
     if not datagram:
         return None
@@ -30,9 +28,11 @@
         connection_id = datagram[_CONNECTION_ID_AT : _CONNECTION_ID_AT + length]
         if length > MAX_CONNECTION_ID_BYTES or len(connection_id) != length:
             return None
-        opens = len(datagram) >= MIN_OPENING_BYTES
-        return Packet(flow, connection_id, opens)
+        return connection_id
     connection_id = datagram[1 : 1 + TOKEN_BYTES]
-    if len(connection_id) != TOKEN_BYTES:
-        return None
-    return Packet(flow, connection_id, opens=False)
+    return connection_id if len(connection_id) == TOKEN_BYTES else None
+
+
+def may_open(datagram: bytes) -> bool:
+    """Return whether a QUIC datagram may open a flow."""
+    return bool(datagram[0] & LONG_HEADER_BIT) and len(datagram) >= MIN_OPENING_BYTES
--- a/balsamspool/plugins/forwarding/entry.py
+++ b/balsamspool/plugins/forwarding/entry.py
@@ -14,7 +14,7 @@
 from balsamspool.plugins.configuration.checker import split_address
 from balsamspool.plugins.forwarding._codec import EnvelopeCodec
 from balsamspool.plugins.forwarding._counts import DatagramCounts
-from balsamspool.plugins.forwarding._quic_header import read_packet
+from balsamspool.plugins.forwarding._quic_header import may_open, read_connection_id
 from balsamspool.plugins.forwarding.envelope import (
     Envelope,
     Forward,
@@ -27,7 +27,14 @@
 from balsamspool.plugins.forwarding.service_sockets import ServiceSockets
 from balsamspool.plugins.membership import MembershipPlugin, Signal
 from balsamspool.plugins.membership.signals import SignalState
-from balsamspool.plugins.routing import Deliver, Drop, FlowKey, RoutingPlugin
+from balsamspool.plugins.routing import (
+    Decision,
+    Deliver,
+    Drop,
+    FlowKey,
+    Packet,
+    RoutingPlugin,
+)
 
 Address = tuple[str, int]
 
@@ -124,8 +131,8 @@
             datagram: The datagram.
             caller: Address of the caller.
         """
-        packet = read_packet(FlowKey(service, caller[0], caller[1]), datagram)
-        if packet is None:
+        connection_id = read_connection_id(datagram)
+        if connection_id is None:
             self._dropped.add("not-quic")
             return
         if len(datagram) > MAX_PAYLOAD_BYTES:
@@ -133,7 +140,7 @@
             return
         # Class patterns with attribute reads take a third of the time of patterns that
         # bind each field.
-        match self._routing.route(packet, self._probes.avoided()):
+        match self._route(service, connection_id, datagram, caller):
             case Deliver() as host:
                 agent = (host.address, host.data_port)
                 forward = Forward(service, caller[0], caller[1], 0, datagram)
@@ -173,6 +180,17 @@
         """Count a datagram that the operating system refused to send."""
         self._dropped.add("unsendable")
 
+    def _route(
+        self, service: int, connection_id: bytes, datagram: bytes, caller: Address
+    ) -> Decision:
+        # Nearly all packets carry a token, for which flow key and facts are not needed.
+        named = self._routing.route_token(service, connection_id)
+        if named is not None:
+            return named
+        flow = FlowKey(service, caller[0], caller[1])
+        packet = Packet(flow, connection_id, may_open(datagram))
+        return self._routing.route(packet, self._probes.avoided())
+
     def _forward_opening(self, forward: Forward, agent: Address) -> None:
         with self._tracer.start_as_current_span("entry.forward") as span:
             context = span.get_span_context()
--- a/balsamspool/plugins/routing/__init__.py
+++ b/balsamspool/plugins/routing/__init__.py
@@ -2,7 +2,7 @@
 
 from balsamspool.plugins.routing.flow import FlowKey, Packet
 from balsamspool.plugins.routing.plugin import RoutingPlugin
-from balsamspool.plugins.routing.router import Deliver, Drop, DropReason
+from balsamspool.plugins.routing.router import Decision, Deliver, Drop, DropReason
 from balsamspool.plugins.routing.token import RoutingToken
 from balsamspool.plugins.routing.token_check import (
     ForeignToken,
@@ -12,6 +12,7 @@
 )
 
 __all__ = [
+    "Decision",
     "Deliver",
     "Drop",
     "DropReason",
--- a/balsamspool/plugins/routing/plugin.py
+++ b/balsamspool/plugins/routing/plugin.py
@@ -84,6 +84,18 @@
         candidates = self.candidates(packet.flow.service) if packet.opens else ()
         return self._router.route(packet, candidates, avoided)
 
+    def route_token(self, service: int, connection_id: bytes) -> Decision | None:
+        """Decide on a packet by its token alone.
+
+        Args:
+            service: Number of the service at whose address it arrived.
+            connection_id: Bytes that may be a routing token.
+
+        Returns:
+            Deliver or Drop, or None if the connection ID is no token.
+        """
+        return self._router.route_token(service, connection_id)
+
     def candidates(self, service: int) -> list[Candidate]:
         """Return the weighted hosts of a service that take new flows.
 
--- a/balsamspool/plugins/routing/router.py
+++ b/balsamspool/plugins/routing/router.py
@@ -107,7 +107,7 @@
         Returns:
             Deliver or Drop.
         """
-        named = self._route_token(packet.flow.service, packet.connection_id)
+        named = self.route_token(packet.flow.service, packet.connection_id)
         if named is not None:
             return named
         if not packet.opens:
@@ -121,7 +121,16 @@
             chosen = choose(key, left) or chosen
         return Deliver(chosen.address, chosen.data_port, opens=True)
 
-    def _route_token(self, service: int, connection_id: bytes) -> Decision | None:
+    def route_token(self, service: int, connection_id: bytes) -> Decision | None:
+        """Decide on a packet by its token alone.
+
+        Args:
+            service: Number of the service at whose address it arrived.
+            connection_id: Bytes that may be a routing token.
+
+        Returns:
+            Deliver or Drop, or None if the connection ID is no token.
+        """
         if self._keys_version != self._codec.keys_version:
             # A token under a removed key is none.
             self._tokens.clear()
--- a/benchmarks/entry_steps.py
+++ b/benchmarks/entry_steps.py
@@ -19,12 +19,11 @@
 import uvloop  # noqa: E402
 
 from balsamspool.plugins.forwarding._codec import EnvelopeCodec  # noqa: E402
-from balsamspool.plugins.forwarding._quic_header import read_packet  # noqa: E402
+from balsamspool.plugins.forwarding._quic_header import read_connection_id  # noqa: E402
 from balsamspool.plugins.forwarding.entry import EntryPlugin  # noqa: E402
 from balsamspool.plugins.forwarding.envelope import Forward, Return  # noqa: E402
 from balsamspool.plugins.membership import Signal  # noqa: E402
 from balsamspool.plugins.membership.signals import SignalState  # noqa: E402
-from balsamspool.plugins.routing import FlowKey  # noqa: E402
 from balsamspool.plugins.routing.token import RoutingToken  # noqa: E402
 from tests.forwarding_fakes import FakeKernel, instance  # noqa: E402
 
@@ -79,7 +78,7 @@
         + bytes(payload - 18)
         for number in range(FLOWS)
     ]
-    packets = [read_packet(FlowKey(1, *CALLER), each) for each in datagrams]
+    ids = [read_connection_id(each) or b"" for each in datagrams]
     forwards = [Forward(1, *CALLER, 0, each) for each in datagrams]
     sealed = [codec.seal(each) for each in forwards]
     nonces = [each[-28:-16] for each in sealed]
@@ -91,8 +90,8 @@
         loop = asyncio.get_running_loop()
         out, _ = await loop.create_datagram_endpoint(DatagramProtocol, ("127.0.0.1", 0))
         steps: dict[str, Callable[[int], object]] = {
-            "header": lambda n: read_packet(FlowKey(1, *CALLER), datagrams[n]),
-            "token": lambda n: kernel.routing.route(packets[n]),
+            "header": lambda n: read_connection_id(datagrams[n]),
+            "token": lambda n: kernel.routing.route_token(1, ids[n]),
             "tag": lambda n: codec._tag(1, nonces[n], sealed[n]),  # noqa: SLF001
             "seal with tag": lambda n: codec.seal(forwards[n]),
             "open with tag": lambda n: codec.open(answers[n]),
