Skip signals that repeat what was noted a moment ago

Cause: the entry recorded the signal of every return datagram, with a new frozen record and two table updates each time. Change: a signal equal to the last one of its agent is recorded once in 0.1 s. A changed signal counts at once. State is kept for listed agents only.

--- a/balsamspool/plugins/forwarding/entry.py
+++ b/balsamspool/plugins/forwarding/entry.py
@@ -15,6 +15,7 @@
 from balsamspool.plugins.forwarding._codec import EnvelopeCodec
 from balsamspool.plugins.forwarding._counts import DatagramCounts
 from balsamspool.plugins.forwarding._quic_header import may_open, read_connection_id
+from balsamspool.plugins.forwarding.agent_signals import AgentSignals
 from balsamspool.plugins.forwarding.envelope import (
     Envelope,
     Forward,
@@ -79,6 +80,7 @@
         self._agents: DatagramTransport | None = None
         self._sockets = ServiceSockets(kernel, self.caller_datagram, self.send_failed)
         self._probes = HostProbes()
+        self._signals = AgentSignals()
         self._listed: frozenset[Address] = frozenset()
         self._tracer = get_tracer("balsamspool")
         self._forwarded = DatagramCounts(
@@ -207,7 +209,7 @@
 
     def _note(self, agent: Address, signal: Signal) -> None:
         # A replayed datagram may come from any address; only listed ones have state.
-        if agent in self._listed:
+        if agent in self._listed and self._signals.is_news(agent, signal):
             self._probes.heard(agent)
             self._membership.note(*agent, signal)
 
@@ -241,6 +243,7 @@
         self._listed = frozenset(
             (i.address, i.data_port) for i in self._membership.instances
         )
+        self._signals.keep(self._listed)
 
     def _on_configuration(self, configuration: Configuration) -> None:
         wanted: dict[int, Address] = {}
--- a/tests/test_forwarding_entry.py
+++ b/tests/test_forwarding_entry.py
@@ -256,3 +256,42 @@
         kernel.configuration.change()
         await asyncio.sleep(0.05)
         return is_free(address)
+
+
+class AgentSignalsTest(EntryCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.clock = Clock()
+        self.kernel.membership.subscribe(self.entry._on_list)
+        self.kernel.membership.change([instance("h1", 4001)])
+        self.agent = ("127.0.0.1", 4001)
+
+    def answer(self, signal):
+        envelope = Return(1, *CALLER, signal, b"x")
+        self.entry.agent_datagram(self.codec.seal(envelope), self.agent)
+
+    def noted(self):
+        return self.kernel.membership.board.latest(*self.agent)
+
+    async def test_changed_signal_counts_at_once(self):
+        """Guards against a leaving host that is taken for a repetition."""
+        self.answer(SIGNAL)
+        leaving = Signal(SignalState.LEAVING, 0)
+        self.answer(leaving)
+        self.assertEqual(self.noted(), leaving)
+
+    async def test_repeated_signal_stays_valid(self):
+        """Guards against a busy host whose signal expires between repetitions."""
+        for _ in range(200):
+            self.answer(SIGNAL)
+            self.clock.time += 0.03
+            self.assertEqual(self.noted(), SIGNAL)
+        self.clock.time += 3.2
+        self.assertIsNone(self.noted())
+
+    async def test_unlisted_agents_leave_no_state(self):
+        """Guards against memory that grows with each replaced host."""
+        self.answer(SIGNAL)
+        self.assertEqual(len(self.entry._signals), 1)
+        self.kernel.membership.change([instance("h2", 4002)])
+        self.assertEqual(len(self.entry._signals), 0)
