Refuse signals of replayed return datagrams and probe replies

Cause: a recorded Return or ProbeReply set an old signal for up to 3 s and counted as a sign of life of a dead host. Change: the nonce of a datagram grows within a process, so the entry compares it with the newest of that agent. An older one sets no signal, while its payload is passed on. A nonce of another process counts only after that process answered a probe, so a datagram from before a restart sets nothing either. A reply counts once. The benchmark now sends answers that were not seen before. Left open: the first datagram after an entry started or an agent was listed is believed, so a replay at that moment sets an old signal until the agent answers the probe that its next genuine datagram causes.

--- a/balsamspool/plugins/forwarding/_codec.py
+++ b/balsamspool/plugins/forwarding/_codec.py
@@ -116,7 +116,7 @@
         except (InvalidTag, ResultError):
             return None
         try:
-            return _read(kind, hops, body)
+            return _read(kind, hops, body, nonce)
         except (struct.error, ValueError):
             return None
 
@@ -167,12 +167,13 @@
     return Signal(SignalState(state), load)
 
 
-def _read(kind: int, hops: int, body: bytes) -> Envelope | None:
+def _read(kind: int, hops: int, body: bytes, nonce: bytes) -> Envelope | None:
     if kind == _PROBE:
         return Probe(*_SEQUENCE.unpack_from(body, _FLOW_AT))
     if kind == _REPLY:
         (sequence,) = _SEQUENCE.unpack_from(body, _FLOW_AT)
-        return ProbeReply(sequence, _unpack_signal(body, _FLOW_AT + _SEQUENCE.size))
+        signal = _unpack_signal(body, _FLOW_AT + _SEQUENCE.size)
+        return ProbeReply(sequence, signal, nonce)
     service, packed, port = _FLOW.unpack_from(body, _FLOW_AT)
     address = inet_ntoa(packed)
     if kind == _FORWARD:
@@ -184,5 +185,6 @@
         return TracedForward(forward, trace_id, span_id)
     if kind == _RETURN:
         signal = _unpack_signal(body, _BODY_AT)
-        return Return(service, address, port, signal, body[_BODY_AT + _SIGNAL.size :])
+        payload = body[_BODY_AT + _SIGNAL.size :]
+        return Return(service, address, port, signal, payload, nonce)
     return None
--- a/balsamspool/plugins/forwarding/entry.py
+++ b/balsamspool/plugins/forwarding/entry.py
@@ -15,7 +15,7 @@
 from balsamspool.plugins.forwarding._codec import EnvelopeCodec
 from balsamspool.plugins.forwarding._counts import DatagramCounts
 from balsamspool.plugins.forwarding._quic_header import may_open, read_connection_id
-from balsamspool.plugins.forwarding.agent_signals import AgentSignals
+from balsamspool.plugins.forwarding.agent_signals import AgentSignals, Verdict
 from balsamspool.plugins.forwarding.envelope import (
     Envelope,
     Forward,
@@ -96,6 +96,13 @@
             kernel.metrics,
         )
 
+        self._ignored = DatagramCounts(
+            "balsamspool_forwarding_ignored_signals",
+            "Signals on return datagrams that were not noted",
+            "reason",
+            kernel.metrics,
+        )
+
     async def start(self) -> None:
         """Open the socket towards the agents, then those of the services."""
         identity = self._kernel.identity
@@ -163,16 +170,18 @@
         """
         match self._codec.open(datagram):
             case Return() as answer:
-                self._note(sender, answer.signal)
+                self._note(sender, answer)
                 caller = (answer.caller_address, answer.caller_port)
                 self._send_to_caller(answer.service, answer.payload, caller)
             case Probe(sequence):
                 self._send_to_agent(ProbeReply(sequence, self._signal()), sender)
-            case ProbeReply(sequence, signal):
-                if self._probes.replied(sender, sequence):
-                    self._note(sender, signal)
-                else:
+            case ProbeReply(sequence, signal, stamp):
+                if not self._probes.replied(sender, sequence):
                     self._dropped.add("unexpected-reply")
+                elif sender in self._listed and self._signals.prove(
+                    sender, stamp, signal
+                ):
+                    self._membership.note(*sender, signal)
             case Forward() | TracedForward():
                 self._dropped.add("unexpected-kind")
             case None:
@@ -207,11 +216,23 @@
         if probe is not None:
             self._send_to_agent(probe, agent)
 
-    def _note(self, agent: Address, signal: Signal) -> None:
+    def _note(self, agent: Address, answer: Return) -> None:
         # A replayed datagram may come from any address; only listed ones have state.
-        if agent in self._listed and self._signals.is_news(agent, signal):
-            self._probes.heard(agent)
-            self._membership.note(*agent, signal)
+        if agent not in self._listed:
+            return
+        match self._signals.judge(agent, answer.stamp, answer.signal):
+            case Verdict.NEWS:
+                self._probes.heard(agent)
+                self._membership.note(*agent, answer.signal)
+            case Verdict.REPEATED:
+                pass
+            case Verdict.OLD:
+                self._ignored.add(Verdict.OLD.value)
+            case Verdict.UNPROVEN:
+                self._ignored.add(Verdict.UNPROVEN.value)
+                probe = self._probes.opening(agent)
+                if probe is not None:
+                    self._send_to_agent(probe, agent)
 
     def _signal(self) -> Signal:
         leaving = self._kernel.state is not ProcessState.ACCEPTING
--- a/balsamspool/plugins/forwarding/envelope.py
+++ b/balsamspool/plugins/forwarding/envelope.py
@@ -1,6 +1,6 @@
 """Datagrams between entries and agents."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from balsamspool.plugins.membership import Signal
 
@@ -52,6 +52,7 @@
         caller_port: UDP port of the caller.
         signal: What the agent says of itself.
         payload: The datagram for the caller.
+        stamp: Nonce under which it was received; later ones of a process are larger.
     """
 
     service: int
@@ -59,6 +60,7 @@
     caller_port: int
     signal: Signal
     payload: bytes
+    stamp: bytes = field(default=b"", compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,10 +81,12 @@
     Attributes:
         sequence: Number of the probe.
         signal: What the instance says of itself.
+        stamp: Nonce under which it was received; later ones of a process are larger.
     """
 
     sequence: int
     signal: Signal
+    stamp: bytes = field(default=b"", compare=False)
 
 
 Envelope = Forward | TracedForward | Return | Probe | ProbeReply
--- a/balsamspool/plugins/forwarding/probe.py
+++ b/balsamspool/plugins/forwarding/probe.py
@@ -34,7 +34,7 @@
     def __init__(self) -> None:
         self.heard: float | None = None
         self.probed: float | None = None
-        self.sequence = 0
+        self.sequence: int | None = None
         self.avoid_until = 0.0
 
 
@@ -111,11 +111,13 @@
             sequence: Number in the reply.
 
         Returns:
-            Whether it answers the last probe of that agent. Others are replays.
+            Whether it answers the last probe of that agent for the first time. Others
+            are replays.
         """
         state = self._hosts.get(host)
         if state is None or state.sequence != sequence:
             return False
+        state.sequence = None
         self.heard(host)
         return True
 
--- a/benchmarks/entry_steps.py
+++ b/benchmarks/entry_steps.py
@@ -84,6 +84,8 @@
     nonces = [each[-28:-16] for each in sealed]
     answer = Return(1, *CALLER, Signal(SignalState.ACCEPTING, 0), bytes(payload))
     answers = [codec.seal(answer) for _ in range(FLOWS)]
+    # An entry refuses the signal of a datagram that it has seen.
+    unseen = iter([codec.seal(answer) for _ in range(ROUNDS * FLOWS)])
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sink:
         sink.bind(("127.0.0.1", 0))
         target = sink.getsockname()
@@ -97,7 +99,7 @@
             "open with tag": lambda n: codec.open(answers[n]),
             "send": lambda n: out.sendto(sealed[n], target),
             "inward, no send": lambda n: entry.caller_datagram(1, datagrams[n], CALLER),
-            "outward, no send": lambda n: entry.agent_datagram(answers[n], AGENT),
+            "outward, no send": lambda n: entry.agent_datagram(next(unseen), AGENT),
         }
         for name, work in steps.items():
             sys.stdout.write(f"{name:18} {_time(work):6.2f} us a datagram\n")
--- a/tests/test_forwarding_entry.py
+++ b/tests/test_forwarding_entry.py
@@ -258,7 +258,7 @@
         return is_free(address)
 
 
-class AgentSignalsTest(EntryCase):
+class AgentCase(EntryCase):
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.clock = Clock()
@@ -273,6 +273,8 @@
     def noted(self):
         return self.kernel.membership.board.latest(*self.agent)
 
+
+class AgentSignalsTest(AgentCase):
     async def test_changed_signal_counts_at_once(self):
         """Guards against a leaving host that is taken for a repetition."""
         self.answer(SIGNAL)
@@ -295,3 +297,80 @@
         self.assertEqual(len(self.entry._signals), 1)
         self.kernel.membership.change([instance("h2", 4002)])
         self.assertEqual(len(self.entry._signals), 0)
+
+
+class ReplayTest(AgentCase):
+    LEAVING = Signal(SignalState.LEAVING, 0)
+
+    def sealed(self, signal, codec=None):
+        return (codec or self.codec).seal(Return(1, *CALLER, signal, b"x"))
+
+    def receive(self, datagram):
+        self.entry.agent_datagram(datagram, self.agent)
+
+    def probe(self):
+        ((probe, to),) = self.sent()
+        self.assertIsInstance(probe, Probe)
+        self.assertEqual(to, self.agent)
+        return probe
+
+    async def test_replayed_return_sets_no_old_signal(self):
+        """Guards against a recorded datagram that keeps a leaving host in use."""
+        recorded = self.sealed(Signal(SignalState.ACCEPTING, 7))
+        self.receive(recorded)
+        self.receive(self.sealed(self.LEAVING))
+        self.clock.time += 10.0
+        self.receive(recorded)
+        self.assertEqual(self.noted(), self.LEAVING)
+        self.clock.time += 10.0
+        self.receive(self.sealed(SIGNAL))
+        self.assertEqual(self.noted(), SIGNAL)
+        self.receive(recorded)
+        self.assertEqual(self.noted(), SIGNAL)
+
+    async def test_replayed_return_is_no_sign_of_life(self):
+        """Guards against a recorded datagram that keeps a dead host in use."""
+        recorded = self.sealed(SIGNAL)
+        self.receive(recorded)
+        self.assertIsNotNone(self.entry._probes.opening(self.agent))
+        self.clock.time += 0.4
+        self.receive(recorded)
+        self.assertIn(self.agent, self.entry._probes.avoided())
+
+    async def test_replay_from_before_a_restart_is_not_noted(self):
+        """Guards against a leaving signal of the process before the current one."""
+        recorded = self.sealed(self.LEAVING, EnvelopeCodec(self.kernel.keyring))
+        self.receive(self.sealed(SIGNAL))
+        self.receive(recorded)
+        self.assertEqual(self.noted(), SIGNAL)
+        reply = self.codec.seal(ProbeReply(self.probe().sequence, SIGNAL))
+        self.receive(reply)
+        self.receive(recorded)
+        self.assertEqual(self.noted(), SIGNAL)
+
+    async def test_restarted_agent_counts_once_it_answers_a_probe(self):
+        """Guards against a new process whose signals never count again."""
+        self.receive(self.sealed(SIGNAL))
+        self.clock.time += 2.0
+        restarted = EnvelopeCodec(self.kernel.keyring)
+        busy = Signal(SignalState.ACCEPTING, 200)
+        self.receive(self.sealed(busy, restarted))
+        self.assertEqual(self.noted(), SIGNAL)
+        self.receive(restarted.seal(ProbeReply(self.probe().sequence, busy)))
+        self.assertEqual(self.noted(), busy)
+        self.receive(self.sealed(SIGNAL, restarted))
+        self.assertEqual(self.noted(), SIGNAL)
+
+    async def test_replayed_probe_reply_sets_no_old_signal(self):
+        """Guards against the recorded reply to the last probe."""
+        self.receive(self.sealed(SIGNAL))
+        probe = self.entry._probes.opening(self.agent)
+        self.clock.time += 2.0
+        probe = probe or self.entry._probes.opening(self.agent)
+        reply = self.codec.seal(ProbeReply(probe.sequence, SIGNAL))
+        self.receive(reply)
+        self.receive(self.sealed(self.LEAVING))
+        self.clock.time += 5.0
+        self.receive(reply)
+        self.assertEqual(self.noted(), self.LEAVING)
+        self.assertEqual(self.dropped("unexpected-reply"), 1)
