Probe hosts that are held as leaving in silence

Cause: a host that left and was restarted at once gets no flows that could carry its new signal, so it waited for the next list. Change: an entry probes the hosts that membership holds as leaving in silence every 3.5 to 6.5 s, at most 64 of them in a round, chosen at random. A missing reply does not make such a host avoided. The cost is computed, not measured: 64 octets a probe, at most 0.8 KB/s for an entry and 8 KB/s at one host of the growth target.

--- a/balsamspool/plugins/forwarding/entry.py
+++ b/balsamspool/plugins/forwarding/entry.py
@@ -1,6 +1,7 @@
 """Entry front end: callers' datagrams to agents and back."""
 
 import asyncio
+import random
 from asyncio import DatagramProtocol, DatagramTransport
 
 from msgspec import field
@@ -42,6 +43,13 @@
 # The largest UDP payload over IPv4, less what `TracedForward` adds.
 MAX_PAYLOAD_BYTES = 65_507 - 64
 
+# A restarted host gets flows again after about this time. A probe takes 64 octets with
+# IP and UDP headers, so 640 entries send 8 KB/s to a host, and 2 s would be 20 KB/s.
+HELD_PROBE_SECONDS = 5.0
+# In one round; an entry sends 0.8 KB/s at most.
+MAX_HELD_PROBES = 64
+_HELD_PROBE_JITTER = 0.3
+
 
 class EntrySettings(Section, frozen=True):
     """Settings of the entry front end.
@@ -114,6 +122,7 @@
         self._on_list()
         configuration = self._kernel.plugin(ConfigurationPlugin)
         configuration.subscribe(self._on_configuration)
+        self._kernel.spawn(self._probe_held(), "probe hosts held as leaving")
 
     async def drain(self) -> None:
         """Carry datagrams until the fabric has learnt that this entry leaves."""
@@ -234,6 +243,15 @@
                 if probe is not None:
                     self._send_to_agent(probe, agent)
 
+    async def _probe_held(self) -> None:
+        while True:
+            jitter = random.uniform(1 - _HELD_PROBE_JITTER, 1 + _HELD_PROBE_JITTER)
+            await asyncio.sleep(HELD_PROBE_SECONDS * jitter)
+            held = [host.endpoint for host in self._membership.held_as_leaving()]
+            # A random choice, so that silent hosts do not keep others from a probe.
+            for host in random.sample(held, min(len(held), MAX_HELD_PROBES)):
+                self._send_to_agent(self._probes.ask(host), host)
+
     def _signal(self) -> Signal:
         leaving = self._kernel.state is not ProcessState.ACCEPTING
         state = SignalState.LEAVING if leaving else SignalState.ACCEPTING
--- a/balsamspool/plugins/forwarding/probe.py
+++ b/balsamspool/plugins/forwarding/probe.py
@@ -80,19 +80,22 @@
             A probe to send with it if the agent has been silent, else None.
         """
         time = now()
-        state = self._hosts.get(host)
-        if state is None:
-            state = self._hosts[host] = _HostState()
-            if len(self._hosts) > self._limit:
-                self._drop(next(iter(self._hosts)))
+        state = self._state(host)
         if state.heard is not None and time - state.heard < SILENT_SECONDS:
             return None
         if state.probed is not None:
             return None
-        self._sequence = (self._sequence + 1) % _SEQUENCES
-        state.probed, state.sequence = time, self._sequence
+        state.probed = time
         self._pending.add(host)
-        return Probe(self._sequence)
+        return self._next_probe(state)
+
+    def ask(self, host: Address) -> Probe:
+        """Return a probe for an agent that gets no flows, whose silence is no fault.
+
+        Args:
+            host: Address of the agent.
+        """
+        return self._next_probe(self._state(host))
 
     def heard(self, host: Address) -> None:
         """Record a return datagram of an agent."""
@@ -121,6 +124,19 @@
         self.heard(host)
         return True
 
+    def _state(self, host: Address) -> _HostState:
+        state = self._hosts.get(host)
+        if state is None:
+            state = self._hosts[host] = _HostState()
+            if len(self._hosts) > self._limit:
+                self._drop(next(iter(self._hosts)))
+        return state
+
+    def _next_probe(self, state: _HostState) -> Probe:
+        self._sequence = (self._sequence + 1) % _SEQUENCES
+        state.sequence = self._sequence
+        return Probe(self._sequence)
+
     def _update(self, time: float) -> None:
         for host in [h for h in self._pending if self._overdue(h, time)]:
             state = self._hosts[host]
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -12,7 +12,11 @@
 from balsamspool.plugins.configuration.text import Service
 from balsamspool.plugins.forwarding.entry import EntrySettings
 from balsamspool.plugins.membership import Instance, ListedState, MembershipPlugin
-from balsamspool.plugins.membership.signals import SignalBoard, SignalState
+from balsamspool.plugins.membership.signals import (
+    SIGNAL_LIFETIME_SECONDS,
+    SignalBoard,
+    SignalState,
+)
 from balsamspool.plugins.routing import RoutingPlugin
 
 KEYS = KeySet(active=1, secrets={"1": "11" * 32})
@@ -50,6 +54,14 @@
         signal = self.signal(instance)
         return signal is None or signal.state is SignalState.ACCEPTING
 
+    def held_as_leaving(self):
+        return [
+            host
+            for host in self.listed
+            if not self.accepts(host)
+            and self.board.silent_seconds(*host.endpoint) > SIGNAL_LIFETIME_SECONDS
+        ]
+
     def entries(self):
         return [i for i in self.listed if i.role is Role.ENTRY]
 
