--- a/balsamspool/plugins/forwarding/entry.py
+++ b/balsamspool/plugins/forwarding/entry.py
@@ -1,6 +1,7 @@
 """Entry front end: callers' datagrams to agents and back."""
 
 import asyncio
+import random
 from asyncio import DatagramProtocol, DatagramTransport
 
 from msgspec import field
@@ -14,7 +15,8 @@
 from balsamspool.plugins.configuration.checker import split_address
 from balsamspool.plugins.forwarding._codec import EnvelopeCodec
 from balsamspool.plugins.forwarding._counts import DatagramCounts
-from balsamspool.plugins.forwarding._quic_header import read_packet
+from balsamspool.plugins.forwarding._quic_header import may_open, read_connection_id
+from balsamspool.plugins.forwarding.agent_signals import AgentSignals, Verdict
 from balsamspool.plugins.forwarding.envelope import (
     Envelope,
     Forward,
@@ -27,12 +29,26 @@
 from balsamspool.plugins.forwarding.service_sockets import ServiceSockets
 from balsamspool.plugins.membership import MembershipPlugin, Signal
 from balsamspool.plugins.membership.signals import SignalState
-from balsamspool.plugins.routing import Deliver, Drop, FlowKey, RoutingPlugin
+from balsamspool.plugins.routing import (
+    Decision,
+    Deliver,
+    Drop,
+    FlowKey,
+    Packet,
+    RoutingPlugin,
+)
 
 Address = tuple[str, int]
 
 # The largest UDP payload over IPv4, less what `TracedForward` adds.
-MAX_PAYLOAD_BYTES = 65_507 - 44
+MAX_PAYLOAD_BYTES = 65_507 - 64
+
+# A restarted host gets flows again after about this time. A probe takes 64 octets with
+# IP and UDP headers, so 640 entries send 8 KB/s to a host, and 2 s would be 20 KB/s.
+HELD_PROBE_SECONDS = 5.0
+# In one round; an entry sends 0.8 KB/s at most.
+MAX_HELD_PROBES = 64
+_HELD_PROBE_JITTER = 0.3
 
 
 class EntrySettings(Section, frozen=True):
@@ -72,6 +88,7 @@
         self._agents: DatagramTransport | None = None
         self._sockets = ServiceSockets(kernel, self.caller_datagram, self.send_failed)
         self._probes = HostProbes()
+        self._signals = AgentSignals()
         self._listed: frozenset[Address] = frozenset()
         self._tracer = get_tracer("balsamspool")
         self._forwarded = DatagramCounts(
@@ -87,6 +104,13 @@
             kernel.metrics,
         )
 
+        self._ignored = DatagramCounts(
+            "balsamspool_forwarding_ignored_signals",
+            "Signals on return datagrams that were not noted",
+            "reason",
+            kernel.metrics,
+        )
+
     async def start(self) -> None:
         """Open the socket towards the agents, then those of the services."""
         identity = self._kernel.identity
@@ -98,6 +122,7 @@
         self._on_list()
         configuration = self._kernel.plugin(ConfigurationPlugin)
         configuration.subscribe(self._on_configuration)
+        self._kernel.spawn(self._probe_held(), "probe hosts held as leaving")
 
     async def drain(self) -> None:
         """Carry datagrams until the fabric has learnt that this entry leaves."""
@@ -124,8 +149,8 @@
             datagram: The datagram.
             caller: Address of the caller.
         """
-        packet = read_packet(FlowKey(service, caller[0], caller[1]), datagram)
-        if packet is None:
+        connection_id = read_connection_id(datagram)
+        if connection_id is None:
             self._dropped.add("not-quic")
             return
         if len(datagram) > MAX_PAYLOAD_BYTES:
@@ -133,7 +158,7 @@
             return
         # Class patterns with attribute reads take a third of the time of patterns that
         # bind each field.
-        match self._routing.route(packet, self._probes.avoided()):
+        match self._route(service, connection_id, datagram, caller):
             case Deliver() as host:
                 agent = (host.address, host.data_port)
                 forward = Forward(service, caller[0], caller[1], 0, datagram)
@@ -154,16 +179,18 @@
         """
         match self._codec.open(datagram):
             case Return() as answer:
-                self._note(sender, answer.signal)
+                self._note(sender, answer)
                 caller = (answer.caller_address, answer.caller_port)
                 self._send_to_caller(answer.service, answer.payload, caller)
             case Probe(sequence):
                 self._send_to_agent(ProbeReply(sequence, self._signal()), sender)
-            case ProbeReply(sequence, signal):
-                if self._probes.replied(sender, sequence):
-                    self._note(sender, signal)
-                else:
+            case ProbeReply(sequence, signal, stamp):
+                if not self._probes.replied(sender, sequence):
                     self._dropped.add("unexpected-reply")
+                elif sender in self._listed and self._signals.prove(
+                    sender, stamp, signal
+                ):
+                    self._membership.note(*sender, signal)
             case Forward() | TracedForward():
                 self._dropped.add("unexpected-kind")
             case None:
@@ -173,6 +200,17 @@
         """Count a datagram that the operating system refused to send."""
         self._dropped.add("unsendable")
 
+    def _route(
+        self, service: int, connection_id: bytes, datagram: bytes, caller: Address
+    ) -> Decision:
+        # Nearly all packets carry a token, for which flow key and facts are not needed.
+        named = self._routing.route_token(service, connection_id)
+        if named is not None:
+            return named
+        flow = FlowKey(service, caller[0], caller[1])
+        packet = Packet(flow, connection_id, may_open(datagram))
+        return self._routing.route(packet, self._probes.avoided())
+
     def _forward_opening(self, forward: Forward, agent: Address) -> None:
         with self._tracer.start_as_current_span("entry.forward") as span:
             context = span.get_span_context()
@@ -187,11 +225,32 @@
         if probe is not None:
             self._send_to_agent(probe, agent)
 
-    def _note(self, agent: Address, signal: Signal) -> None:
+    def _note(self, agent: Address, answer: Return) -> None:
         # A replayed datagram may come from any address; only listed ones have state.
-        if agent in self._listed:
-            self._probes.heard(agent)
-            self._membership.note(*agent, signal)
+        if agent not in self._listed:
+            return
+        match self._signals.judge(agent, answer.stamp, answer.signal):
+            case Verdict.NEWS:
+                self._probes.heard(agent)
+                self._membership.note(*agent, answer.signal)
+            case Verdict.REPEATED:
+                pass
+            case Verdict.OLD:
+                self._ignored.add(Verdict.OLD.value)
+            case Verdict.UNPROVEN:
+                self._ignored.add(Verdict.UNPROVEN.value)
+                probe = self._probes.opening(agent)
+                if probe is not None:
+                    self._send_to_agent(probe, agent)
+
+    async def _probe_held(self) -> None:
+        while True:
+            jitter = random.uniform(1 - _HELD_PROBE_JITTER, 1 + _HELD_PROBE_JITTER)
+            await asyncio.sleep(HELD_PROBE_SECONDS * jitter)
+            held = [host.endpoint for host in self._membership.held_as_leaving()]
+            # A random choice, so that silent hosts do not keep others from a probe.
+            for host in random.sample(held, min(len(held), MAX_HELD_PROBES)):
+                self._send_to_agent(self._probes.ask(host), host)
 
     def _signal(self) -> Signal:
         leaving = self._kernel.state is not ProcessState.ACCEPTING
@@ -223,6 +282,7 @@
         self._listed = frozenset(
             (i.address, i.data_port) for i in self._membership.instances
         )
+        self._signals.keep(self._listed)
 
     def _on_configuration(self, configuration: Configuration) -> None:
         wanted: dict[int, Address] = {}
