Renew connection IDs when another key becomes active

Cause: a connection kept the connection IDs that it was given at its start. Once the operator removed the previous key, as the rotation procedure says, entries dropped every packet of the flow, so a planned change broke open flows.

Change: when the active key changes, each connection issues new IDs and asks the caller to retire all earlier ones (Retire Prior To of NEW_CONNECTION_ID, which the library always writes as 0). A handshake in progress does so when it is complete.

The cost of 2,000 renewals at one agent is not measured.

--- a/balsamspool/plugins/frontend/_quic.py
+++ b/balsamspool/plugins/frontend/_quic.py
@@ -25,6 +25,7 @@
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import (
     MAX_STREAM_DATA_FRAME_CAPACITY,
+    NEW_CONNECTION_ID_FRAME_CAPACITY,
     QuicConnection,
     QuicConnectionId,
     QuicReceiveContext,
@@ -66,6 +67,8 @@
         )
         self._issue_id = issue_id
         self._unread: dict[int, int] = {}
+        # IDs with a lower sequence number are under a key that is no longer active.
+        self._retire_prior_to = 0
         first = issue_id()
         self._host_cids[0].cid = first
         self.host_cid = first
@@ -97,6 +100,12 @@
             if _is_request_stream(stream_id)
         )
 
+    def renew_connection_ids(self) -> None:
+        """Issue new connection IDs and ask the peer to retire all earlier ones."""
+        self._retire_prior_to = self._host_cid_seq
+        for _ in range(self._connection_id_limit):
+            self._add_connection_id()
+
     def buffered_bytes(self, stream_id: int) -> int:
         """Return the bytes of a stream that are not yet acknowledged."""
         stream = self._streams.get(stream_id)
@@ -145,16 +154,40 @@
         return super()._payload_received(context, plain)
 
     def _replenish_connection_ids(self) -> None:
-        limit = min(MAX_CONNECTION_IDS, self._remote_active_connection_id_limit)
-        while len(self._host_cids) < limit:
-            self._host_cids.append(
-                QuicConnectionId(
-                    cid=self._issue_id(),
-                    sequence_number=self._host_cid_seq,
-                    stateless_reset_token=os.urandom(16),
-                )
+        while len(self._host_cids) < self._connection_id_limit:
+            self._add_connection_id()
+
+    @property
+    def _connection_id_limit(self) -> int:
+        return min(MAX_CONNECTION_IDS, self._remote_active_connection_id_limit)
+
+    def _add_connection_id(self) -> None:
+        self._host_cids.append(
+            QuicConnectionId(
+                cid=self._issue_id(),
+                sequence_number=self._host_cid_seq,
+                stateless_reset_token=os.urandom(16),
             )
-            self._host_cid_seq += 1
+        )
+        self._host_cid_seq += 1
+
+    def _write_new_connection_id_frame(
+        self, builder: QuicPacketBuilder, connection_id: QuicConnectionId
+    ) -> None:
+        # The library always writes 0 for the number below which IDs are to be retired.
+        frame = builder.start_frame(
+            QuicFrameType.NEW_CONNECTION_ID,
+            capacity=NEW_CONNECTION_ID_FRAME_CAPACITY,
+            handler=self._on_new_connection_id_delivery,
+            handler_args=(connection_id,),
+        )
+        number = connection_id.sequence_number
+        frame.push_uint_var(number)
+        frame.push_uint_var(min(number, self._retire_prior_to))
+        frame.push_uint8(len(connection_id.cid))
+        frame.push_bytes(connection_id.cid)
+        frame.push_bytes(connection_id.stateless_reset_token)
+        connection_id.was_sent = True
 
     def _write_connection_limits(
         self, builder: QuicPacketBuilder, space: QuicPacketSpace
--- a/balsamspool/plugins/frontend/connection.py
+++ b/balsamspool/plugins/frontend/connection.py
@@ -126,6 +126,7 @@
         "_ping_at",
         "_probes",
         "_quic",
+        "_renewal_due",
         "_route",
         "_send",
         "_service",
@@ -168,6 +169,7 @@
         self._established = False
         self._handshake_by = now() + handshake_seconds
         self._next_stream_id = 0
+        self._renewal_due = False
         self._ping_at = 0.0
         self._probes = 0
 
@@ -218,6 +220,11 @@
                 self._http.send_goaway(MAX_REQUEST_STREAM_ID)
             self._wake.set()
 
+    def renew_ids(self) -> None:
+        """Move the caller to connection IDs under the active key."""
+        self._renewal_due = True
+        self._wake.set()
+
     def close(self) -> None:
         """End the connection now."""
         self._stopping = True
@@ -231,6 +238,7 @@
                 self._handle_input()
                 self._handle_events()
                 self._keep_alive()
+                self._renew()
                 self._advance()
                 self._transmit()
         finally:
@@ -426,6 +434,11 @@
             self._quic.send_ping(0)
             self._ping_at = now() + PING_SHARE * self._quic.idle_seconds
 
+    def _renew(self) -> None:
+        if self._renewal_due and self._established:
+            self._renewal_due = False
+            self._quic.renew_connection_ids()
+
     def _advance(self) -> None:
         if self._stopping and not self._closed:
             self._quic.close(error_code=H3_NO_ERROR)
--- a/balsamspool/plugins/frontend/listener.py
+++ b/balsamspool/plugins/frontend/listener.py
@@ -141,6 +141,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._handshakes: set[Connection] = set()
         self._leaving = False
+        self._active_key = self._current_key()
 
     @property
     def leaving(self) -> bool:
@@ -449,6 +450,21 @@
 
     def _on_configuration(self, configuration: Configuration) -> None:
         self._review_state(configuration)
+        self._review_key()
+
+    def _review_key(self) -> None:
+        # Entries drop packets under a removed key, so open connections must have moved
+        # to the active one before the operator removes the previous one.
+        key = self._current_key()
+        if key == self._active_key:
+            return
+        self._active_key = key
+        for connection in self._table.connections:
+            connection.renew_ids()
+
+    def _current_key(self) -> tuple[int, bytes]:
+        keyring = self._kernel.keyring
+        return keyring.active, keyring.key(keyring.active, "token", 16)
 
     def _review_state(self, configuration: Configuration | None = None) -> None:
         leaving = self._is_leaving(configuration)
