Relay to listed peers while no load report is known

Cause: the relay knew only peers that had reported their load within 3 s. An agent that began to leave within a second of its start had no report, and answered 503 "no host" to requests on open connections although its peer was idle.

Change: while no accepting peer has reported, the peers that the instance list names are candidates, with the longest wait, so that overload alone never sends work to them. The peers are kept and reviewed at each list and each report.

--- a/balsamspool/plugins/relay/plugin.py
+++ b/balsamspool/plugins/relay/plugin.py
@@ -1,6 +1,7 @@
 """Plug-in that relays requests between the agents of a service."""
 
 import asyncio
+from math import inf
 
 from prometheus_client import Counter, Gauge
 
@@ -38,6 +39,8 @@
 from balsamspool.requests.request import Request
 
 HEARTBEAT_SECONDS = 1.0
+# Load of a peer that has not reported any.
+MAX_LOAD = 255
 
 _TO_SERVER = (RelayRequest, RelayBody, RelayCancel)
 _TO_CLIENT = (RelayHead, RelayData, RelayEnd, RelayFailed, RelayNotRun)
@@ -70,6 +73,8 @@
         )
         self._loads = LoadTable()
         self._sample = PeerSample()
+        # Kept, because a scan of the list for each request grows with the fleet.
+        self._hosts: list[PeerLoad] = []
         self._admission = kernel.plugin(AdmissionPlugin)
         self._results = Counter(
             "balsamspool_relay_finished_requests",
@@ -102,6 +107,8 @@
             self._mesh.subscribe(body_type, self._on_shared_message)
         self._mesh.subscribe(LoadReport, self._on_load)
         self._serving.set_relay(self)
+        self._membership.subscribe(self._review_hosts)
+        self._review_hosts()
         self._kernel.spawn(self._beat(), "relay heartbeats")
         self._kernel.spawn(self._report_loads(), "load reports")
 
@@ -137,8 +144,16 @@
         return result
 
     def peers(self) -> list[PeerLoad]:
-        """Return the peers of this service whose load is known now."""
-        return self._loads.loads(now())
+        """Return the peers of this service, by their reports where there are any.
+
+        Before the first reports, and after a pause, no load is known. A request that
+        must not run here then goes to any peer that the list names.
+        """
+        known = self._loads.loads(now())
+        if any(peer.accepting for peer in known):
+            return known
+        reported = {peer.address for peer in known}
+        return known + [peer for peer in self._hosts if peer.address not in reported]
 
     def _on_request_message(self, message: Message) -> None:
         if isinstance(message.body, RelayBody):
@@ -164,9 +179,18 @@
         return LoadReport(state, self._admission.load, self._admission.expected_wait)
 
     def _service_peers(self) -> list[PeerAddress]:
+        return [host.address for host in self._hosts]
+
+    def _review_hosts(self) -> None:
         own = self._kernel.identity.instance
-        return [
-            PeerAddress(host.address, host.peer_port)
+        self._hosts = [
+            PeerLoad(
+                host.instance,
+                PeerAddress(host.address, host.peer_port),
+                accepting=True,
+                load=MAX_LOAD,
+                expected_wait=inf,
+            )
             for host in self._membership.hosts(self._serving.service_name)
             if host.instance != own
         ]
@@ -174,6 +198,7 @@
     async def _report_loads(self) -> None:
         while True:
             await asyncio.sleep(self._sample.next_delay())
+            self._review_hosts()
             for peer in self._sample.choose(self._service_peers()):
                 self._mesh.send(peer, self._own_report())
 
