--- a/balsamspool/plugins/frontend/listener.py
+++ b/balsamspool/plugins/frontend/listener.py
@@ -141,6 +141,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._handshakes: set[Connection] = set()
         self._leaving = False
+        self._active_key = self._current_key()
 
     @property
     def leaving(self) -> bool:
@@ -161,6 +162,7 @@
         """Take datagrams from the return path."""
         self._return_path.on_forward(self._on_forward)
         self._return_path.report(self._signal)
+        self._configuration.subscribe(self._on_configuration)
         self._membership.subscribe(self._review_state)
         self._backend.on_draining(self._review_state)
 
@@ -390,6 +392,20 @@
     def _service(self) -> Service | None:
         return self._configuration.service(self._serving.service_name)
 
+    def _on_configuration(self, configuration: Configuration) -> None:
+        # Entries drop packets under a removed key, so open connections must have moved
+        # to the active one before the operator removes the previous one.
+        key = self._current_key()
+        if key == self._active_key:
+            return
+        self._active_key = key
+        for connection in self._table.connections:
+            connection.renew_ids()
+
+    def _current_key(self) -> tuple[int, bytes]:
+        keyring = self._kernel.keyring
+        return keyring.active, keyring.key(keyring.active, "token", 16)
+
     def _review_state(self) -> None:
         leaving = self._serving.leaving
         if leaving == self._leaving:
