--- /dev/null
+++ b/faults/apply.py
@@ -0,0 +1,220 @@
+"""Applies the faults of a schedule to a running fleet."""
+
+import asyncio
+import signal
+from asyncio import Lock, Task
+from collections import defaultdict
+from collections.abc import Iterable
+from time import monotonic
+from typing import assert_never
+
+from faults.history import History, Stop
+from faults.schedule import (
+    CutInward,
+    CutOutward,
+    DrainHost,
+    Fault,
+    FreezeAgent,
+    FreezeEntry,
+    KillAgent,
+    KillEntry,
+    PlatformBack,
+    PlatformDown,
+    PoorFabric,
+    RaceTexts,
+    Step,
+    StopAgents,
+    StopEntry,
+)
+from standins.fabric import Fabric, Faults
+from standins.fleet import Fleet, Host
+
+# Time after which the fabric sprays no more to an entry that has gone.
+FABRIC_LAG_SECONDS = 0.5
+STOP_SECONDS = 20.0
+
+
+class Injector:
+    """Applies faults. Faults of one host follow one another.
+
+    Args:
+        fleet: The running fleet.
+        history: Where planned stops and kills are recorded.
+    """
+
+    __slots__ = ("_entries", "_fleet", "_history", "_locks", "_stopping")
+
+    def __init__(self, fleet: Fleet, history: History) -> None:
+        self._fleet = fleet
+        self._history = history
+        self._entries = list(fleet.entries.values())
+        self._locks: dict[str, Lock] = defaultdict(Lock)
+        # Agents wait for their feeds, so their stops outlast the faults.
+        self._stopping: list[Task[None]] = []
+
+    async def run(self, steps: Iterable[Step]) -> None:
+        """Apply all faults and wait until their causes are gone."""
+        began = monotonic()
+        async with asyncio.TaskGroup() as group:
+            for step in steps:
+                await asyncio.sleep(max(0.0, began + step.at - monotonic()))
+                self._history.faults.append(f"{step.at:.2f} s {step.fault}")
+                group.create_task(self._apply(step.fault))
+
+    async def finish(self) -> None:
+        """Wait until stopped agents have ended and run again."""
+        await asyncio.gather(*self._stopping)
+
+    async def _apply(self, fault: Fault) -> None:
+        match fault:
+            case KillEntry(number, seconds):
+                await self._kill_entry(self._entries[number], seconds)
+            case KillAgent(number, seconds):
+                await self._kill_agent(self._agent(number), seconds)
+            case FreezeEntry(number, seconds):
+                await self._freeze(self._entries[number], seconds)
+            case FreezeAgent(number, seconds):
+                await self._freeze(self._agent(number), seconds)
+            case StopEntry(number):
+                await self._replace_entry(self._entries[number])
+            case StopAgents(numbers):
+                for number in numbers:
+                    work = self._stop_agent(self._agent(number))
+                    self._stopping.append(asyncio.create_task(work))
+            case CutInward(number, seconds):
+                await self._cut(number, seconds, inward=True)
+            case CutOutward(number, seconds):
+                await self._cut(number, seconds, inward=False)
+            case PoorFabric(share, seconds):
+                await self._poor_fabric(share, seconds)
+            case PlatformDown(seconds):
+                await self._platform_down(seconds)
+            case PlatformBack(revisions, seconds):
+                await self._platform_back(revisions, seconds)
+            case RaceTexts(queues):
+                await asyncio.gather(*(self._publish_queue(queue) for queue in queues))
+            case DrainHost(number, seconds):
+                await self._drain(self._agent(number), seconds)
+            case _:
+                assert_never(fault)
+
+    def _agent(self, number: int) -> Host:
+        return list(self._fleet.agents.values())[number]
+
+    async def _kill_entry(self, entry: Host, seconds: float) -> None:
+        async with self._locks[entry.instance]:
+            await entry.kill()
+            await asyncio.sleep(FABRIC_LAG_SECONDS)
+            self._spray(entry, False)
+            await asyncio.sleep(seconds)
+            await self._fleet.restart(entry)
+            self._spray(entry, True)
+
+    async def _kill_agent(self, agent: Host, seconds: float) -> None:
+        async with self._locks[agent.instance]:
+            self._history.killed.add(agent.instance)
+            await agent.kill()
+            await asyncio.sleep(seconds)
+            await self._fleet.restart(agent)
+
+    async def _freeze(self, host: Host, seconds: float) -> None:
+        async with self._locks[host.instance]:
+            host.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+            host.send_signal(signal.SIGCONT)
+
+    async def _replace_entry(self, entry: Host) -> None:
+        async with self._locks[entry.instance]:
+            stopping = asyncio.create_task(self._stop(entry))
+            await asyncio.sleep(FABRIC_LAG_SECONDS)
+            self._spray(entry, False)
+            await stopping
+            await self._fleet.restart(entry)
+            self._spray(entry, True)
+
+    async def _stop_agent(self, agent: Host) -> None:
+        async with self._locks[agent.instance]:
+            await self._stop(agent)
+            await self._fleet.restart(agent)
+
+    async def _stop(self, host: Host) -> None:
+        assert host.process is not None
+        host.send_signal(signal.SIGTERM)
+        code = None
+        try:
+            # The caller of ``finish`` closes the feeds long before.
+            async with asyncio.timeout(STOP_SECONDS):
+                code = await host.process.wait()
+        except TimeoutError:
+            await host.kill()
+        self._history.stops.append(Stop(host.instance, code))
+
+    async def _cut(self, number: int, seconds: float, *, inward: bool) -> None:
+        for fabric in self._fabrics():
+            self._cut_of(fabric, inward).add(self._address(number, fabric))
+        await asyncio.sleep(seconds)
+        for fabric in self._fabrics():
+            self._cut_of(fabric, inward).discard(self._address(number, fabric))
+
+    async def _poor_fabric(self, share: float, seconds: float) -> None:
+        self._set_faults(share)
+        await asyncio.sleep(seconds)
+        self._set_faults(0.0)
+
+    async def _platform_down(self, seconds: float) -> None:
+        platform = self._fleet.platform
+        platform.down = True
+        await platform.wake()
+        await asyncio.sleep(seconds)
+        platform.down = False
+        await platform.wake()
+
+    async def _platform_back(self, revisions: int, seconds: float) -> None:
+        platform = self._fleet.platform
+        # At least the first revision stays visible.
+        await self._publish_queue(40 + revisions)
+        platform.hidden_revisions = {"configuration": revisions, "instances": 0}
+        await platform.wake()
+        await asyncio.sleep(seconds)
+        platform.hidden_revisions = {}
+        await platform.wake()
+
+    async def _publish_queue(self, queue: int) -> None:
+        for service in self._fleet.text["services"].values():
+            limits = service.get("limits", {})
+            service["limits"] = limits | {"queue_per_host": queue}
+        await self._fleet.publish_text()
+
+    async def _drain(self, agent: Host, seconds: float) -> None:
+        text, name = self._fleet.text, agent.instance
+        text["draining_hosts"] = [*text.get("draining_hosts", []), name]
+        await self._fleet.publish_text()
+        await asyncio.sleep(seconds)
+        text["draining_hosts"].remove(name)
+        await self._fleet.publish_text()
+
+    def _fabrics(self) -> list[Fabric]:
+        return list(self._fleet.fabrics.values())
+
+    def _address(self, number: int, fabric: Fabric) -> tuple[str, int]:
+        name = next(n for n, f in self._fleet.fabrics.items() if f is fabric)
+        return self._fleet.entry_addresses(name)[number]
+
+    def _cut_of(self, fabric: Fabric, inward: bool) -> set[tuple[str, int]]:
+        return fabric.unreachable if inward else fabric.muted
+
+    def _set_faults(self, share: float) -> None:
+        for fabric in self._fabrics():
+            for faults in (fabric.inward_faults, fabric.outward_faults):
+                _set_share(faults, share)
+
+    def _spray(self, entry: Host, used: bool) -> None:
+        number = self._entries.index(entry)
+        for fabric in self._fabrics():
+            address = self._address(number, fabric)
+            others = [known for known in fabric.entries if known != address]
+            fabric.entries = [*others, address] if used else others
+
+
+def _set_share(faults: Faults, share: float) -> None:
+    faults.loss = faults.duplication = faults.reordering = share
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -1,8 +1,9 @@
 """Stand-in for a backend server: slots, cold start, drain, shed, misleading reports.
 
 Query fields of a request choose its course: ``id`` names it in the record, ``seconds``
-is its duration on a server of speed 1, ``bytes`` the size of its answer, ``cut`` the
-number of bytes after which the connection is closed.
+is its duration on a server of speed 1, ``bytes`` the size of its answer, ``content`` a
+word that this answer repeats, ``cut`` the number of bytes after which the connection is
+closed.
 """
 
 import asyncio
@@ -181,7 +182,7 @@
         cut = int(request.query.get("cut", size))
         response = web.StreamResponse(headers={"content-length": str(size)})
         await response.prepare(request)
-        block = bytes(range(256)) * 256
+        block = _block(request.query.get("content", ""))
         for offset in range(0, cut, len(block)):
             await response.write(block[: cut - offset])
         if cut < size and request.transport is not None:
@@ -266,3 +267,9 @@
     async def _restart(self, request: web.Request) -> web.Response:
         self._started = monotonic()
         return web.Response(status=204)
+
+
+def _block(word: str) -> bytes:
+    if not word:
+        return bytes(range(256)) * 256
+    return word.encode() * (65_536 // len(word))
