Measure recovery from the end of the faults

Change: recovery is measured beside the load, a stop holds no lock, and the time of a stop counts from the end of the feeds.

--- a/faults/apply.py
+++ b/faults/apply.py
@@ -31,24 +31,26 @@
 
 # Time after which the fabric sprays no more to an entry that has gone.
 FABRIC_LAG_SECONDS = 0.5
-STOP_SECONDS = 20.0
+# Time in which a leaving agent ends after its last feed.
+STOP_SECONDS = 10.0
 
 
 class Injector:
-    """Applies faults. Faults of one host follow one another.
+    """Applies faults. Kills, freezes and starts of one host follow one another.
 
     Args:
         fleet: The running fleet.
         history: Where planned stops and kills are recorded.
     """
 
-    __slots__ = ("_entries", "_fleet", "_history", "_locks", "_stopping")
+    __slots__ = ("_entries", "_fleet", "_history", "_leaving", "_locks", "_stopping")
 
     def __init__(self, fleet: Fleet, history: History) -> None:
         self._fleet = fleet
         self._history = history
         self._entries = list(fleet.entries.values())
         self._locks: dict[str, Lock] = defaultdict(Lock)
+        self._leaving: set[str] = set()
         # Agents wait for their feeds, so their stops outlast the faults.
         self._stopping: list[Task[None]] = []
 
@@ -58,12 +60,16 @@
         async with asyncio.TaskGroup() as group:
             for step in steps:
                 await asyncio.sleep(max(0.0, began + step.at - monotonic()))
-                self._history.faults.append(f"{step.at:.2f} s {step.fault}")
+                self._history.faults.append(f"{monotonic():.2f} {step.fault}")
                 group.create_task(self._apply(step.fault))
 
     async def finish(self) -> None:
-        """Wait until stopped agents have ended and run again."""
-        await asyncio.gather(*self._stopping)
+        """Wait until stopped agents, whose feeds have ended, run again."""
+        if self._stopping:
+            _, late = await asyncio.wait(self._stopping, timeout=STOP_SECONDS)
+            for task in late:
+                task.cancel()
+            await asyncio.gather(*self._stopping)
 
     async def _apply(self, fault: Fault) -> None:
         match fault:
@@ -112,6 +118,9 @@
 
     async def _kill_agent(self, agent: Host, seconds: float) -> None:
         async with self._locks[agent.instance]:
+            # A kill would excuse a stop that fails.
+            if agent.instance in self._leaving:
+                return
             self._history.killed.add(agent.instance)
             await agent.kill()
             await asyncio.sleep(seconds)
@@ -119,6 +128,8 @@
 
     async def _freeze(self, host: Host, seconds: float) -> None:
         async with self._locks[host.instance]:
+            if _ended(host):
+                return
             host.send_signal(signal.SIGSTOP)
             await asyncio.sleep(seconds)
             host.send_signal(signal.SIGCONT)
@@ -134,18 +145,21 @@
 
     async def _stop_agent(self, agent: Host) -> None:
         async with self._locks[agent.instance]:
-            await self._stop(agent)
+            if agent.instance in self._leaving:
+                return
+            self._leaving.add(agent.instance)
+        await self._stop(agent)
+        async with self._locks[agent.instance]:
             await self._fleet.restart(agent)
+            self._leaving.discard(agent.instance)
 
     async def _stop(self, host: Host) -> None:
         assert host.process is not None
         host.send_signal(signal.SIGTERM)
         code = None
         try:
-            # The caller of ``finish`` closes the feeds long before.
-            async with asyncio.timeout(STOP_SECONDS):
-                code = await host.process.wait()
-        except TimeoutError:
+            code = await host.process.wait()
+        except asyncio.CancelledError:
             await host.kill()
         self._history.stops.append(Stop(host.instance, code))
 
@@ -216,5 +230,9 @@
             fabric.entries = [*others, address] if used else others
 
 
+def _ended(host: Host) -> bool:
+    return host.process is None or host.process.returncode is not None
+
+
 def _set_share(faults: Faults, share: float) -> None:
     faults.loss = faults.duplication = faults.reordering = share
--- a/faults/callers.py
+++ b/faults/callers.py
@@ -167,7 +167,7 @@
             return GaveUp()
         if answer.cut:
             rejected = answer.reset_code == H3_REQUEST_REJECTED
-            return Rejected() if rejected else Cut()
+            return Rejected() if rejected else Cut(answer.reset_code)
         return _whole(answer, expected)
 
     async def _connected(self) -> CallerConnection:
--- a/faults/checks.py
+++ b/faults/checks.py
@@ -76,8 +76,8 @@
     for attempt in history.attempts:
         if isinstance(attempt.ending, Cut | GaveUp | NotConnected):
             seconds = attempt.ended - attempt.sent
-            kind = type(attempt.ending).__name__
-            yield f"{attempt.request_id}: {kind} after {seconds:.3f} s"
+            when = f"sent {attempt.sent:.2f}, after {seconds:.3f} s"
+            yield f"{attempt.request_id}: {attempt.ending}, {when}"
 
 
 def service_recovers(history: History) -> Iterator[str]:
--- a/faults/history.py
+++ b/faults/history.py
@@ -29,7 +29,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Cut:
-    """The stream was reset or the connection lost before the answer was whole."""
+    """The stream was reset or the connection lost before the answer was whole.
+
+    Attributes:
+        code: Error code of the reset, None for a lost connection.
+    """
+
+    code: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/faults/runner.py
+++ b/faults/runner.py
@@ -61,8 +61,8 @@
         ended = monotonic()
         for feed in self._history.feeds:
             feed.before_end = len(feed.messages)
-        await asyncio.gather(*load)
         await self._recover(ended)
+        await asyncio.gather(*load)
         self._feeds_end.set()
         await asyncio.gather(*feeds, return_exceptions=True)
         await injector.finish()
--- a/faults/schedule.py
+++ b/faults/schedule.py
@@ -181,15 +181,15 @@
     """
     chance = random.Random(seed)
     planned = seed % 3 == 0
-    if planned:
-        # One host of each service stays, so that every request can be answered.
-        hosts = {name: _without_one(chance, hosts[name]) for name in hosts}
+    # One host of each service stays, so that every request can be answered.
+    leaving = {name: _without_one(chance, hosts[name]) for name in hosts}
     steps = []
     for _ in range(4):
         at = chance.uniform(FIRST_AT, LAST_AT)
         # Two faults at the same time.
         for kind in chance.sample(PLANNED if planned else ALL, 2):
-            steps.append(Step(at, _make(kind, chance, entries, hosts)))
+            chosen = leaving if kind in PLANNED else hosts
+            steps.append(Step(at, _make(kind, chance, entries, chosen)))
     return Schedule(seed, planned, tuple(sorted(steps, key=lambda step: step.at)))
 
 
--- /dev/null
+++ b/tests/test_fault_checks.py
@@ -0,0 +1,179 @@
+"""Each checker of the fault suite finds a fault that is planted in a history."""
+
+from unittest import TestCase
+
+from faults import checks
+from faults.history import (
+    Attempt,
+    Cut,
+    Feed,
+    GaveUp,
+    History,
+    HostEnd,
+    NotConnected,
+    Rejected,
+    Run,
+    Stop,
+    Whole,
+)
+from faults.schedule import StopAgents, make_schedule
+
+HOSTS = {"portal": [0, 1, 2], "records": [3, 4]}
+
+
+def answered(request_id, at=0.0, body=None, expected=None):
+    text = f'"/plain?id={request_id}&seconds=0"'.encode() if body is None else body
+    ending = Whole(200, "", "", text, expected)
+    return Attempt(request_id, True, at, at + 1, ending)
+
+
+def refused(request_id, at=0.0, outcome="not-run"):
+    ending = Whole(503, "1604", outcome, b"{}")
+    return Attempt(request_id, True, at, at + 1, ending)
+
+
+class CheckCase(TestCase):
+    def found(self, check, **fields):
+        return list(check(History(**({"planned": False} | fields))))
+
+
+class FeedCheckTest(CheckCase):
+    def feed(self, numbers, cut=False, before_end=1):
+        messages = [("a", number) for number in numbers]
+        return [Feed("f", messages, before_end, cut)]
+
+    def test_whole_feed_passes(self):
+        """Guards against a check that finds a fault in a whole feed."""
+        found = self.found(checks.feeds_continue, feeds=self.feed([0, 1, 2]))
+        self.assertEqual(found, [])
+
+    def test_planted_faults_are_found(self):
+        """Guards against a feed with a gap, a repeat, a cut or no more messages."""
+        for numbers, cut, before_end in (
+            ([0, 2], False, 1),
+            ([0, 1, 1], False, 1),
+            ([1, 0], False, 1),
+            ([0, 1], True, 1),
+            ([0, 1], False, 2),
+            ([], False, 0),
+        ):
+            with self.subTest(numbers=numbers, cut=cut, before_end=before_end):
+                feeds = self.feed(numbers, cut, before_end)
+                self.assertTrue(self.found(checks.feeds_continue, feeds=feeds))
+
+    def test_feed_of_two_servers_is_found(self):
+        """Guards against a feed that continues at another server."""
+        feeds = [Feed("f", [("a", 0), ("b", 1)], 1)]
+        self.assertTrue(self.found(checks.feeds_continue, feeds=feeds))
+
+    def test_only_feeds_of_killed_agents_may_break(self):
+        """Guards against a kill that excuses the feeds of another agent."""
+        feeds = self.feed([0, 1], cut=True)
+        for killed, count in (({"a"}, 0), ({"b"}, 1)):
+            found = self.found(checks.feeds_continue, feeds=feeds, killed=killed)
+            self.assertEqual(len(found), count)
+
+
+class AnswerCheckTest(CheckCase):
+    def test_planted_faults_are_found(self):
+        """Guards against an answer that is short or belongs to another request."""
+        for attempt, count in (
+            (answered("r-1"), 0),
+            (answered("r-1", body=b"?id=r-11&seconds"), 1),
+            (answered("r-1", body=b""), 1),
+            (answered("r-1", body=b"abc", expected=b"abc"), 0),
+            (answered("r-1", body=b"ab", expected=b"abc"), 1),
+            (answered("r-1", body=b"abd", expected=b"abc"), 1),
+        ):
+            with self.subTest(attempt=attempt):
+                found = self.found(checks.answers_whole, attempts=[attempt])
+                self.assertEqual(len(found), count)
+
+
+class NotRunCheckTest(CheckCase):
+    def count(self, attempts, *starts):
+        runs = [Run("r", "a", start) for start in starts]
+        return len(self.found(checks.not_run_holds, attempts=attempts, runs=runs))
+
+    def test_run_before_and_after_the_statement_is_found(self):
+        """Guards against "not run" for a request that ran or runs later."""
+        told = refused("r", at=1.0)
+        rejected = Attempt("r", False, 1.0, 2.0, Rejected())
+        for attempt in (told, rejected):
+            self.assertEqual(self.count([attempt]), 0)
+            for start in (0.5, 1.5, 9.0):
+                self.assertEqual(self.count([attempt], start), 1)
+
+    def test_only_a_later_attempt_may_run(self):
+        """Guards against a run of the first attempt that a retry hides."""
+        attempts = [refused("r", at=1.0), answered("r", at=4.0)]
+        self.assertEqual(self.count(attempts, 4.5), 0)
+        self.assertEqual(self.count(attempts, 3.0), 1)
+
+    def test_unknown_outcome_permits_a_run(self):
+        """Guards against a check that reads "unknown" as "not run"."""
+        self.assertEqual(self.count([refused("r", outcome="unknown")], 0.5), 0)
+
+
+class OtherChecksTest(CheckCase):
+    def test_second_run_of_a_keyed_request_is_found(self):
+        """Guards against a keyed request that runs at two servers."""
+        runs = [Run("r", "a", 1.0), Run("r", "b", 2.0)]
+        for number, count in ((1, 0), (2, 1)):
+            found = self.found(
+                checks.keyed_once, attempts=[answered("r")], runs=runs[:number]
+            )
+            self.assertEqual(len(found), count)
+
+    def test_stop_that_fails_or_hangs_is_found(self):
+        """Guards against a stop with a failure, or without an end."""
+        for code, count in ((0, 0), (1, 1), (-9, 1), (None, 1)):
+            found = self.found(checks.stops_graceful, stops=[Stop("a", code)])
+            self.assertEqual(len(found), count)
+
+    def test_request_cut_by_a_planned_change_is_found(self):
+        """Guards against a planned change that costs a request."""
+        for ending in (Cut(), GaveUp(), NotConnected()):
+            attempts = [Attempt("r", False, 0.0, 1.0, ending)]
+            for planned in (False, True):
+                found = self.found(
+                    checks.stops_graceful, attempts=attempts, planned=planned
+                )
+                self.assertEqual(len(found), int(planned))
+
+    def test_late_recovery_is_found(self):
+        """Guards against a service that stays down after the faults."""
+        for seconds, count in ((9.0, 0), (10.5, 1), (None, 1)):
+            found = self.found(checks.service_recovers, recovered_after=seconds)
+            self.assertEqual(len(found), count)
+
+    def test_lost_slot_and_passed_limit_are_found(self):
+        """Guards against a slot that is never given back or used twice."""
+        for usable, peak, lost, passed in ((2, 2, 0, 0), (1, 2, 1, 0), (2, 3, 0, 1)):
+            hosts = [HostEnd("a", 2, usable, peak)]
+            found = self.found(
+                checks.service_recovers, hosts=hosts, recovered_after=0.0
+            )
+            self.assertEqual(len(found), lost)
+            found = self.found(checks.slots_respected, hosts=hosts)
+            self.assertEqual(len(found), passed)
+
+
+class ScheduleTest(TestCase):
+    def test_seed_decides_the_schedule(self):
+        """Guards against a run that cannot be repeated from its seed."""
+        for seed in range(30):
+            schedule = make_schedule(seed, 2, HOSTS)
+            self.assertEqual(schedule, make_schedule(seed, 2, HOSTS))
+            self.assertEqual(schedule.planned, seed % 3 == 0)
+
+    def test_planned_stops_leave_one_host_of_each_service(self):
+        """Guards against a schedule that leaves no host for the requests."""
+        for seed in range(0, 60, 3):
+            steps = make_schedule(seed, 2, HOSTS).steps
+            numbers = set()
+            for step in steps:
+                if isinstance(step.fault, StopAgents):
+                    numbers.update(step.fault.numbers)
+            for service in HOSTS.values():
+                self.assertLess(len(numbers & set(service)), len(service))
