--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 	$(BIN)/pip install --quiet uv
 	$(BIN)/uv pip compile --quiet --generate-hashes --no-emit-index-url --no-header \
 		--extra dev pyproject.toml -o requirements.lock
+
+faults: env
+	$(BIN)/python -m faults
--- a/faults/apply.py
+++ b/faults/apply.py
@@ -31,8 +31,10 @@
 
 # Time after which the fabric sprays no more to an entry that has gone.
 FABRIC_LAG_SECONDS = 0.5
-# Time in which a leaving agent ends after its last feed.
-STOP_SECONDS = 10.0
+# Time in which a leaving agent ends after its last feed. It waits for a caller that
+# has gone until the connection has been idle for IDLE_SECONDS.
+IDLE_SECONDS = 10.0
+STOP_SECONDS = 2 * IDLE_SECONDS
 
 
 class Injector:
@@ -135,7 +137,8 @@
             host.send_signal(signal.SIGCONT)
 
     async def _replace_entry(self, entry: Host) -> None:
-        async with self._locks[entry.instance]:
+        # Operators replace one entry after the other.
+        async with self._locks["replacement"], self._locks[entry.instance]:
             stopping = asyncio.create_task(self._stop(entry))
             await asyncio.sleep(FABRIC_LAG_SECONDS)
             self._spray(entry, False)
--- a/faults/callers.py
+++ b/faults/callers.py
@@ -18,13 +18,12 @@
     Rejected,
     Whole,
 )
-from standins.caller import Answer, CallerConnection, open_caller
+from standins.caller import H3_REQUEST_REJECTED, Answer, CallerConnection, open_caller
 
 Address = tuple[str, int]
 
 KEY_PATH = "/.well-known/balsamspool/request-key"
 RESULT_HEADER = "balsamspool-result"
-H3_REQUEST_REJECTED = 0x10B
 CONNECT_SECONDS = 5.0
 # Above the deadline of the service, so that only a lost answer runs into it.
 PATIENCE_SECONDS = 12.0
--- a/faults/runner.py
+++ b/faults/runner.py
@@ -4,7 +4,7 @@
 from asyncio import Task
 from time import monotonic
 
-from faults.apply import Injector
+from faults.apply import IDLE_SECONDS, Injector
 from faults.callers import Caller, follow_feed
 from faults.history import Feed, History, HostEnd, Run
 from faults.schedule import Schedule, make_schedule
@@ -33,7 +33,8 @@
         ServicePlan("portal", 1, 3, ROUTES, OPTIONS),
         ServicePlan("records", 2, 2, ROUTES, OPTIONS),
     ]
-    async with run_fleet(plans, entries=ENTRIES) as fleet:
+    settings = {"frontend": {"idle_seconds": IDLE_SECONDS}}
+    async with run_fleet(plans, ENTRIES, extra_settings=settings) as fleet:
         schedule = make_schedule(seed, ENTRIES, _hosts(fleet))
         return await _Runner(fleet, schedule).run()
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -18,6 +18,8 @@
     StreamReset,
 )
 
+H3_REQUEST_REJECTED = 0x10B
+
 
 class ConnectionLost(Exception):
     """The connection ended before the answer was whole."""
@@ -143,8 +145,11 @@
                     answer.body += data
                     answer.whole = event.stream_ended
                     answer.changed.set()
-            case GoawayReceived():
+            case GoawayReceived(stream_id=first):
                 self.goaway = True
+                # Requests from this ID on are not processed (RFC 9114, 5.2).
+                for stream_id in [s for s in self._answers if s >= first]:
+                    self._cut(stream_id, H3_REQUEST_REJECTED)
 
     def _cut(self, stream_id: int, code: int | None = None) -> None:
         answer = self._answers.get(stream_id)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -230,7 +230,8 @@
             "frontend": {
                 "certificate": str(self._certificate),
                 "private_key": str(self._key),
-            },
+            }
+            | self.extra_settings.get("frontend", {}),
         }
         host = await self._launch(listed, settings)
         host.backend_server, host.backend_port = server, port
@@ -335,7 +336,7 @@
         return {
             "process": process,
             "platform": {"addresses": [self.platform_url], "watch_seconds": 5.0},
-        } | self.extra_settings
+        } | {k: v for k, v in self.extra_settings.items() if k != "frontend"}
 
     async def _launch(self, listed: dict[str, Any], settings: dict[str, Any]) -> Host:
         instance = listed["instance"]
