Close a leaving connection only after its GOAWAY is acknowledged

Cause: a leaving connection closed as soon as no request was in progress. A request below the last GOAWAY whose packet had been lost was then dropped, and a caller that had not read the GOAWAY heard nothing until its own timeout. Change: the connection waits for request streams that are missing below the GOAWAY and for the acknowledgement of its control stream, at most until it has been idle too long. The fleet stand-in takes ports below those of outgoing connections. Conclusion: a planned stop with loss in the network no longer loses these requests.

--- a/balsamspool/plugins/frontend/_quic.py
+++ b/balsamspool/plugins/frontend/_quic.py
@@ -87,14 +87,15 @@
         return self._idle_timeout()
 
     @property
-    def answers_acknowledged(self) -> bool:
-        """Whether the peer has acknowledged the end of every answer."""
+    def all_acknowledged(self) -> bool:
+        """Whether the peer has acknowledged the end of every answer and all GOAWAYs."""
         return all(
             stream.sender.is_finished
             or stream.sender.buffer_is_empty
             and stream.sender._buffer_stop == 0
-            for stream_id, stream in self._streams.items()
             if _is_request_stream(stream_id)
+            else self.buffered_bytes(stream_id) == 0
+            for stream_id, stream in self._streams.items()
         )
 
     def buffered_bytes(self, stream_id: int) -> int:
--- a/balsamspool/plugins/frontend/connection.py
+++ b/balsamspool/plugins/frontend/connection.py
@@ -119,6 +119,7 @@
         "_http",
         "_inbox",
         "_metrics",
+        "_missing",
         "_next_stream_id",
         "_on_established",
         "_on_retired",
@@ -168,6 +169,8 @@
         self._established = False
         self._handshake_by = now() + handshake_seconds
         self._next_stream_id = 0
+        # Request streams below the next one whose packets have not arrived.
+        self._missing: set[int] = set()
         self._ping_at = 0.0
         self._probes = 0
 
@@ -386,12 +389,11 @@
 
     def _start(self, stream_id: int, fields: ValidFields | InvalidFields) -> None:
         assert self._http is not None
-        self._next_stream_id = max(self._next_stream_id, stream_id + 4)
-        goaway = self._http.goaway
-        if goaway is not None and stream_id >= goaway:
+        if not self._is_processed(stream_id):
             self.reset_stream(stream_id, H3_REQUEST_REJECTED)
             self.stop_receiving(stream_id, H3_REQUEST_REJECTED)
             return
+        self._note_stream(stream_id)
         service = self._service()
         limits = service.limits if service is not None else Limits()
         exchange = Exchange(
@@ -407,6 +409,15 @@
         assert exchange.task is not None
         exchange.task.add_done_callback(lambda _: self._ended(stream_id))
 
+    def _is_processed(self, stream_id: int) -> bool:
+        goaway = self._http.goaway if self._http is not None else None
+        return goaway is None or stream_id < goaway
+
+    def _note_stream(self, stream_id: int) -> None:
+        self._missing.update(range(self._next_stream_id, stream_id, 4))
+        self._missing.discard(stream_id)
+        self._next_stream_id = max(self._next_stream_id, stream_id + 4)
+
     def _ended(self, stream_id: int) -> None:
         self._exchanges.pop(stream_id, None)
         self._wake.set()
@@ -420,6 +431,9 @@
         exchange = self._exchanges.get(stream_id)
         if exchange is not None:
             exchange.cancel()
+        elif stream_id % 4 == 0 and self._is_processed(stream_id):
+            # The caller gave up before its header fields arrived.
+            self._note_stream(stream_id)
 
     def _keep_alive(self) -> None:
         if self._exchanges and now() >= self._ping_at:
@@ -442,10 +456,17 @@
                 if feeds_until is not None and now() >= feeds_until:
                     self._phase = Leaving(None)
                     self._cancel_feeds()
-                if not self._exchanges and self._quic.answers_acknowledged:
+                if self._all_answered():
                     self._phase = Closing()
                     self._quic.close(error_code=H3_NO_ERROR)
 
+    def _all_answered(self) -> bool:
+        # A packet of a request below the last GOAWAY may have been lost, and a caller
+        # that has not read that GOAWAY cannot know that a later request is not run. The
+        # idle limit bounds the wait for a caller that has gone.
+        pending = self._exchanges or self._missing
+        return not pending and self._quic.all_acknowledged
+
     def _cancel_feeds(self) -> None:
         for exchange in self._exchanges.values():
             if exchange.is_feed:
--- a/faults/apply.py
+++ b/faults/apply.py
@@ -1,6 +1,7 @@
 """Applies the faults of a schedule to a running fleet."""
 
 import asyncio
+import contextlib
 import signal
 from asyncio import Lock, Task
 from collections import defaultdict
@@ -130,11 +131,11 @@
 
     async def _freeze(self, host: Host, seconds: float) -> None:
         async with self._locks[host.instance]:
-            if _ended(host):
-                return
-            host.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(seconds)
-            host.send_signal(signal.SIGCONT)
+            # A leaving process may have ended.
+            with contextlib.suppress(ProcessLookupError):
+                host.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(seconds)
+                host.send_signal(signal.SIGCONT)
 
     async def _replace_entry(self, entry: Host) -> None:
         # Operators replace one entry after the other.
@@ -233,9 +234,5 @@
             fabric.entries = [*others, address] if used else others
 
 
-def _ended(host: Host) -> bool:
-    return host.process is None or host.process.returncode is not None
-
-
 def _set_share(faults: Faults, share: float) -> None:
     faults.loss = faults.duplication = faults.reordering = share
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import random
 import signal
 import socket
 import sys
@@ -30,13 +31,21 @@
 START_SECONDS = 20.0
 STOP_SECONDS = 20.0
 SECRET = "5a" * 32
+# Below the ports of outgoing connections, one of which could take the port of a program
+# that starts or has been killed.
+PORTS = (10_000, 32_000)
 
 
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
     """Return a port that is free now."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((ADDRESS, 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((ADDRESS, port))
+            except OSError:
+                continue
+            return port
 
 
 @dataclass(slots=True)
--- a/tests/test_frontend_drain.py
+++ b/tests/test_frontend_drain.py
@@ -75,6 +75,50 @@
         await asyncio.wait_for(drain, 5)
         self.assertEqual(ran, ["/first", "/early"])
 
+    async def test_request_below_goaway_that_arrives_last_is_answered(self):
+        """Guards against a close before a lost packet of a request is sent again."""
+        agent, caller = await self.open_recorded()
+        agent.kernel.request_stop()
+        drain = asyncio.create_task(agent.frontend.drain())
+        await caller.until(lambda: len(caller.http.goaways) == 1)
+        with mock.patch.object(agent, "deliver"):
+            lost = caller.request(path="/lost")
+        later = caller.request(path="/later")
+        self.assertEqual((await caller.answer(later))[0], 200)
+        caller.paused = True
+        await asyncio.sleep(0.6)
+        self.assertIsNone(caller.terminated)
+        self.assertEqual(len(agent.frontend.table.connections), 1)
+        caller.paused = False
+        self.assertEqual((await caller.answer(lost))[0], 200)
+        await asyncio.wait_for(drain, 5)
+
+    async def test_request_given_up_before_it_arrived_does_not_delay_the_close(self):
+        """Guards against a close that waits for a request which never comes."""
+        agent, caller = await self.open_recorded()
+        with mock.patch.object(agent, "deliver"):
+            lost = caller.request(path="/lost")
+        caller.quic.reset_stream(lost, 0x10C)
+        caller.flush()
+        self.assertEqual((await caller.answer(caller.request()))[0], 200)
+        agent.kernel.request_stop()
+        await asyncio.wait_for(agent.frontend.drain(), 2)
+
+    async def test_close_waits_until_the_caller_has_read_goaway(self):
+        """Guards against a caller that never learns that a request was not run."""
+        agent, caller = await self.open_recorded()
+        agent.kernel.request_stop()
+        drain = asyncio.create_task(agent.frontend.drain())
+        await caller.until(lambda: len(caller.http.goaways) == 1)
+        caller.paused = True
+        await asyncio.sleep(0.7)
+        self.assertEqual(len(agent.frontend.table.connections), 1)
+        caller.paused = False
+        late = caller.request(path="/late")
+        await caller.until(lambda: late in caller.resets)
+        self.assertEqual(caller.resets[late], H3_REQUEST_REJECTED)
+        await asyncio.wait_for(drain, 5)
+
     async def test_draining_host_refuses_and_takes_connections_again(self):
         """Guards against new flows on a host that the text drains."""
         agent, caller = await self.open_recorded()
