--- a/balsamspool/plugins/frontend/listener.py
+++ b/balsamspool/plugins/frontend/listener.py
@@ -21,7 +21,7 @@
 from balsamspool.kernel.settings import Section
 from balsamspool.plugins.admission import AdmissionPlugin
 from balsamspool.plugins.backend import BackendPlugin
-from balsamspool.plugins.configuration import ConfigurationPlugin
+from balsamspool.plugins.configuration import Configuration, ConfigurationPlugin
 from balsamspool.plugins.configuration.text import Service
 from balsamspool.plugins.forwarding import ReturnPathPlugin
 from balsamspool.plugins.forwarding.envelope import Forward, TracedForward
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import random
 import signal
 import socket
 import sys
@@ -30,13 +31,21 @@
 START_SECONDS = 20.0
 STOP_SECONDS = 20.0
 SECRET = "5a" * 32
+# Below the ports of outgoing connections, one of which could take the port of a program
+# that starts or has been killed.
+PORTS = (10_000, 32_000)
 
 
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
     """Return a port that is free now."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((ADDRESS, 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((ADDRESS, port))
+            except OSError:
+                continue
+            return port
 
 
 @dataclass(slots=True)
@@ -230,7 +239,8 @@
             "frontend": {
                 "certificate": str(self._certificate),
                 "private_key": str(self._key),
-            },
+            }
+            | self.extra_settings.get("frontend", {}),
         }
         host = await self._launch(listed, settings)
         host.backend_server, host.backend_port = server, port
@@ -335,7 +345,7 @@
         return {
             "process": process,
             "platform": {"addresses": [self.platform_url], "watch_seconds": 5.0},
-        } | self.extra_settings
+        } | {k: v for k, v in self.extra_settings.items() if k != "frontend"}
 
     async def _launch(self, listed: dict[str, Any], settings: dict[str, Any]) -> Host:
         instance = listed["instance"]
