Measure the policy against baselines on a paused clock

Cause: No run showed what the host choice, hand-over, admission, relay and the judgement of backend servers bring under load.

--- /dev/null
+++ b/benchmarks/policy/fleet.py
@@ -0,0 +1,350 @@
+"""Drives the hosts of one service through a workload."""
+
+import asyncio
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+from balsamspool.kernel.backoff import RetryBudget
+from balsamspool.kernel.clock import now
+from balsamspool.plugins.admission.decision import Admit, Refuse, Relay, Shed
+from balsamspool.plugins.backend.outlier import Standing
+from balsamspool.plugins.routing.flow import FlowKey
+from balsamspool.plugins.routing.handover import Accept, HandOver, Peer
+from balsamspool.plugins.routing.handover import Refuse as RefuseFlow
+from balsamspool.plugins.routing.rendezvous import Candidate, choose
+from balsamspool.plugins.routing.weights import HostAges, HostReport, weight_of
+from balsamspool.plugins.serving.handler import MAX_PEERS
+from balsamspool.requests.relay import PeerLoad
+from benchmarks.policy.host import Host
+from benchmarks.policy.parts import (
+    LeastConnections,
+    RandomHost,
+    Rendezvous,
+    System,
+)
+from benchmarks.policy.workload import (
+    FLOWS_PER_HOST,
+    SLOW_FACTOR,
+    Arrival,
+    Workload,
+)
+from tests._clock import PausedClockLoop
+
+DOMAIN_DELAY = 0.001
+TABLE_SECONDS = 0.5
+REPORT_SECONDS = 1.0
+POLL_SECONDS = 1.0
+
+
+class Ending(Enum):
+    """How a request ended."""
+
+    ANSWERED = "answered"
+    SHED = "shed"
+    REFUSED = "refused"
+    LATE = "late"
+    LEFT = "left"
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What became of one request.
+
+    Attributes:
+        arrival: The request.
+        ending: How it ended.
+        seconds: Time from sending to the end, as the caller sees it.
+        relays: Number of times it was relayed.
+    """
+
+    arrival: Arrival
+    ending: Ending
+    seconds: float
+    relays: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """Everything that one run of a system left.
+
+    Attributes:
+        outcomes: Outcome of each request, in order of arrival.
+        hosts: The hosts with the time that their slots were held.
+        begin: Event loop time of the start in seconds.
+        refused_flows: New flows that no host took.
+    """
+
+    outcomes: tuple[Outcome, ...]
+    hosts: tuple[Host, ...]
+    begin: float
+    refused_flows: int
+
+
+class Fleet:
+    """The hosts of one service with the flows that are open on them.
+
+    Args:
+        workload: What arrives.
+        system: Parts of the policy in use.
+    """
+
+    __slots__ = (
+        "_ages",
+        "_begin",
+        "_budgets",
+        "_flows",
+        "_hosts",
+        "_listed",
+        "_outcomes",
+        "_peers",
+        "_refused_flows",
+        "_reports",
+        "_rng",
+        "_serial",
+        "_system",
+        "_table",
+        "_workload",
+    )
+
+    def __init__(self, workload: Workload, system: System) -> None:
+        self._workload, self._system = workload, system
+        self._rng = random.Random(workload.seed)
+        self._hosts = [
+            Host(number, speed, system, self._rng)
+            for number, speed in enumerate(workload.speeds)
+        ]
+        self._budgets = {host.name: RetryBudget() for host in self._hosts}
+        churn = workload.scenario.churn
+        # With churn the first host joins at the crest.
+        self._listed = self._hosts[1:] if churn else list(self._hosts)
+        self._ages = HostAges()
+        self._table: list[Candidate] = []
+        self._reports: dict[str, PeerLoad] = {}
+        self._peers: list[Peer] = []
+        self._flows: list[Host] = []
+        self._outcomes: list[Outcome | None] = [None] * len(workload.arrivals)
+        self._refused_flows = self._serial = 0
+        self._begin = 0.0
+
+    async def run(self) -> Record:
+        """Run the workload to its end."""
+        self._begin = now()
+        self._rebuild()
+        self._exchange_reports()
+        for _ in range(FLOWS_PER_HOST * len(self._listed)):
+            self._flows.append(self._open_flow())
+        async with asyncio.TaskGroup() as group:
+            background = [
+                group.create_task(self._repeat(TABLE_SECONDS, self._rebuild)),
+                group.create_task(self._repeat(REPORT_SECONDS, self._exchange_reports)),
+                group.create_task(self._repeat(POLL_SECONDS, self._poll)),
+                group.create_task(self._churn()),
+            ]
+            requests = []
+            for arrival in self._workload.arrivals:
+                await asyncio.sleep(self._begin + arrival.time - now())
+                requests.append(group.create_task(self._call(arrival)))
+            await asyncio.gather(*requests)
+            for task in background:
+                task.cancel()
+        return Record(
+            tuple(outcome for outcome in self._outcomes if outcome is not None),
+            tuple(self._hosts),
+            self._begin,
+            self._refused_flows,
+        )
+
+    async def _repeat(self, seconds: float, work: object) -> None:
+        while True:
+            await asyncio.sleep(seconds)
+            work()
+
+    async def _churn(self) -> None:
+        if not self._workload.scenario.churn:
+            return
+        cold, draining, slow, lying = self._hosts[0:3] + self._hosts[-1:]
+        lying.lying = self._workload.slows
+        begin, end = self._workload.crest
+        await asyncio.sleep(begin)
+        cold.start_cold()
+        self._listed.append(cold)
+        self._exchange_reports()
+        await asyncio.sleep((end - begin) / 4)
+        draining.leaving = True
+        await asyncio.sleep((end - begin) / 4)
+        if self._workload.slows:
+            slow.speed /= SLOW_FACTOR
+
+    def _rebuild(self) -> None:
+        hosts = [host for host in self._listed if host.accepting] or self._listed
+        self._ages.update([host.name for host in hosts], now())
+        self._table = [self._weighted(host) for host in hosts]
+
+    def _weighted(self, host: Host) -> Candidate:
+        plain = host.candidate
+        match self._system.choice:
+            case Rendezvous(weighted=True):
+                age = self._ages.age(host.name, now())
+                weight = weight_of(HostReport(load=host.load, age=age))
+                return Candidate(plain.name, plain.address, plain.data_port, weight)
+            case _:
+                return plain
+
+    def _exchange_reports(self) -> None:
+        for host in self._listed:
+            self._reports[host.name] = host.report()
+            host.reported_connections = 0 if host.lying else host.connections
+        self._peers = [
+            Peer(host.candidate, self._reports[host.name].load)
+            for host in self._listed
+            if self._reports[host.name].accepting
+        ]
+
+    def _poll(self) -> None:
+        for host in self._listed:
+            if host.judge.record_report(healthy=True) and self._system.slow_start:
+                host.controller.cool()
+
+    def _open_flow(self) -> Host:
+        self._serial += 1
+        number = self._serial
+        key = FlowKey(
+            1, f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}", 9
+        )
+        host = self._settle(key.encode(), self._choose(key.encode()))
+        host.connections += 1
+        return host
+
+    def _choose(self, key: bytes) -> Host:
+        accepting = [host for host in self._listed if not host.leaving]
+        match self._system.choice:
+            case Rendezvous():
+                chosen = choose(key, self._table)
+                return next(h for h in self._hosts if h.name == chosen.name)
+            case RandomHost():
+                return self._rng.choice(accepting)
+            case LeastConnections():
+                return min(accepting, key=lambda host: host.reported_connections)
+
+    def _settle(self, key: bytes, host: Host) -> Host:
+        if not self._system.handover:
+            return host
+        for hops in range(3):
+            match host.handover.decide(key, host.own, self._peers, hops, now()):
+                case Accept():
+                    return host
+                case HandOver(peer):
+                    host = next(h for h in self._hosts if h.name == peer.name)
+                case RefuseFlow():
+                    self._refused_flows += 1
+                    return host
+        return host
+
+    async def _call(self, arrival: Arrival) -> None:
+        started = now()
+        try:
+            async with asyncio.timeout(arrival.leaves):
+                ending, relays = await self._travel(arrival, started)
+        except TimeoutError:
+            ending, relays = Ending.LEFT, 0
+        self._outcomes[arrival.number] = Outcome(
+            arrival, ending, now() - started, relays
+        )
+
+    async def _travel(self, arrival: Arrival, started: float) -> tuple[Ending, int]:
+        deadline = started + arrival.route.deadline
+        place = arrival.flow % len(self._flows)
+        if arrival.opens:
+            self._flows[place].connections -= 1
+            self._flows[place] = self._open_flow()
+        host = self._flows[place]
+        delay = self._workload.service.caller_delay + DOMAIN_DELAY
+        await asyncio.sleep(delay)
+        ending, relays = await self._serve(host, arrival, deadline)
+        await asyncio.sleep(delay)
+        if ending is Ending.ANSWERED and now() > deadline:
+            ending = Ending.LATE
+        return ending, relays
+
+    async def _serve(
+        self, host: Host, arrival: Arrival, deadline: float
+    ) -> tuple[Ending, int]:
+        """Follow the loop of the serving plug-in."""
+        self._budgets[host.name].record_attempt()
+        tried: set[str] = set()
+        relays = 0
+        while True:
+            peers = self._peers_for(host, tried)
+            accepting = host.accepting if self._system.judge else not host.leaving
+            if accepting:
+                job = host.job(arrival, deadline, self._system)
+                decision = await host.controller.admit(job, peers)
+            else:
+                decision = host.controller.elsewhere(peers)
+            match decision:
+                case Admit(slot):
+                    with slot:
+                        limit = deadline if self._system.deadlines else None
+                        whole = await self._dispatch(host, arrival, limit)
+                    return Ending.ANSWERED if whole else Ending.LATE, relays
+                case Relay(peer):
+                    relays += 1
+                    await asyncio.sleep(DOMAIN_DELAY)
+                    other = next(h for h in self._hosts if h.name == peer.instance)
+                    ending = await self._serve_relayed(other, arrival, deadline)
+                    await asyncio.sleep(DOMAIN_DELAY)
+                    if ending not in (Ending.SHED, Ending.REFUSED):
+                        return ending, relays
+                    tried.add(peer.instance)
+                case Shed():
+                    return Ending.SHED, relays
+                case Refuse():
+                    return Ending.REFUSED, relays
+
+    async def _serve_relayed(
+        self, host: Host, arrival: Arrival, deadline: float
+    ) -> Ending:
+        if not host.accepting:
+            return Ending.REFUSED
+        job = host.job(arrival, deadline, self._system)
+        job = type(job)(job.route, deadline, job.expected, job.long, relayed=True)
+        match await host.controller.admit(job):
+            case Admit(slot):
+                with slot:
+                    whole = await self._dispatch(host, arrival, deadline)
+                return Ending.ANSWERED if whole else Ending.LATE
+            case _:
+                return Ending.SHED
+
+    async def _dispatch(
+        self, host: Host, arrival: Arrival, deadline: float | None
+    ) -> bool:
+        if self._system.deadlines:
+            return await host.run(arrival, deadline)
+        # The backend server does not learn that its caller has left.
+        return await asyncio.shield(host.run(arrival, None))
+
+    def _peers_for(self, host: Host, tried: set[str]) -> list[PeerLoad]:
+        # A leaving host hands its requests over even if nothing else is relayed.
+        needed = self._system.relay or host.leaving
+        suspended = host.judge.standing is Standing.SUSPENDED
+        if not needed and not suspended:
+            return []
+        budget = self._budgets[host.name]
+        if tried and (len(tried) >= MAX_PEERS or not budget.try_spend()):
+            return []
+        return [
+            report
+            for name, report in self._reports.items()
+            if name != host.name and name not in tried
+        ]
+
+
+def run(workload: Workload, system: System) -> Record:
+    """Run a system through a workload on a paused clock."""
+    loop = PausedClockLoop()
+    try:
+        return loop.run_until_complete(Fleet(workload, system).run())
+    finally:
+        loop.close()
--- /dev/null
+++ b/benchmarks/policy/host.py
@@ -0,0 +1,155 @@
+"""One agent of the driver: the product's decision classes and a fake backend server."""
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+from balsamspool.kernel.clock import now
+from balsamspool.plugins.admission.controller import AdmissionController
+from balsamspool.plugins.admission.estimate import Estimator
+from balsamspool.plugins.admission.policy import RelayPolicy
+from balsamspool.plugins.admission.queue import Job
+from balsamspool.plugins.admission.slots import Slots
+from balsamspool.plugins.backend.outlier import OutlierJudge, Standing
+from balsamspool.plugins.mesh.message import PeerAddress
+from balsamspool.plugins.routing.handover import Handover, OwnHost, OwnState
+from balsamspool.plugins.routing.rendezvous import Candidate
+from balsamspool.requests.relay import PeerLoad
+from benchmarks.policy.parts import System
+from benchmarks.policy.workload import (
+    COLD_FACTOR,
+    COLD_SECONDS,
+    QUEUE,
+    SLOTS,
+    Arrival,
+)
+
+CONNECTIONS = 2_000
+SLOW_START_SECONDS = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """Time that a request held a slot, in event loop time.
+
+    Attributes:
+        begin: Begin in seconds.
+        end: End in seconds.
+        useful: Whether its answer was whole.
+    """
+
+    begin: float
+    end: float
+    useful: bool
+
+
+class Host:
+    """An agent with its backend server.
+
+    Args:
+        number: Position of the host.
+        speed: Speed of its backend server.
+        system: Parts of the policy in use.
+        rng: Source of randomness.
+    """
+
+    __slots__ = (
+        "_cold_until",
+        "address",
+        "candidate",
+        "connections",
+        "controller",
+        "estimator",
+        "handover",
+        "judge",
+        "leaving",
+        "lying",
+        "reported_connections",
+        "runs",
+        "speed",
+    )
+
+    def __init__(
+        self, number: int, speed: float, system: System, rng: random.Random
+    ) -> None:
+        slots = Slots(SLOTS, SLOTS, SLOW_START_SECONDS if system.slow_start else 0.0)
+        self.controller = AdmissionController(
+            slots, QUEUE, CONNECTIONS, RelayPolicy(rng)
+        )
+        self.candidate = Candidate(f"host-{number}", f"127.0.1.{number}", 4433)
+        self.address = PeerAddress(self.candidate.address, 4434)
+        self.estimator = Estimator()
+        self.handover = Handover()
+        self.judge = OutlierJudge()
+        self.speed = speed
+        self.connections = self.reported_connections = 0
+        self.leaving = self.lying = False
+        self.runs: list[Run] = []
+        self._cold_until = 0.0
+
+    @property
+    def name(self) -> str:
+        """Name of the agent instance."""
+        return self.candidate.name
+
+    @property
+    def load(self) -> int:
+        """Load that the host reports."""
+        return 0 if self.lying else self.controller.load
+
+    @property
+    def accepting(self) -> bool:
+        """Whether the host takes new requests."""
+        return not self.leaving and self.judge.standing is not Standing.SUSPENDED
+
+    @property
+    def own(self) -> OwnHost:
+        """What hand-over needs to know of the host."""
+        state = OwnState.ACCEPTING
+        if self.leaving:
+            state = OwnState.LEAVING
+        elif self.connections >= CONNECTIONS:
+            state = OwnState.FULL
+        return OwnHost(self.name, state, self.controller.load)
+
+    def report(self) -> PeerLoad:
+        """Return what the host tells its peers."""
+        wait = 0.0 if self.lying else self.controller.expected_wait
+        return PeerLoad(self.name, self.address, self.accepting, self.load, wait)
+
+    def start_cold(self) -> None:
+        """Begin as a cold backend server."""
+        self._cold_until = now() + COLD_SECONDS
+        self.controller.cool()
+
+    def job(self, arrival: Arrival, deadline: float, system: System) -> Job:
+        """Return what admission learns of a request."""
+        route = arrival.route
+        if not system.estimates:
+            return Job(route.name, deadline, 0.0, system.protection and route.long)
+        long = route.long or self.estimator.is_long(route.name)
+        expected = self.estimator.expected(route.name)
+        return Job(route.name, deadline, expected, system.protection and long)
+
+    async def run(self, arrival: Arrival, deadline: float | None) -> bool:
+        """Run a request in a slot and return whether its answer is whole."""
+        begin = now()
+        speed = self.speed / (COLD_FACTOR if begin < self._cold_until else 1.0)
+        whole = False
+        try:
+            async with asyncio.timeout_at(deadline):
+                await asyncio.sleep(arrival.work / speed)
+            whole = True
+        except TimeoutError:
+            if now() - begin >= 1.0:
+                self.judge.record_failure()
+        finally:
+            seconds = now() - begin
+            self.runs.append(Run(begin, begin + seconds, whole))
+            if whole:
+                self.judge.record_first_byte(seconds)
+                self.judge.record_success()
+                self.estimator.observe(arrival.route.name, seconds)
+            else:
+                self.estimator.observe_cut(arrival.route.name, seconds)
+        return whole
--- /dev/null
+++ b/benchmarks/policy/parts.py
@@ -0,0 +1,85 @@
+"""Parts of the policy that a system uses or replaces."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Rendezvous:
+    """Host choice of the product.
+
+    Attributes:
+        weighted: Whether load and age change the weights.
+    """
+
+    weighted: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class RandomHost:
+    """Any host with equal probability."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeastConnections:
+    """The host with the fewest connections by its last report."""
+
+
+Choice = Rendezvous | RandomHost | LeastConnections
+
+
+@dataclass(frozen=True, slots=True)
+class System:
+    """What one compared system consists of.
+
+    Attributes:
+        name: Name in the table.
+        choice: Host choice of new flows.
+        handover: Whether a busy agent hands new flows over.
+        relay: Whether agents relay queued requests.
+        protection: Whether long requests leave a slot to short ones.
+        estimates: Whether queue and shedding use learnt durations; without, the queue
+            is first in, first out.
+        judge: Whether a suspended backend server gets no requests.
+        slow_start: Whether a cold backend server gets its slots one by one.
+        deadlines: Whether work is cancelled when its caller has left.
+    """
+
+    name: str
+    choice: Choice = field(default_factory=Rendezvous)
+    handover: bool = True
+    relay: bool = True
+    protection: bool = True
+    estimates: bool = True
+    judge: bool = True
+    slow_start: bool = True
+    deadlines: bool = True
+
+
+def _plain(name: str, choice: Choice) -> System:
+    return System(
+        name,
+        choice,
+        handover=False,
+        relay=False,
+        protection=False,
+        estimates=False,
+        judge=False,
+        slow_start=False,
+        deadlines=False,
+    )
+
+
+PRODUCT = System("product")
+SYSTEMS = (
+    PRODUCT,
+    System("without weights", Rendezvous(weighted=False)),
+    System("without hand-over", handover=False),
+    System("without relay", relay=False),
+    System("without protection", protection=False),
+    System("without estimates", estimates=False),
+    System("fifo queue", protection=False, estimates=False),
+    System("without judge", judge=False),
+    System("without slow start", slow_start=False),
+    _plain("random host", RandomHost()),
+    _plain("least connections", LeastConnections()),
+)
