--- a/balsamspool/plugins/admission/controller.py
+++ b/balsamspool/plugins/admission/controller.py
@@ -104,7 +104,7 @@
         wait = self._wait(order, job.long)
         if wait == 0.0 and self._slots.fits(job.long):
             return Admit(self._take(job))
-        peer = None if job.relayed else self._policy.lighter(wait, peers, job.expected)
+        peer = None if job.relayed else self._policy.lighter(wait, peers)
         if peer is not None:
             return Relay(peer)
         if now() + wait > job.latest_start:
