Relay a request that waits longer than predicted

Cause: A request was relayed only when it arrived. One that was queued behind a request that then got stuck stayed until its deadline, however idle the peers were. Change: The controller asks for the peers of the moment, and a queued request is looked at again when its predicted wait is over, at most every 0.1 s.

--- a/balsamspool/plugins/admission/controller.py
+++ b/balsamspool/plugins/admission/controller.py
@@ -3,7 +3,7 @@
 import asyncio
 import heapq
 from asyncio import TimerHandle
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.errors import ResultCode
@@ -22,6 +22,16 @@
 ALL_BUSY = 128
 FULL = 255
 MIN_WAIT_SECONDS = 0.001
+# A request that waits longer than predicted may be relayed after all. The time between
+# two looks bounds the cost of a full queue.
+RECHECK_SECONDS = 0.1
+
+Peers = Callable[[], Sequence[PeerLoad]]
+
+
+def no_peers() -> Sequence[PeerLoad]:
+    """Return no peer, for requests that must not be relayed."""
+    return ()
 
 
 class AdmissionController:
@@ -90,12 +100,12 @@
         self._feeds.add(feed)
         return Admit(feed)
 
-    async def admit(self, job: Job, peers: Sequence[PeerLoad] = ()) -> Decision:
+    async def admit(self, job: Job, peers: Peers = no_peers) -> Decision:
         """Decide on a request, which may wait for a slot.
 
         Args:
             job: The request.
-            peers: Peers to which it may be relayed.
+            peers: Returns the peers to which it may be relayed now.
 
         Returns:
             The decision. A slot of ``Admit`` belongs to the caller of this method.
@@ -104,14 +114,14 @@
         wait = self._wait(order, job.long)
         if wait == 0.0 and self._slots.fits(job.long):
             return Admit(self._take(job))
-        peer = None if job.relayed else self._policy.lighter(wait, peers)
+        peer = self._lighter(job, wait, peers)
         if peer is not None:
             return Relay(peer)
         if now() + wait > job.latest_start:
             return Shed(wait, DEADLINE_UNREACHABLE)
         if not self._make_room():
             return Shed(self.expected_wait, QUEUE_FULL)
-        return await self._wait_in_queue(job, order)
+        return await self._wait_in_queue(job, order, wait, peers)
 
     def elsewhere(self, peers: Sequence[PeerLoad]) -> Relay | Refuse:
         """Decide on a request that must not run here.
@@ -138,26 +148,46 @@
         self.feed_limit = feeds
         self._grant()
 
-    async def _wait_in_queue(self, job: Job, order: float) -> Decision:
+    def _lighter(self, job: Job, wait: float, peers: Peers) -> PeerLoad | None:
+        return None if job.relayed else self._policy.lighter(wait, peers())
+
+    async def _wait_in_queue(
+        self, job: Job, order: float, wait: float, peers: Peers
+    ) -> Decision:
         loop = asyncio.get_running_loop()
         waiter = Waiter(job, order, loop.create_future())
         self._queue.add(waiter)
         try:
-            # Shielded, so that a slot granted at the same moment is not lost with it.
-            async with asyncio.timeout_at(job.deadline):
-                result = await asyncio.shield(waiter.outcome)
-        except TimeoutError:
-            self._abandon(waiter)
-            return Shed(self.expected_wait, DEADLINE_UNREACHABLE)
+            while not waiter.outcome.done():
+                limit = now() + max(wait, RECHECK_SECONDS)
+                await self._wait_until(waiter, min(limit, job.deadline))
+                if waiter.outcome.done():
+                    break
+                if now() >= job.deadline:
+                    self._abandon(waiter)
+                    return Shed(self.expected_wait, DEADLINE_UNREACHABLE)
+                wait = self._wait(order, job.long)
+                peer = self._lighter(job, wait, peers)
+                if peer is not None:
+                    self._abandon(waiter)
+                    return Relay(peer)
         except asyncio.CancelledError:
             self._abandon(waiter)
             raise
-        match result:
+        match waiter.outcome.result():
             case Slot() as slot:
                 return Admit(slot)
             case ResultCode() as reason:
                 return Shed(self.expected_wait, reason)
 
+    async def _wait_until(self, waiter: Waiter, time: float) -> None:
+        try:
+            # Shielded, so that a slot granted at the same moment is not lost with it.
+            async with asyncio.timeout_at(time):
+                await asyncio.shield(waiter.outcome)
+        except TimeoutError:
+            pass
+
     def _abandon(self, waiter: Waiter) -> None:
         self._queue.discard(waiter)
         if not waiter.outcome.done():
--- a/balsamspool/plugins/admission/plugin.py
+++ b/balsamspool/plugins/admission/plugin.py
@@ -12,7 +12,11 @@
 from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.kernel.settings import Section
-from balsamspool.plugins.admission.controller import AdmissionController
+from balsamspool.plugins.admission.controller import (
+    AdmissionController,
+    Peers,
+    no_peers,
+)
 from balsamspool.plugins.admission.decision import Admit, Decision, Refuse, Relay, Shed
 from balsamspool.plugins.admission.estimate import Estimator
 from balsamspool.plugins.admission.keys import (
@@ -133,7 +137,7 @@
         request: Request,
         service: Service,
         route: Route,
-        peers: Sequence[PeerLoad] = (),
+        peers: Peers = no_peers,
     ) -> Decision:
         """Decide on a request, which may wait for a slot.
 
@@ -141,7 +145,7 @@
             request: The request with its deadline.
             service: Its service.
             route: Its route.
-            peers: Peers to which it may be relayed.
+            peers: Returns the peers to which it may be relayed now.
 
         Returns:
             The decision. A slot of ``Admit`` belongs to the caller of this method.
@@ -177,7 +181,7 @@
         request: Request,
         service: Service,
         route: Route,
-        peers: Sequence[PeerLoad],
+        peers: Peers,
     ) -> Decision:
         match route:
             case FeedRoute():
--- a/balsamspool/plugins/serving/handler.py
+++ b/balsamspool/plugins/serving/handler.py
@@ -296,19 +296,26 @@
         return self._kernel.identity.instance
 
     async def _decide(self, work: Work) -> Decision:
-        peers = self._peers(work)
+        may_relay = self._may_relay(work)
+
+        def peers() -> Sequence[PeerLoad]:
+            return self._peers(work) if may_relay else ()
+
         if work.local and self.accepting:
             return await self._admission.admit(
                 work.request, work.service, work.route, peers
             )
-        return self._admission.elsewhere(peers)
+        return self._admission.elsewhere(peers())
 
-    def _peers(self, work: Work) -> Sequence[PeerLoad]:
+    def _may_relay(self, work: Work) -> bool:
         if self._relay is None or work.request.relayed:
-            return []
-        retry = work.refusal is not None
-        if retry and (len(work.tried) >= MAX_PEERS or not self._budget.try_spend()):
-            return []
+            return False
+        if work.refusal is None:
+            return True
+        return len(work.tried) < MAX_PEERS and self._budget.try_spend()
+
+    def _peers(self, work: Work) -> Sequence[PeerLoad]:
+        assert self._relay is not None
         return [peer for peer in self._relay.peers() if peer.address not in work.tried]
 
     def _may_dispatch(self, arrived: float) -> bool:
--- a/benchmarks/policy/fleet.py
+++ b/benchmarks/policy/fleet.py
@@ -4,11 +4,14 @@
 import random
 from dataclasses import dataclass
 from enum import Enum
+from functools import partial
 
 from balsamspool.kernel.backoff import RetryBudget
 from balsamspool.kernel.clock import now
+from balsamspool.plugins.admission.controller import no_peers
 from balsamspool.plugins.admission.decision import Admit, Refuse, Relay, Shed
 from balsamspool.plugins.backend.outlier import Standing
+from balsamspool.plugins.relay.load import REPORT_SECONDS
 from balsamspool.plugins.routing.flow import FlowKey
 from balsamspool.plugins.routing.handover import Accept, HandOver, Peer
 from balsamspool.plugins.routing.handover import Refuse as RefuseFlow
@@ -33,7 +36,6 @@
 
 DOMAIN_DELAY = 0.001
 TABLE_SECONDS = 0.5
-REPORT_SECONDS = 1.0
 POLL_SECONDS = 1.0
 
 
@@ -275,13 +277,14 @@
         tried: set[str] = set()
         relays = 0
         while True:
-            peers = self._peers_for(host, tried)
+            may_relay = self._may_relay(host, tried)
+            peers = partial(self._reported, host, tried) if may_relay else no_peers
             accepting = host.accepting if self._system.judge else not host.leaving
             if accepting:
                 job = host.job(arrival, deadline, self._system)
                 decision = await host.controller.admit(job, peers)
             else:
-                decision = host.controller.elsewhere(peers)
+                decision = host.controller.elsewhere(peers())
             match decision:
                 case Admit(slot):
                     with slot:
@@ -325,15 +328,16 @@
         # The backend server does not learn that its caller has left.
         return await asyncio.shield(host.run(arrival, None))
 
-    def _peers_for(self, host: Host, tried: set[str]) -> list[PeerLoad]:
+    def _may_relay(self, host: Host, tried: set[str]) -> bool:
         # A leaving host hands its requests over even if nothing else is relayed.
-        needed = self._system.relay or host.leaving
         suspended = host.judge.standing is Standing.SUSPENDED
-        if not needed and not suspended:
-            return []
-        budget = self._budgets[host.name]
-        if tried and (len(tried) >= MAX_PEERS or not budget.try_spend()):
-            return []
+        if not (self._system.relay or host.leaving or suspended):
+            return False
+        if not tried:
+            return True
+        return len(tried) < MAX_PEERS and self._budgets[host.name].try_spend()
+
+    def _reported(self, host: Host, tried: set[str]) -> list[PeerLoad]:
         return [
             report
             for name, report in self._reports.items()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -308,7 +308,7 @@
             controller = make_controller(slots=1)
             await controller.admit(make_job(2.0))
             job = make_job(relayed=relayed)
-            task = asyncio.create_task(controller.admit(job, peers))
+            task = asyncio.create_task(controller.admit(job, lambda: peers))
             await asyncio.sleep(0.01)
             return task.result() if task.done() else task.cancel()
 
@@ -322,6 +322,42 @@
         self.assertIs(self.decide([peer("gone", 0.0, accepting=False)]), True)
         self.assertIs(self.decide([light], relayed=True), True)
 
+    def test_request_that_waits_longer_than_predicted_is_relayed(self):
+        """Guards against short requests that stay behind a request that got stuck."""
+
+        async def work():
+            controller = make_controller(slots=1)
+            held = await controller.admit(make_job(0.1))
+            known = [peer("light", 0.06)]
+            task = asyncio.create_task(controller.admit(make_job(0.1), lambda: known))
+            await asyncio.sleep(0.09)
+            # Predicted is a wait of 0.1 s, to which the peer is not clearly lighter.
+            self.assertFalse(task.done())
+            await asyncio.sleep(2.0)
+            self.assertEqual(task.result(), Relay(known[0]))
+            self.assertEqual(controller.queued, 0)
+            held.slot.release()
+            self.assertEqual(controller.slots.busy, 0)
+
+        run_paused(work())
+
+    def test_relayed_request_waits_on_however_long_it_takes(self):
+        """Guards against requests that wander on from a peer."""
+
+        async def work():
+            controller = make_controller(slots=1)
+            await controller.admit(make_job(0.1))
+            job = make_job(0.1, relayed=True)
+            task = asyncio.create_task(
+                controller.admit(job, lambda: [peer("light", 0.0)])
+            )
+            await asyncio.sleep(5.0)
+            self.assertFalse(task.done())
+            await asyncio.sleep(6.0)
+            self.assertEqual(task.result().reason, DEADLINE_UNREACHABLE)
+
+        run_paused(work())
+
 
 class EstimatorTest(TestCase):
     def test_learns_robustly_forgets_and_is_bounded(self):
