Count bytes of mesh frames and platform values, and measure control

Cause: no figure showed what control costs in bytes, and nothing measured it. Change: balsamspool_mesh_sent_bytes, balsamspool_mesh_received_bytes and balsamspool_platform_received_bytes; benchmarks/control_cost.py runs entries and agents of several sizes and fits memory, CPU time and bytes over listed instances, services and processes. TCP bytes are read from the kernel's socket diagnosis.

--- a/balsamspool/plugins/mesh/plugin.py
+++ b/balsamspool/plugins/mesh/plugin.py
@@ -64,6 +64,16 @@
             ["result"],
             registry=kernel.metrics,
         )
+        self._received_bytes = Counter(
+            "balsamspool_mesh_received_bytes",
+            "Bytes of frames received, without TCP and IP headers",
+            registry=kernel.metrics,
+        )
+        self._sent_bytes = Counter(
+            "balsamspool_mesh_sent_bytes",
+            "Bytes of frames that a socket took, without TCP and IP headers",
+            registry=kernel.metrics,
+        )
         self._dropped = Counter(
             "balsamspool_mesh_dropped_connections",
             "Connections closed because they are not those of a peer",
@@ -147,7 +157,8 @@
         else:
             link = link or self._open_link(peer)
             result = link.send(frame, lifetime_of(type(body)))
-        result.add_done_callback(self._count_sent)
+        size = len(frame)
+        result.add_done_callback(lambda settled: self._count_sent(settled, size))
         return result
 
     def _open_link(self, peer: PeerAddress) -> Peer:
@@ -163,12 +174,13 @@
         finally:
             del self._peers[peer]
 
-    def _count_sent(self, result: asyncio.Future[SendResult]) -> None:
+    def _count_sent(self, result: asyncio.Future[SendResult], size: int) -> None:
         if result.cancelled():
             return
         match result.result():
             case Sent():
                 self._sent.labels("sent").inc()
+                self._sent_bytes.inc(size)
             case NotSent(reason):
                 self._sent.labels(reason).inc()
 
@@ -185,6 +197,7 @@
             self._dispatch(received.bytes, received.pipe)
 
     def _dispatch(self, data: bytes, pipe: Pipe | None) -> None:
+        self._received_bytes.inc(len(data))
         frame = self._codec.open(data)
         if frame is None:
             self._received.labels("not-authentic").inc()
--- a/balsamspool/plugins/platform/client.py
+++ b/balsamspool/plugins/platform/client.py
@@ -27,10 +27,12 @@
     Attributes:
         revision: Revision of the value; a higher one is newer.
         value: The published text.
+        size: Bytes of the answer's body, 0 if it is not known.
     """
 
     revision: int
     value: str
+    size: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,4 +98,4 @@
             answer = msgspec.json.decode(body, type=_Answer)
         except msgspec.DecodeError as error:
             raise ResultError(PLATFORM_MALFORMED, f"{url}: {error}") from error
-        return PlatformValue(answer.revision, answer.value)
+        return PlatformValue(answer.revision, answer.value, len(body))
--- a/balsamspool/plugins/platform/plugin.py
+++ b/balsamspool/plugins/platform/plugin.py
@@ -12,7 +12,7 @@
 from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.kernel.settings import Section
-from balsamspool.plugins.platform.client import PlatformClient
+from balsamspool.plugins.platform.client import PlatformClient, PlatformValue
 from balsamspool.plugins.platform.events import (
     PLATFORM_STALE,
     WATCH_FAILED,
@@ -70,6 +70,13 @@
             registry=kernel.metrics,
         )
 
+        self._received = Counter(
+            "balsamspool_platform_received_bytes",
+            "Bytes of values received, without HTTP, TCP and IP headers",
+            ["value"],
+            registry=kernel.metrics,
+        )
+
     async def start(self) -> None:
         """Open the HTTP session."""
         self._session = ClientSession()
@@ -114,7 +121,13 @@
             self._settings.watch_seconds,
             lambda report: self._note(name, report),
         )
-        work = watcher.run(name, known_revision, on_value)
+        received = self._received.labels(name)
+
+        def count(value: PlatformValue) -> None:
+            received.inc(value.size)
+            on_value(value)
+
+        work = watcher.run(name, known_revision, count)
         self._kernel.spawn(work, f"platform watch {name}")
 
     def _note(self, name: str, report: WatchReport) -> None:
--- /dev/null
+++ b/benchmarks/_control_fleet.py
@@ -0,0 +1,167 @@
+"""A fleet whose text and instance list can be larger than its processes."""
+
+import asyncio
+import json
+import socket
+from pathlib import Path
+from typing import Any
+
+from standins.fleet import ADDRESS, Fleet, Host, ServicePlan, free_port
+
+# Starting a process takes most of a second of CPU time.
+START_BATCH = 8
+HOSTS_PER_SERVICE = 7
+DOMAINS = tuple(f"region-{r}-domain-{d}" for r in "ab" for d in "1234")
+MOST_SERVICES = 590
+# Each entry has a loopback address of its own, with a port for each service.
+FIRST_SERVICE_PORT = 12_000
+# Below the ports that the operating system gives out.
+FIRST_UNUSED_PORT = 14_000
+
+ROUTES = [
+    {"kind": "request", "path": "/"},
+    {"kind": "request", "path": "/tickets", "repeatable": False},
+    {"kind": "download", "path": "/statements", "deadline_ms": 60_000},
+    {"kind": "feed", "path": "/readings"},
+]
+
+
+def real_plans(services: int) -> list[ServicePlan]:
+    """Return services with running hosts."""
+    return [
+        ServicePlan(f"service-{n}", n, HOSTS_PER_SERVICE, ROUTES)
+        for n in range(1, services + 1)
+    ]
+
+
+def service_fields(number: int) -> dict[str, Any]:
+    """Return a service for the configuration text, with its limits written out."""
+    return {
+        "number": number,
+        "address": f"10.1.{number // 250}.{number % 250 + 1}:443",
+        "routes": ROUTES,
+        "limits": {"slots_per_host": 2, "deadline_ms": 10_000},
+    }
+
+
+class ControlFleet(Fleet):
+    """A fleet that lists more instances and services than it runs."""
+
+    def __init__(self, folder: Path, services: int) -> None:
+        super().__init__(folder, real_plans(services), list(DOMAINS))
+        self._unstarted: list[dict[str, Any]] = []
+        self._changes = 0
+
+    @property
+    def hosts(self) -> list[Host]:
+        """All running programs."""
+        return [*self.entries.values(), *self.agents.values()]
+
+    @property
+    def platform_port(self) -> int:
+        """Port of the platform stand-in."""
+        return self._platform_port
+
+    async def start(self, entries: int) -> None:
+        """Start the platform, then the programs a few at a time. There is no fabric."""
+        self._platform_port = free_port()
+        await self._start_platform(self._platform_port)
+        for name in self.services:
+            self.addresses[name] = (ADDRESS, free_port(socket.SOCK_DGRAM))
+        self.text = self._first_text()
+        await self.publish_text()
+        await self.publish_list()
+        wanted = [*[None] * entries]
+        wanted += [p.name for p in self.services.values() for _ in range(p.hosts)]
+        for first in range(0, len(wanted), START_BATCH):
+            batch = [
+                await self.add_agent(name, publish=False)
+                if name
+                else await self.add_entry(publish=False)
+                for name in wanted[first : first + START_BATCH]
+            ]
+            await self.publish_list()
+            for host in batch:
+                await self.wait_ready(host)
+
+    def pad(self, services: int, instances: int) -> None:
+        """Grow text and list beyond the running processes.
+
+        An unstarted agent has the mesh address of a running process. Otherwise peers
+        would sample addresses at which nothing listens, and their messages would be
+        missing from the measurement. One in seven is an entry that is leaving, so no
+        agent probes it.
+        """
+        running = len(self.services)
+        for number in range(running + 1, services + 1):
+            self.text["services"][f"service-{number}"] = service_fields(number)
+        for number in list(self.text["services"])[max(services, running) :]:
+            del self.text["services"][number]
+        names = list(self.text["services"])[running:] or ["service-unstarted"]
+        hosts = self.hosts
+        self._unstarted = [
+            self._unstarted_record(number, hosts[number % len(hosts)], names)
+            for number in range(max(0, instances - len(hosts)))
+        ]
+
+    def published_list(self) -> str:
+        """Return the instance list as it is published."""
+        listed = [host.listed for host in self.hosts]
+        return json.dumps(listed + self._unstarted)
+
+    async def publish_list(self) -> int:
+        """Publish the instance list and return its revision."""
+        return await self.publish("instances", self.published_list())
+
+    async def change_text(self) -> int:
+        """Publish a text in which one limit differs and return its revision."""
+        self._changes += 1
+        service = next(iter(self.text["services"].values()))
+        service["limits"] = {"deadline_ms": 10_000 + self._changes}
+        return await self.publish_text()
+
+    async def change_list(self) -> int:
+        """Publish a list in which one record differs and return its revision."""
+        self._changes += 1
+        host = next(iter(self.agents.values()))
+        domains = self.failure_domains
+        host.listed["failure_domain"] = domains[self._changes % len(domains)]
+        return await self.publish_list()
+
+    async def add_entry(self, publish: bool = True) -> Host:
+        """Start another entry, with an address for each service."""
+        number = len(self.entries) + 1
+        listed = self._listed("entry", None)
+        listen = {
+            f"service-{n}": f"127.0.1.{number}:{FIRST_SERVICE_PORT + n}"
+            for n in range(1, MOST_SERVICES + 1)
+        }
+        settings = self._settings(listed) | {
+            "forwarding": {"listen": listen, "linger_seconds": 1.0}
+        }
+        host = await self._launch(listed, settings)
+        self.entries[host.instance] = host
+        return host
+
+    async def close(self) -> None:
+        """Stop everything that was started."""
+        await asyncio.gather(*(host.kill() for host in self.hosts if host.process))
+        await super().close()
+
+    def _settings(self, listed: dict[str, Any]) -> dict[str, Any]:
+        settings = super()._settings(listed)
+        settings["platform"] = {"addresses": [self.platform_url]}
+        return settings
+
+    def _unstarted_record(
+        self, number: int, host: Host, services: list[str]
+    ) -> dict[str, Any]:
+        record = host.listed | {
+            "instance": f"unstarted-{number}",
+            "data_port": FIRST_UNUSED_PORT + number,
+        }
+        if number % HOSTS_PER_SERVICE == 0:
+            record.pop("service", None)
+            return record | {"role": "entry", "state": "leaving"}
+        service = services[number // HOSTS_PER_SERVICE % len(services)]
+        return record | {"role": "agent", "service": service}
--- /dev/null
+++ b/benchmarks/control_cost.py
@@ -0,0 +1,410 @@
+"""What control costs a process: memory, CPU time, bytes, and time until in force.
+
+Runs entries and agents without callers. Each stage lists a number of instances and
+services; some of the instances are only listed. TCP bytes are read from the kernel;
+``PROBE_BYTES`` accounts for the datagrams of the probes. The costs that the benchmark
+itself causes are left out: it reads no admin page during a measurement.
+
+Run from the root: ``.venv/bin/python -m benchmarks.control_cost --json_path=out.json``
+"""
+
+import asyncio
+import json
+import os
+import statistics
+import tempfile
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict, dataclass
+from datetime import datetime
+from pathlib import Path
+
+os.environ["UV_USE_IO_URING"] = "0"
+
+from fire import Fire  # noqa: E402
+
+from balsamspool.programs._runner import run_on_uvloop  # noqa: E402
+from benchmarks._control_fleet import ControlFleet  # noqa: E402
+from benchmarks._least_squares import fit  # noqa: E402
+from benchmarks._socket_bytes import (  # noqa: E402
+    HEADER_BYTES,
+    inodes_of,
+    tcp_sockets,
+)
+from standins.fleet import Host  # noqa: E402
+
+FACTORS = ("listed", "services", "processes")
+MEMORY_LIMIT_BYTES = 16 << 30
+SETTLE_SECONDS = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class Stage:
+    """Size of one measurement.
+
+    Attributes:
+        entries: Running entries.
+        running_services: Services with 7 running hosts each.
+        services: Services in the text, 0 for the running ones.
+        listed: Instances in the list, 0 for the running ones.
+    """
+
+    entries: int
+    running_services: int
+    services: int = 0
+    listed: int = 0
+
+
+STAGES = (
+    Stage(2, 1),
+    Stage(8, 4),
+    Stage(8, 4, 590, 4_740),
+    Stage(24, 16),
+    Stage(24, 16, 150, 1_200),
+    Stage(24, 16, 16, 4_740),
+    Stage(24, 16, 590, 4_740),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What one process has used up to a moment.
+
+    Attributes:
+        cpu: CPU time in seconds.
+        mesh: Bytes on mesh connections, both directions, with headers.
+        platform: Bytes on connections to the platform, both directions, with headers.
+    """
+
+    cpu: float
+    mesh: int
+    platform: int
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """Median cost of one process of a role in one phase.
+
+    Attributes:
+        role: Role of the process.
+        phase: ``idle``, ``text`` or ``list``.
+        processes: Running processes.
+        listed: Instances in the list.
+        services: Services in the text.
+        cpu_percent: CPU time in percent of a core.
+        cpu_ms_per_change: CPU time above the idle one for each change.
+        mesh_bytes: Bytes a second between processes.
+        platform_bytes: Bytes a second to and from the platform.
+        memory_mb: Largest resident memory of a process.
+    """
+
+    role: str
+    phase: str
+    processes: int
+    listed: int
+    services: int
+    cpu_percent: float
+    cpu_ms_per_change: float
+    mesh_bytes: float
+    platform_bytes: float
+    memory_mb: float
+
+
+@dataclass(frozen=True, slots=True)
+class Spread:
+    """How a stage distributed changes.
+
+    Attributes:
+        processes: Running processes.
+        listed: Instances in the list.
+        services: Services in the text.
+        text_bytes: Size of the text.
+        list_bytes: Size of the list.
+        text_median: Median time until a text was in force everywhere, in seconds.
+        text_worst: Longest time until a text was in force everywhere, in seconds.
+        text_missed: Processes and texts that a newer text had overtaken.
+        list_last: Time until the last list was in force everywhere, in seconds.
+        peak_calls: Highest rate of calls at the platform in a second.
+    """
+
+    processes: int
+    listed: int
+    services: int
+    text_bytes: int
+    list_bytes: int
+    text_median: float
+    text_worst: float
+    text_missed: int
+    list_last: float
+    peak_calls: int
+
+
+def usage(fleet: ControlFleet) -> dict[str, Usage]:
+    """Return what each process has used so far."""
+    by_inode = {s.inode: s for s in tcp_sockets()}
+    peer_ports = {host.listed["peer_port"] for host in fleet.hosts}
+    found = {}
+    for host in fleet.hosts:
+        pid = pid_of(host)
+        mesh = platform = 0
+        for inode in inodes_of(pid):
+            s = by_inode.get(inode)
+            if s is None:
+                continue
+            segments = s.segments_sent + s.segments_received
+            size = s.sent + s.received + segments * HEADER_BYTES
+            if s.remote_port == fleet.platform_port:
+                platform += size
+            elif {s.local_port, s.remote_port} & peer_ports:
+                mesh += size
+        found[host.instance] = Usage(cpu_seconds(pid), mesh, platform)
+    return found
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the CPU time of all threads of a process, finer than clock ticks."""
+    tasks = Path(f"/proc/{pid}/task").iterdir()
+    return sum(int((t / "schedstat").read_text().split()[0]) for t in tasks) / 1e9
+
+
+def pid_of(host: Host) -> int:
+    """Return the process ID of a running program."""
+    assert host.process is not None
+    return host.process.pid
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process in megabytes."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    line = next(line for line in status.splitlines() if line.startswith("VmRSS"))
+    return int(line.split()[1]) * 1024 / 1e6
+
+
+class Measurement:
+    """Measures a running fleet.
+
+    Args:
+        fleet: The fleet.
+        seconds: Duration of each phase.
+        interval: Seconds between two changes.
+    """
+
+    def __init__(self, fleet: ControlFleet, seconds: float, interval: float) -> None:
+        self._fleet = fleet
+        self._seconds = seconds
+        self._interval = interval
+        self._costs: list[Cost] = []
+        self._idle: dict[str, float] = {}
+
+    async def run(self, stage: Stage) -> tuple[list[Cost], Spread]:
+        """Measure one stage and return the costs and how changes spread."""
+        fleet = self._fleet
+        fleet.pad(stage.services, stage.listed)
+        await fleet.publish_text()
+        await fleet.publish_list()
+        await asyncio.sleep(SETTLE_SECONDS + 2 * len(self._listed()) / 800)
+        fleet.platform.peak_rate = 0
+        self._costs, self._idle = [], {}
+        await self._phase("idle", None)
+        published: dict[int, float] = {}
+
+        async def change_text() -> None:
+            published[await fleet.change_text()] = datetime.now().timestamp()
+
+        await self._phase("text", change_text)
+        times, missed = self._times_in_force(published)
+
+        async def change_list() -> None:
+            await fleet.change_list()
+
+        await self._phase("list", change_list)
+        last = await self._last_list_in_force()
+        spread = Spread(
+            len(fleet.hosts),
+            len(self._listed()),
+            len(fleet.text["services"]),
+            len(fleet.published_text()),
+            len(fleet.published_list()),
+            statistics.median(times),
+            max(times),
+            missed,
+            last,
+            fleet.platform.peak_rate,
+        )
+        return self._costs, spread
+
+    def _listed(self) -> list[object]:
+        return json.loads(self._fleet.published_list())
+
+    async def _phase(
+        self, name: str, change: Callable[[], Awaitable[None]] | None
+    ) -> None:
+        fleet = self._fleet
+        before, loop = usage(fleet), asyncio.get_running_loop()
+        start = loop.time()
+        changes = int(self._seconds // self._interval) if change else 0
+        for number in range(changes):
+            await change()
+            await asyncio.sleep(start + (number + 1) * self._interval - loop.time())
+        await asyncio.sleep(start + self._seconds - loop.time())
+        after = usage(fleet)
+        elapsed = loop.time() - start
+        for role, hosts in (("entry", fleet.entries), ("agent", fleet.agents)):
+            self._add_cost(name, role, hosts, before, after, elapsed, changes)
+
+    def _add_cost(
+        self,
+        phase: str,
+        role: str,
+        hosts: dict[str, Host],
+        before: dict[str, Usage],
+        after: dict[str, Usage],
+        elapsed: float,
+        changes: int,
+    ) -> None:
+        def rate(field: str) -> float:
+            return statistics.median(
+                (getattr(after[name], field) - getattr(before[name], field)) / elapsed
+                for name in hosts
+            )
+
+        cpu = rate("cpu")
+        if phase == "idle":
+            self._idle[role] = cpu
+        above = (cpu - self._idle[role]) * elapsed / changes if changes else 0.0
+        self._costs.append(
+            Cost(
+                role,
+                phase,
+                len(self._fleet.hosts),
+                len(self._listed()),
+                len(self._fleet.text["services"]),
+                cpu * 100,
+                above * 1e3,
+                rate("mesh"),
+                rate("platform"),
+                max(resident_mb(pid_of(host)) for host in hosts.values()),
+            )
+        )
+
+    def _times_in_force(self, published: dict[int, float]) -> tuple[list[float], int]:
+        """Read from the logs when each revision was in force everywhere."""
+        worst = dict.fromkeys(published, 0.0)
+        seen = dict.fromkeys(published, 0)
+        for host in self._fleet.hosts:
+            for line in host.log_path.read_text().splitlines():
+                if '"configuration-in-force"' not in line:
+                    continue
+                entry = json.loads(line)
+                revision = entry["revision"]
+                if revision in published:
+                    at = datetime.fromisoformat(entry["time"]).timestamp()
+                    seen[revision] += 1
+                    worst[revision] = max(worst[revision], at - published[revision])
+        missed = sum(len(self._fleet.hosts) - count for count in seen.values())
+        return list(worst.values()), missed
+
+    async def _last_list_in_force(self) -> float:
+        loop = asyncio.get_running_loop()
+        start, revision = loop.time(), await self._fleet.change_list()
+        waiting = self._fleet.hosts
+        while waiting and loop.time() - start < 60:
+            await asyncio.sleep(1.0)
+            left = []
+            for host in waiting:
+                status = await self._fleet.status(host)
+                if status["plugins"]["membership"]["revision"] < revision:
+                    left.append(host)
+            waiting = left
+        return loop.time() - start
+
+
+def slopes(costs: list[Cost]) -> list[dict[str, object]]:
+    """Fit each figure over listed instances, services and running processes."""
+    rows: list[dict[str, object]] = []
+    for role in ("entry", "agent"):
+        for phase, field in (
+            ("idle", "memory_mb"),
+            ("idle", "cpu_percent"),
+            ("idle", "mesh_bytes"),
+            ("idle", "platform_bytes"),
+            ("text", "cpu_ms_per_change"),
+            ("text", "mesh_bytes"),
+            ("text", "platform_bytes"),
+            ("list", "cpu_ms_per_change"),
+            ("list", "mesh_bytes"),
+            ("list", "platform_bytes"),
+            ("list", "memory_mb"),
+        ):
+            chosen = [c for c in costs if (c.role, c.phase) == (role, phase)]
+            points = [[1.0, *(getattr(c, f) for f in FACTORS)] for c in chosen]
+            base, *each = fit(points, [getattr(c, field) for c in chosen])
+            row: dict[str, object] = {"role": role, "phase": phase, "figure": field}
+            rows.append(row | {"base": base} | dict(zip(FACTORS, each, strict=True)))
+    return rows
+
+
+def print_table(rows: list[dict[str, object]]) -> None:
+    """Print rows with the same fields as a table in Markdown."""
+    print("| " + " | ".join(rows[0]) + " |")
+    print("|" + " --- |" * len(rows[0]))
+    for row in rows:
+        shown = (f"{v:.4g}" if isinstance(v, float) else str(v) for v in row.values())
+        print("| " + " | ".join(shown) + " |")
+
+
+async def _run(
+    stages: list[Stage], seconds: float, interval: float
+) -> tuple[list[Cost], list[Spread]]:
+    costs: list[Cost] = []
+    spreads: list[Spread] = []
+    for size in dict.fromkeys((s.entries, s.running_services) for s in stages):
+        with tempfile.TemporaryDirectory(prefix="balsamspool-") as folder:
+            fleet = ControlFleet(Path(folder), size[1])
+            try:
+                await fleet.start(size[0])
+                used = sum(resident_mb(pid_of(h)) for h in fleet.hosts) * 1e6
+                if used > MEMORY_LIMIT_BYTES:
+                    raise MemoryError(f"{used} bytes are over half of the machine")
+                for stage in stages:
+                    if (stage.entries, stage.running_services) == size:
+                        measured = Measurement(fleet, seconds, interval)
+                        found, spread = await measured.run(stage)
+                        print(spread, flush=True)
+                        costs += found
+                        spreads.append(spread)
+            finally:
+                await fleet.close()
+    return costs, spreads
+
+
+def main(
+    seconds: float = 16.0,
+    interval: float = 4.0,
+    stages: int = len(STAGES),
+    json_path: str = "",
+) -> None:
+    """Measure all stages, print tables and write the figures as JSON.
+
+    Args:
+        seconds: Duration of each of the three phases of a stage.
+        interval: Seconds between two changes.
+        stages: Number of stages to run, the smallest first.
+        json_path: File for the figures, empty for none.
+    """
+    costs, spreads = run_on_uvloop(_run(list(STAGES[:stages]), seconds, interval))
+    fitted = slopes(costs) if len(spreads) > len(FACTORS) else []
+    for rows in ([asdict(c) for c in costs], [asdict(s) for s in spreads], fitted):
+        if rows:
+            print_table(rows)
+            print()
+    if json_path:
+        figures = {
+            "costs": [asdict(c) for c in costs],
+            "spreads": [asdict(s) for s in spreads],
+            "slopes": fitted,
+        }
+        Path(json_path).write_text(json.dumps(figures, indent=1))
+
+
+if __name__ == "__main__":
+    Fire(main)
--- a/tests/test_mesh_links.py
+++ b/tests/test_mesh_links.py
@@ -105,6 +105,18 @@
             await asyncio.sleep(0.3)
             self.assertEqual(c.notes, [])
 
+    @on_uvloop
+    async def test_bytes_are_counted_on_both_sides(self):
+        """Guards against control traffic that the metrics do not show."""
+        async with Node() as a, Node() as b:
+            for text in ("", "x" * 1000):
+                await a.mesh.deliver(b.address, Note(text))
+            await b.wait_notes(2)
+            sent = a.count("balsamspool_mesh_sent_bytes")
+            self.assertGreater(sent, 1000)
+            self.assertLess(sent, 1600)
+            self.assertEqual(b.count("balsamspool_mesh_received_bytes"), sent)
+
     @on_uvloop
     async def test_absent_peer_blocks_no_other(self):
         """Guards against a dead peer that delays others or gets old messages."""
