--- a/balsamspool/plugins/platform/client.py
+++ b/balsamspool/plugins/platform/client.py
@@ -95,7 +95,22 @@
         except (TimeoutError, ClientError, OSError) as error:
             raise ResultError(PLATFORM_UNAVAILABLE, f"{url}: {error!r}") from error
         try:
-            answer = msgspec.json.decode(body, type=_Answer)
+            return decode_answer(body)
         except msgspec.DecodeError as error:
             raise ResultError(PLATFORM_MALFORMED, f"{url}: {error}") from error
-        return PlatformValue(answer.revision, answer.value, len(body))
+
+
+def decode_answer(body: bytes) -> PlatformValue:
+    """Decode the body of an answer.
+
+    Args:
+        body: JSON object with ``revision`` and ``value``.
+
+    Returns:
+        The value.
+
+    Raises:
+        msgspec.DecodeError: If the body has another form.
+    """
+    answer = msgspec.json.decode(body, type=_Answer)
+    return PlatformValue(answer.revision, answer.value, len(body))
