Read instance lists at once and keep a peer sample that is still good

Cause: a list of 4,740 records stopped the event loop for about 130 ms of CPU time. Change: records are decoded together unless one is wrong, addresses are checked by inet_pton, and peers are shuffled only when the sample has to change.

--- a/balsamspool/plugins/configuration/peers.py
+++ b/balsamspool/plugins/configuration/peers.py
@@ -73,9 +73,13 @@
 
     def _fill(self) -> None:
         kept = [peer for peer in self._sample if peer in self._listed]
+        near_count = sum(self._is_near(peer) for peer in kept)
+        # Shuffling 4,740 peers takes 15 ms, and most lists change none of the sample.
+        if len(kept) >= FANOUT and near_count >= FANOUT // 2:
+            self._sample = kept
+            return
         near = self._candidates(kept, own_domain=True)
         far = self._candidates(kept, own_domain=False)
-        near_count = sum(self._is_near(peer) for peer in kept)
         kept += near[: max(0, FANOUT // 2 - near_count)]
         rest = [*far, *near[max(0, FANOUT // 2 - near_count) :]]
         kept += rest[: max(0, FANOUT - len(kept))]
--- a/balsamspool/plugins/membership/instance.py
+++ b/balsamspool/plugins/membership/instance.py
@@ -1,6 +1,6 @@
 """An instance of the fleet as the platform lists it."""
 
-import ipaddress
+import socket
 from enum import Enum
 
 from msgspec import Struct
@@ -49,8 +49,9 @@
     def problem(self) -> str | None:
         """Return what is wrong with the record, or None."""
         try:
-            ipaddress.IPv4Address(self.address)
-        except ValueError:
+            # ipaddress takes 10 times as long, for each of 4,740 records of a list.
+            socket.inet_pton(socket.AF_INET, self.address)
+        except (OSError, ValueError):
             return f"address {self.address!r} is not an IPv4 address"
         if self.role is Role.AGENT and self.service is None:
             return "an agent without a service"
--- a/balsamspool/plugins/membership/listing.py
+++ b/balsamspool/plugins/membership/listing.py
@@ -1,5 +1,6 @@
 """Reads the platform's instance list."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -50,7 +51,7 @@
     if len(text) > MAX_LIST_BYTES:
         return Unreadable(f"{len(text)} characters are more than {MAX_LIST_BYTES}")
     try:
-        records = msgspec.json.decode(text, type=list[msgspec.Raw])
+        records = _records(text)
     except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         return Unreadable(str(error))
     if len(records) > MAX_INSTANCES:
@@ -58,11 +59,9 @@
     instances: dict[str, Instance] = {}
     endpoints: set[tuple[str, int]] = set()
     faults: list[str] = []
-    for index, record in enumerate(records):
-        try:
-            instance = msgspec.json.decode(record, type=Instance)
-        except msgspec.DecodeError as error:
-            faults.append(f"record {index}: {error}")
+    for index, instance in enumerate(records):
+        if isinstance(instance, msgspec.DecodeError):
+            faults.append(f"record {index}: {instance}")
             continue
         fault = instance.problem()
         if instance.instance in instances:
@@ -77,3 +76,23 @@
     if records and not instances:
         return Unreadable(f"no record is valid; {faults[0]}")
     return Listing(instances, tuple(faults))
+
+
+def _records(text: str) -> Sequence[Instance | msgspec.DecodeError]:
+    """Return each record, or what is wrong with it.
+
+    Decoding 4,740 records one by one takes twice as long as all at once, and the event
+    loop waits for it. So they are decoded one by one only if one of them is wrong.
+    """
+    try:
+        return msgspec.json.decode(text, type=list[Instance])
+    except msgspec.ValidationError:
+        raw = msgspec.json.decode(text, type=list[msgspec.Raw])
+        return [_record(record) for record in raw]
+
+
+def _record(text: msgspec.Raw) -> Instance | msgspec.DecodeError:
+    try:
+        return msgspec.json.decode(text, type=Instance)
+    except msgspec.DecodeError as error:
+        return error
--- a/benchmarks/control_steps.py
+++ b/benchmarks/control_steps.py
@@ -13,7 +13,7 @@
 import statistics
 import tracemalloc
 from collections.abc import Callable
-from time import perf_counter
+from time import process_time
 from typing import Any
 
 import msgspec
@@ -90,13 +90,13 @@
 
 
 def milliseconds(step: Callable[[], object]) -> float:
-    """Return the median duration of a step in milliseconds."""
+    """Return the median CPU time of a step in milliseconds."""
     times = []
     for _ in range(ROUNDS):
         gc.collect()
-        start = perf_counter()
+        start = process_time()
         step()
-        times.append(perf_counter() - start)
+        times.append(process_time() - start)
     return statistics.median(times) * 1e3
 
 
--- a/tests/test_configuration_exchange.py
+++ b/tests/test_configuration_exchange.py
@@ -301,3 +301,17 @@
         sample.learn(peer for peer in listed if peer.address != first[0])
         self.assertEqual(set(first[1:]) - set(sample.members), set())
         self.assertEqual(math.ceil(math.log(4_740, FANOUT)), 5)
+
+    def test_sample_stays_half_near_when_peers_move(self):
+        """Guards against a full sample that is kept although none of it is near."""
+        listed = [
+            ListedPeer(PeerAddress("10.0.0.1", n + 1), "ab"[n % 2]) for n in range(100)
+        ]
+        sample = PeerSample(PeerAddress("10.0.0.2", 1), "a", [], random.Random(2))
+        sample.learn(listed)
+        first = set(sample.members)
+        sample.learn(
+            ListedPeer(p.address, "b") if p.address in first else p for p in listed
+        )
+        near = {p.address for p in listed if p.failure_domain == "a"} - first
+        self.assertGreaterEqual(len(near & set(sample.members)), FANOUT // 2)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -59,6 +59,23 @@
         self.assertEqual(list(listing.instances), ["portal-1"])
         self.assertEqual(len(listing.faults), len(wrong))
 
+    def test_records_are_checked_alike_in_a_well_formed_list(self):
+        """Guards against faults that pass when all records have the right types."""
+        wrong = [
+            record(2, address="10.0.0.02"),
+            record(3, address="10.0.3"),
+            record(4, service=None),
+            record(1, address="10.0.0.9"),
+            record(6, address="10.0.0.1"),
+        ]
+        listed = [record(1), *wrong, record(7)]
+        alone = read_list(json.dumps(listed))
+        beside = read_list(json.dumps([*listed, record(8, data_port=0)]))
+        self.assertEqual(list(alone.instances), ["portal-1", "portal-7"])
+        self.assertEqual(len(alone.faults), len(wrong))
+        self.assertEqual(beside.instances, alone.instances)
+        self.assertEqual(beside.faults[:-1], alone.faults)
+
     def test_unusable_lists_are_refused(self):
         """Guards against a broken list that empties the view."""
         too_many = json.dumps([1] * (MAX_INSTANCES + 1))
