Count platform bytes as they are on the wire, and let the stand-in compress

The client already accepts gzip, but nothing showed its effect. Change: the client counts the length on the wire; the stand-in compresses when asked. Conclusion: whether the real platform compresses is an assumption to confirm.

--- a/balsamspool/plugins/platform/client.py
+++ b/balsamspool/plugins/platform/client.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 import msgspec
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout
 from msgspec import Struct
 
 from balsamspool.kernel.errors import ResultError
@@ -27,7 +27,7 @@
     Attributes:
         revision: Revision of the value; a higher one is newer.
         value: The published text.
-        size: Bytes of the answer's body, 0 if it is not known.
+        size: Bytes of the answer's body on the wire, 0 if it is not known.
     """
 
     revision: int
@@ -95,16 +95,17 @@
         except (TimeoutError, ClientError, OSError) as error:
             raise ResultError(PLATFORM_UNAVAILABLE, f"{url}: {error!r}") from error
         try:
-            return decode_answer(body)
+            return decode_answer(body, _wire_bytes(response, body))
         except msgspec.DecodeError as error:
             raise ResultError(PLATFORM_MALFORMED, f"{url}: {error}") from error
 
 
-def decode_answer(body: bytes) -> PlatformValue:
+def decode_answer(body: bytes, size: int = 0) -> PlatformValue:
     """Decode the body of an answer.
 
     Args:
         body: JSON object with ``revision`` and ``value``.
+        size: Bytes of the body on the wire.
 
     Returns:
         The value.
@@ -113,4 +114,9 @@
         msgspec.DecodeError: If the body has another form.
     """
     answer = msgspec.json.decode(body, type=_Answer)
-    return PlatformValue(answer.revision, answer.value, len(body))
+    return PlatformValue(answer.revision, answer.value, size)
+
+
+def _wire_bytes(response: ClientResponse, body: bytes) -> int:
+    # The body is decompressed by now; the length in the head is that on the wire.
+    return response.content_length or len(body)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's configuration service and instance list."""
 
 import asyncio
+import gzip
 from collections import deque
 
 import msgspec
@@ -20,6 +21,9 @@
         self._values: dict[str, list[tuple[int, str]]] = {}
         self._changed = asyncio.Condition()
         self._calls: deque[float] = deque()
+        self._last_compressed = (b"", b"")
+        # Whether answers are compressed for readers that accept it.
+        self.compress = False
         self.down = False
         # Number of newest revisions that are hidden, by name of the value.
         self.hidden_revisions: dict[str, int] = {}
@@ -87,7 +91,11 @@
         if served is None:
             return web.Response(status=204)
         body = msgspec.json.encode({"revision": served[0], "value": served[1]})
-        return web.Response(body=body, content_type="application/json")
+        response = web.Response(body=body, content_type="application/json")
+        if self.compress and "gzip" in request.headers.get("Accept-Encoding", ""):
+            response.body = self._compressed(body)
+            response.headers["Content-Encoding"] = "gzip"
+        return response
 
     async def _put(self, request: web.Request) -> web.Response:
         revision = await self.publish(request.match_info["name"], await request.text())
@@ -111,6 +119,11 @@
         served = self._served(name)
         return self.down or (served is not None and served[0] != after)
 
+    def _compressed(self, body: bytes) -> bytes:
+        if self._last_compressed[0] != body:
+            self._last_compressed = (body, gzip.compress(body, 6))
+        return self._last_compressed[1]
+
     def _served(self, name: str) -> tuple[int, str] | None:
         revisions = self._values.get(name, [])
         shown = revisions[: len(revisions) - self.hidden_revisions.get(name, 0)]
--- a/tests/test_platform_watch.py
+++ b/tests/test_platform_watch.py
@@ -2,12 +2,20 @@
 
 import asyncio
 import random
+from unittest import IsolatedAsyncioTestCase
+
+from aiohttp import ClientSession
 
 from balsamspool.kernel.errors import ResultError
-from balsamspool.plugins.platform.client import PlatformValue, Unchanged
+from balsamspool.plugins.platform.client import (
+    PlatformClient,
+    PlatformValue,
+    Unchanged,
+)
 from balsamspool.plugins.platform.codes import PLATFORM_UNAVAILABLE
 from balsamspool.plugins.platform.pace import Pace
 from balsamspool.plugins.platform.watcher import Watcher
+from standins.fleet import free_port, serve
 from standins.platform import PlatformStandIn
 from tests._clock import PausedClockTestCase
 
@@ -125,3 +133,21 @@
         before = platform.calls
         await asyncio.sleep(60)
         self.assertLess(platform.calls - before, 60)
+
+
+class CompressionTest(IsolatedAsyncioTestCase):
+    async def test_compressed_value_is_read_and_its_wire_bytes_are_counted(self):
+        """Guards against a client that pays for a list as if it were not compressed."""
+        platform, port = PlatformStandIn(), free_port()
+        platform.compress = True
+        runner = await serve(platform.application(), port)
+        try:
+            await platform.publish("instances", "record" * 10_000)
+            async with ClientSession() as session:
+                client = PlatformClient(session, f"http://127.0.0.1:{port}")
+                value = await client.watch("instances", 0, 0.0)
+        finally:
+            await runner.cleanup()
+        self.assertEqual(value.value, "record" * 10_000)
+        self.assertGreater(value.size, 0)
+        self.assertLess(value.size, 1_000)
