--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,10 @@
 test: env
 	$(BIN)/python scripts/run_tests.py all
 
+# More seeds of the fault suite than CI runs.
+faults: env
+	$(BIN)/python -m faults --seeds=$(or $(SEEDS),20) --first=$(or $(FIRST),100)
+
 check: env
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
