Look only at instances that were heard of when a list is replaced

Cause: replacing the view took 18 ms of CPU time for 4,740 records, in which the loop waits, although only instances with a signal can change. Change: the view walks over the signals instead of both lists.

--- a/balsamspool/plugins/membership/signals.py
+++ b/balsamspool/plugins/membership/signals.py
@@ -75,6 +75,10 @@
         if len(self._signals) > MAX_SIGNALS:
             del self._signals[next(iter(self._signals))]
 
+    def endpoints(self) -> list[Endpoint]:
+        """Return the addresses of which a signal is kept."""
+        return list(self._signals)
+
     def latest(self, address: str, data_port: int) -> Signal | None:
         """Return the signal of an instance unless it is too old."""
         noted = self._signals.get((address, data_port))
--- a/balsamspool/plugins/membership/view.py
+++ b/balsamspool/plugins/membership/view.py
@@ -23,11 +23,12 @@
     leaving, is still reached by flows whose token names it.
     """
 
-    __slots__ = ("_board", "_draining", "_gone", "_instances")
+    __slots__ = ("_board", "_draining", "_gone", "_instances", "_listed")
 
     def __init__(self) -> None:
         self._board = SignalBoard()
         self._instances: dict[str, Instance] = {}
+        self._listed: dict[tuple[str, int], Instance] = {}
         # Leaving signals whose record was absent or leaving in a later list. If such a
         # record is live again, the list speaks of a new process.
         self._gone: set[tuple[str, int]] = set()
@@ -48,10 +49,13 @@
         Args:
             instances: Records by name of the instance.
         """
-        before = {i.endpoint: i for i in self._instances.values()}
-        after = {i.endpoint: i for i in instances.values()}
-        for endpoint in before.keys() | after.keys():
+        before, after = self._listed, {i.endpoint: i for i in instances.values()}
+        # Without a signal there is nothing to forget or to mark. An agent hears of few
+        # of the 4,740 instances of a list.
+        for endpoint in self._board.endpoints():
             old, new = before.get(endpoint), after.get(endpoint)
+            if old is None and new is None:
+                continue
             if new is None or new.state is ListedState.LEAVING:
                 if self._has_left(endpoint):
                     self._gone.add(endpoint)
@@ -65,6 +69,7 @@
         # A signal that is no longer held needs no mark.
         self._gone = {endpoint for endpoint in self._gone if self._has_left(endpoint)}
         self._instances = instances
+        self._listed = after
 
     def note(
         self, address: str, data_port: int, signal: Signal, incarnation: bytes = b""
--- a/benchmarks/control_steps.py
+++ b/benchmarks/control_steps.py
@@ -173,6 +173,8 @@
     view.replace(listed)
     for instance in listed.values():
         view.note(*instance.endpoint, Signal(SignalState.ACCEPTING, 3))
+    quiet = View()
+    quiet.replace(listed)
     sample = PeerSample(PeerAddress("10.9.9.9", 1), DOMAINS[0], [], random.Random(1))
     routing = RoutingPlugin(_Kernel(view))  # type: ignore[arg-type]
     services = {i.service for i in listed.values() if i.service}
@@ -196,6 +198,9 @@
         "list: digest ms": milliseconds(lambda: text_digest(text)),
         "list: read ms": milliseconds(lambda: read_list(text)),
         "list: replace view ms": milliseconds(lambda: view.replace(listed)),
+        "list: replace view without signals ms": milliseconds(
+            lambda: quiet.replace(listed)
+        ),
         "list: learn peers ms": milliseconds(learn),
         "list: index for routing ms": milliseconds(routing._on_list),  # noqa: SLF001
         "routing: rebuild all tables ms": milliseconds(rebuild),
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -161,6 +161,14 @@
         self.publish(record(1, instance="portal-9"))
         self.assertEqual(self.hosts(), ["portal-9"])
 
+    async def test_signal_that_comes_before_the_record_holds(self):
+        """Guards against a leaving host that gets work when its record comes late."""
+        self.view.note(*HOST, LEAVING)
+        self.publish()
+        self.publish(record(2))
+        self.publish(record(1), record(2))
+        self.assertEqual(self.hosts(), ["portal-2"])
+
     async def test_draining_host_takes_no_new_work(self):
         """Guards against a drained host that its own signal puts back in use."""
         self.publish(record(1), record(2))
