--- a/balsamspool/plugins/membership/view.py
+++ b/balsamspool/plugins/membership/view.py
@@ -23,16 +23,16 @@
     leaving, is still reached by flows whose token names it.
     """
 
-    __slots__ = ("_board", "_draining", "_gone", "_instances", "_services", "_versions")
+    __slots__ = ("_board", "_draining", "_gone", "_instances", "_listed", "_versions")
 
     def __init__(self) -> None:
         self._board = SignalBoard()
         self._instances: dict[str, Instance] = {}
+        self._listed: dict[tuple[str, int], Instance] = {}
         # Leaving signals whose record was absent or leaving in a later list. If such a
         # record is live again, the list speaks of a new process.
         self._gone: set[tuple[str, int]] = set()
         self._draining: frozenset[str] = frozenset()
-        self._services: dict[tuple[str, int], str] = {}
         self._versions: dict[str, int] = {}
 
     @property
@@ -50,10 +50,13 @@
         Args:
             instances: Records by name of the instance.
         """
-        before = {i.endpoint: i for i in self._instances.values()}
-        after = {i.endpoint: i for i in instances.values()}
-        for endpoint in before.keys() | after.keys():
+        before, after = self._listed, {i.endpoint: i for i in instances.values()}
+        # Without a signal there is nothing to forget or to mark. An agent hears of few
+        # of the 4,740 instances of a list.
+        for endpoint in self._board.endpoints():
             old, new = before.get(endpoint), after.get(endpoint)
+            if old is None and new is None:
+                continue
             if new is None or new.state is ListedState.LEAVING:
                 if self._has_left(endpoint):
                     self._gone.add(endpoint)
@@ -67,20 +70,16 @@
         # A signal that is no longer held needs no mark.
         self._gone = {endpoint for endpoint in self._gone if self._has_left(endpoint)}
         self._instances = instances
-        self._services = {
-            instance.endpoint: instance.service
-            for instance in instances.values()
-            if instance.service is not None
-        }
+        self._listed = after
 
     def note(
         self, address: str, data_port: int, signal: Signal, incarnation: bytes = b""
     ) -> None:
         """Record what the instance at an address said of itself."""
         if self._board.note(address, data_port, signal, incarnation):
-            service = self._services.get((address, data_port))
-            if service is not None:
-                self._versions[service] = self.version(service) + 1
+            listed = self._listed.get((address, data_port))
+            if listed is not None and listed.service is not None:
+                self._versions[listed.service] = self.version(listed.service) + 1
 
     def version(self, service: str) -> int:
         """Return a counter of the changes that direct signals made to a service.
