Tell peers at once when a host begins to leave

Cause: an agent that began to leave by the text, by the list or at the wish of its backend server said so only with its next load report, up to 1.2 s later. When several hosts left together they relayed requests to each other; after two refusals the caller got 503 although another host was free.

Change: the relay leaves out peers that the text or the list names as leaving, and tells all peers of the service as soon as the own state changes.

--- a/balsamspool/plugins/backend/plugin.py
+++ b/balsamspool/plugins/backend/plugin.py
@@ -99,6 +99,7 @@
         self._judge = OutlierJudge()
         self._draining = False
         self._recovered: list[Callable[[], None]] = []
+        self._drained: list[Callable[[], None]] = []
 
     @property
     def draining(self) -> bool:
@@ -135,6 +136,10 @@
         """Call a function when the backend server gets requests again."""
         self._recovered.append(callback)
 
+    def on_draining(self, callback: Callable[[], None]) -> None:
+        """Call a function when the backend server begins or ends to drain."""
+        self._drained.append(callback)
+
     @asynccontextmanager
     async def dispatch(self, request: Request) -> AsyncIterator[BackendAnswer]:
         """Send a request to the backend server, once.
@@ -198,6 +203,8 @@
         if draining != self._draining:
             self._draining = draining
             BACKEND_DRAINING.log(_logger, draining=draining)
+            for callback in self._drained:
+                callback()
 
     def _report_change(self, before: Standing) -> None:
         standing = self._judge.standing
--- a/balsamspool/plugins/relay/plugin.py
+++ b/balsamspool/plugins/relay/plugin.py
@@ -10,6 +10,8 @@
 from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.plugins.admission import AdmissionPlugin
+from balsamspool.plugins.backend import BackendPlugin
+from balsamspool.plugins.configuration import ConfigurationPlugin
 from balsamspool.plugins.membership import MembershipPlugin
 from balsamspool.plugins.mesh import MeshPlugin, Message, PeerAddress
 from balsamspool.plugins.relay.client import RelayClient
@@ -50,7 +52,7 @@
 @register(
     "relay",
     roles=[Role.AGENT],
-    requires=["mesh", "admission", "serving", "membership", "configuration"],
+    requires=["mesh", "admission", "serving", "membership", "configuration", "backend"],
 )
 class RelayPlugin(Plugin):
     """Runs requests at peers, and requests of peers here.
@@ -75,6 +77,8 @@
         self._sample = PeerSample()
         # Kept, because a scan of the list for each request grows with the fleet.
         self._hosts: list[PeerLoad] = []
+        self._left: set[PeerAddress] = set()
+        self._told_accepting = True
         self._admission = kernel.plugin(AdmissionPlugin)
         self._results = Counter(
             "balsamspool_relay_finished_requests",
@@ -107,15 +111,16 @@
             self._mesh.subscribe(body_type, self._on_shared_message)
         self._mesh.subscribe(LoadReport, self._on_load)
         self._serving.set_relay(self)
-        self._membership.subscribe(self._review_hosts)
-        self._review_hosts()
+        self._membership.subscribe(self._review)
+        self._kernel.plugin(ConfigurationPlugin).subscribe(lambda _: self._review())
+        self._kernel.plugin(BackendPlugin).on_draining(self._review)
+        self._review()
         self._kernel.spawn(self._beat(), "relay heartbeats")
         self._kernel.spawn(self._report_loads(), "load reports")
 
     async def drain(self) -> None:
         """Tell peers that this agent leaves and finish requests in progress."""
-        for peer in self._service_peers():
-            self._mesh.send(peer, self._own_report())
+        self._tell_peers()
         await self._server.wait_idle()
 
     def status(self) -> dict[str, object]:
@@ -149,7 +154,8 @@
         Before the first reports, and after a pause, no load is known. A request that
         must not run here then goes to any peer that the list names.
         """
-        known = self._loads.loads(now())
+        loads = self._loads.loads(now())
+        known = [peer for peer in loads if peer.address not in self._left]
         if any(peer.accepting for peer in known):
             return known
         reported = {peer.address for peer in known}
@@ -181,8 +187,26 @@
     def _service_peers(self) -> list[PeerAddress]:
         return [host.address for host in self._hosts]
 
+    def _review(self) -> None:
+        # Several hosts may leave at once. Until the next report they would relay to
+        # each other, and a request that two of them refused is answered "not run".
+        self._review_hosts()
+        if self._serving.accepting != self._told_accepting:
+            self._told_accepting = self._serving.accepting
+            self._tell_peers()
+
+    def _tell_peers(self) -> None:
+        for peer in self._service_peers():
+            self._mesh.send(peer, self._own_report())
+
     def _review_hosts(self) -> None:
         own = self._kernel.identity.instance
+        self._left = {
+            PeerAddress(host.address, host.peer_port)
+            for host in self._membership.instances
+            if host.service == self._serving.service_name
+            and not self._membership.accepts(host)
+        }
         self._hosts = [
             PeerLoad(
                 host.instance,
@@ -198,7 +222,7 @@
     async def _report_loads(self) -> None:
         while True:
             await asyncio.sleep(self._sample.next_delay())
-            self._review_hosts()
+            self._review()
             for peer in self._sample.choose(self._service_peers()):
                 self._mesh.send(peer, self._own_report())
 
