End platform watches before their HTTP session is closed

Cause: the platform plug-in closed its session while its watch tasks still ran. A watch that was due before the process had stopped failed with 'Session is closed', and the agent ended with exit code 1 although its stop was planned. Change: the plug-in cancels its watches and then closes the session. Failed stops now show the end of the log in the fault suite. Conclusion: a planned stop exits with 0 also while the platform is down.

--- a/balsamspool/plugins/platform/plugin.py
+++ b/balsamspool/plugins/platform/plugin.py
@@ -1,7 +1,9 @@
 """Plug-in that watches published values, one task for each value."""
 
+import asyncio
 import logging
 import random
+from asyncio import Task
 from typing import Annotated
 
 from aiohttp import ClientSession
@@ -61,6 +63,7 @@
         super().__init__(kernel)
         self._settings: PlatformSettings = kernel.settings.section("platform")
         self._session: ClientSession | None = None
+        self._tasks: list[Task[None]] = []
         self._pace = Pace(self._settings.readers, random.Random())
         self._reachable: dict[str, bool] = {}
         self._watches = Counter(
@@ -75,7 +78,11 @@
         self._session = ClientSession()
 
     async def stop(self) -> None:
-        """Close the HTTP session."""
+        """End the watches, then close the HTTP session."""
+        # A watch that goes on with a closed session fails, and so does the process.
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._session is not None:
             await self._session.close()
 
@@ -115,7 +122,7 @@
             lambda report: self._note(name, report),
         )
         work = watcher.run(name, known_revision, on_value)
-        self._kernel.spawn(work, f"platform watch {name}")
+        self._tasks.append(self._kernel.spawn(work, f"platform watch {name}"))
 
     def _note(self, name: str, report: WatchReport) -> None:
         before = self._reachable.get(name)
--- a/faults/apply.py
+++ b/faults/apply.py
@@ -35,6 +35,8 @@
 # Time in which a leaving agent ends after its last feed. It waits for a caller that
 # has gone until the connection has been idle for IDLE_SECONDS.
 IDLE_SECONDS = 10.0
+# End of the log of a process that did not stop as planned.
+LOG_BYTES = 4000
 STOP_SECONDS = 2 * IDLE_SECONDS
 
 
@@ -166,6 +168,8 @@
         except asyncio.CancelledError:
             await host.kill()
         self._history.stops.append(Stop(host.instance, code))
+        if code != 0:
+            self._history.faults.append(host.log_path.read_text()[-LOG_BYTES:])
 
     async def _cut(self, number: int, seconds: float, *, inward: bool) -> None:
         for fabric in self._fabrics():
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -35,17 +35,22 @@
 # that starts or has been killed.
 PORTS = (10_000, 32_000)
 
+_given_ports: set[int] = set()
+
 
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Return a port that is free now."""
+    """Return a port that is free now and was not returned before."""
     while True:
         port = random.randrange(*PORTS)
+        if port in _given_ports:
+            continue
         with socket.socket(socket.AF_INET, kind) as probe:
             try:
                 probe.bind((ADDRESS, port))
             except OSError:
                 continue
-            return port
+        _given_ports.add(port)
+        return port
 
 
 @dataclass(slots=True)
