--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -32,9 +32,9 @@
 RECEIVED = "balsamspool_frontend_datagrams_total"
 AGENT_DROPS = "balsamspool_frontend_dropped_datagrams_total"
 FLOOD = 4_000
-# Growth seen in a flood of this size is below 30 MB: connections in handshake, which
-# `max_handshakes` bounds. An unbounded table would keep every datagram.
-GROWTH_BYTES = 64 << 20
+# An agent grew by 3 to 7 MB in two runs of this flood and by 10 MB in one that was
+# three times as long; what grows are connections in handshake, which are limited.
+GROWTH_BYTES = 24 << 20
 
 
 def record_inward(fabric):
