Keep the first revision visible while the platform goes back

Cause: the suite could hide all revisions of the text, which is an empty platform. Change: as many revisions are published as are hidden. Measured: not measured by itself. Conclusion: the fault is what its name says.

--- a/faults/apply.py
+++ b/faults/apply.py
@@ -193,8 +193,9 @@
 
     async def _platform_back(self, revisions: int, seconds: float) -> None:
         platform = self._fleet.platform
-        # At least the first revision stays visible.
-        await self._publish_queue(40 + revisions)
+        for number in range(revisions):
+            # At least the first revision stays visible.
+            await self._publish_queue(40 + number)
         platform.hidden_revisions = {"configuration": revisions, "instances": 0}
         await platform.wake()
         await asyncio.sleep(seconds)
