Name the taken peer port in a numbered error

Cause: a taken peer port ended the start with an error of pynng and no code. Measured: tests.test_mesh_links, 10 tests pass; the new one failed before with pynng.AddressInUse. Conclusion: operators can look up why a process did not start.

--- a/balsamspool/plugins/mesh/plugin.py
+++ b/balsamspool/plugins/mesh/plugin.py
@@ -10,10 +10,12 @@
 from pynng import Closed, NNGException, Pipe, Pull0
 
 from balsamspool.kernel.clock import now
+from balsamspool.kernel.errors import ResultError
 from balsamspool.kernel.identity import Role
 from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.plugins.mesh._codec import MeshCodec
+from balsamspool.plugins.mesh.codes import PEER_PORT_UNAVAILABLE
 from balsamspool.plugins.mesh.connections import Connections
 from balsamspool.plugins.mesh.events import PEERS_EXHAUSTED, SUBSCRIBER_FAILED
 from balsamspool.plugins.mesh.guard import FrameGuard, Fresh, Rejected
@@ -89,12 +91,19 @@
         self._connections = Connections(lambda r: self._dropped.labels(r).inc())
 
     async def start(self) -> None:
-        """Listen for messages."""
+        """Listen for messages.
+
+        Raises:
+            ResultError: With code 1801 if the port cannot be opened.
+        """
         identity = self._kernel.identity
         url = f"tcp://{identity.address}:{identity.peer_port}"
         self._socket = Pull0(recv_max_size=MAX_FRAME_BYTES)
         self._connections.attach(self._socket)
-        self._socket.listen(url)
+        try:
+            self._socket.listen(url)
+        except NNGException as error:
+            raise ResultError(PEER_PORT_UNAVAILABLE, f"{url}: {error}") from error
         self._kernel.spawn(self._receive(self._socket), "mesh receive")
         self._kernel.spawn(self._connections.watch(), "mesh connections")
 
--- a/tests/test_mesh_links.py
+++ b/tests/test_mesh_links.py
@@ -11,6 +11,7 @@
 from prometheus_client import CollectorRegistry
 from pynng import Push0
 
+from balsamspool.kernel.errors import ResultError
 from balsamspool.kernel.identity import Identity, Role
 from balsamspool.kernel.keyring import KeyRing, KeySet
 from balsamspool.kernel.lifecycle import ProcessState
@@ -144,6 +145,17 @@
                 result = await a.mesh.deliver(b.address, Note("x"))
                 self.assertEqual(result, NotSent("too-many-peers"))
 
+    @on_uvloop
+    async def test_taken_port_is_named(self):
+        """Guards against a start that fails with an error of the library only."""
+        with socket.socket() as other:
+            other.bind(("127.0.0.1", 0))
+            other.listen()
+            node = Node(other.getsockname()[1])
+            with self.assertRaises(ResultError) as caught:
+                await node.mesh.start()
+            self.assertEqual(caught.exception.code.number, 1801)
+
     @on_uvloop
     async def test_unused_link_ends(self):
         """Guards against tasks and sockets of peers that are gone."""
