Split the request key on the wire from the table of keys

Change: key_codec.py seals and opens keys; keys.py holds the records. Conclusion: one module, one concept.

--- a/balsamspool/plugins/admission/plugin.py
+++ b/balsamspool/plugins/admission/plugin.py
@@ -19,10 +19,10 @@
 )
 from balsamspool.plugins.admission.decision import Admit, Decision, Refuse, Relay, Shed
 from balsamspool.plugins.admission.estimate import Estimator
+from balsamspool.plugins.admission.key_codec import KeyCodec
 from balsamspool.plugins.admission.keys import (
     Delegated,
     Done,
-    KeyCodec,
     KeyTable,
     NotRun,
     OutcomeUnknown,
--- a/balsamspool/plugins/serving/keyed.py
+++ b/balsamspool/plugins/serving/keyed.py
@@ -17,6 +17,7 @@
     KEY_MISSING,
     KEY_OUTCOME_UNKNOWN,
 )
+from balsamspool.plugins.admission.key_codec import KeyCodec, RequestKey
 from balsamspool.plugins.admission.keys import (
     MAX_ANSWER_BYTES,
     Delegated,
@@ -24,14 +25,12 @@
     Duplicate,
     First,
     KeptAnswer,
-    KeyCodec,
     KeyRecord,
     KeyState,
     KeyTable,
     NotRun,
     OutcomeUnknown,
     Ran,
-    RequestKey,
     Running,
     request_digest,
 )
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -15,18 +15,17 @@
     KEY_REUSED,
     KEYS_FULL,
 )
+from balsamspool.plugins.admission.key_codec import KeyCodec, RequestKey
 from balsamspool.plugins.admission.keys import (
     MAX_ANSWER_BYTES,
     Done,
     Duplicate,
     First,
     KeptAnswer,
-    KeyCodec,
     KeyTable,
     NotRun,
     OutcomeUnknown,
     Ran,
-    RequestKey,
     request_digest,
 )
 from balsamspool.plugins.mesh.message import PeerAddress
