Move the phases of a connection into a module of their own

Change: phase.py holds the data classes on which the drain matches. Conclusion: no change of behaviour.

--- a/balsamspool/plugins/frontend/connection.py
+++ b/balsamspool/plugins/frontend/connection.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
 from aioquic.quic.events import (
@@ -37,6 +36,13 @@
 )
 from balsamspool.plugins.frontend.codes import REQUEST_MALFORMED
 from balsamspool.plugins.frontend.exchange import Exchange
+from balsamspool.plugins.frontend.phase import (
+    Announced,
+    Closing,
+    Leaving,
+    Open,
+    Phase,
+)
 from balsamspool.plugins.serving import ServingPlugin
 from balsamspool.requests.request import Headers
 
@@ -57,43 +63,6 @@
 Send = Callable[[bytes, Address, Address], None]
 
 
-@dataclass(frozen=True, slots=True)
-class Open:
-    """The connection takes requests."""
-
-
-@dataclass(frozen=True, slots=True)
-class Announced:
-    """The caller has been told that the connection will end.
-
-    Attributes:
-        final_at: Event loop time in seconds of the GOAWAY that names the last request.
-        feeds_until: Event loop time in seconds at which feeds end, None for no limit.
-    """
-
-    final_at: float
-    feeds_until: float | None
-
-
-@dataclass(frozen=True, slots=True)
-class Leaving:
-    """No further request is taken; the connection ends when the last one has ended.
-
-    Attributes:
-        feeds_until: Event loop time in seconds at which feeds end, None for no limit.
-    """
-
-    feeds_until: float | None
-
-
-@dataclass(frozen=True, slots=True)
-class Closing:
-    """The end of the connection has been sent."""
-
-
-Phase = Open | Announced | Leaving | Closing
-
-
 class Connection:
     """A caller's connection.
 
