--- a/benchmarks/_control_fleet.py
+++ b/benchmarks/_control_fleet.py
@@ -6,7 +6,8 @@
 from pathlib import Path
 from typing import Any
 
-from standins.fleet import ADDRESS, Fleet, Host, ServicePlan, free_port
+from standins.fleet import Fleet, Host, ServicePlan
+from standins.ports import ADDRESS, free_port
 
 # Starting a process takes most of a second of CPU time.
 START_BATCH = 8
--- a/benchmarks/entry_datagrams.py
+++ b/benchmarks/entry_datagrams.py
@@ -31,7 +31,8 @@
 from balsamspool.plugins.membership.signals import SignalState  # noqa: E402
 from balsamspool.plugins.routing.token import RoutingToken, TokenCodec  # noqa: E402
 from benchmarks.entry_steps import run_steps  # noqa: E402
-from standins.fleet import SECRET, ServicePlan, free_port, run_fleet  # noqa: E402
+from standins.fleet import SECRET, ServicePlan, run_fleet  # noqa: E402
+from standins.ports import free_port  # noqa: E402
 
 ROOT = Path(__file__).resolve().parent.parent
 ADDRESS = "127.0.0.1"
--- a/demo/process_fleet.py
+++ b/demo/process_fleet.py
@@ -5,7 +5,8 @@
 
 from aiohttp import ClientError, ClientSession
 
-from standins.fleet import ADDRESS, START_SECONDS, Fleet, Host, free_port, start_module
+from standins.fleet import START_SECONDS, Fleet, Host, start_module
+from standins.ports import ADDRESS, free_port
 
 RETRY_SECONDS = 0.05
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import json
-import random
 import signal
 import socket
 import sys
@@ -25,32 +24,12 @@
 from standins.certificate import write_certificate
 from standins.fabric import Fabric
 from standins.platform import PlatformStandIn
+from standins.ports import ADDRESS, free_port
 
-ADDRESS = "127.0.0.1"
 ROOT = Path(__file__).resolve().parent.parent
 START_SECONDS = 20.0
 STOP_SECONDS = 20.0
 SECRET = "5a" * 32
-# Below the ports of outgoing connections, one of which could take the port of a program
-# that starts or has been killed.
-PORTS = (10_000, 32_000)
-
-_given_ports: set[int] = set()
-
-
-def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Return a port that is free now and was not returned before."""
-    while True:
-        port = random.randrange(*PORTS)
-        if port in _given_ports:
-            continue
-        with socket.socket(socket.AF_INET, kind) as probe:
-            try:
-                probe.bind((ADDRESS, port))
-            except OSError:
-                continue
-        _given_ports.add(port)
-        return port
 
 
 @dataclass(slots=True)
--- a/tests/golden_sessions.py
+++ b/tests/golden_sessions.py
@@ -40,8 +40,9 @@
 from standins.backend_server import BackendServerStandIn
 from standins.caller import CallerConnection, open_caller
 from standins.certificate import write_certificate
-from standins.fleet import ADDRESS, SECRET, free_port, serve
+from standins.fleet import SECRET, serve
 from standins.platform import PlatformStandIn
+from standins.ports import ADDRESS, free_port
 
 GOLDEN = Path(__file__).resolve().parent / "golden"
 KEY_PATH = "/.well-known/balsamspool/request-key"
--- a/tests/test_convergence.py
+++ b/tests/test_convergence.py
@@ -13,8 +13,9 @@
 
 from aiohttp import ClientError
 
-from standins.fleet import ADDRESS, ServicePlan, free_port, run_fleet, serve
+from standins.fleet import ServicePlan, run_fleet, serve
 from standins.platform import PlatformStandIn
+from standins.ports import ADDRESS, free_port
 from tests.fleet_tools import hosts_of
 
 PORTAL = ServicePlan("portal", 1, 1, [{"kind": "request", "path": "/"}])
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -5,7 +5,8 @@
 
 from standins.caller import open_caller
 from standins.collector import CollectorStandIn
-from standins.fleet import ADDRESS, ServicePlan, free_port, run_fleet, serve
+from standins.fleet import ServicePlan, run_fleet, serve
+from standins.ports import ADDRESS, free_port
 
 PORTAL = ServicePlan("portal", 1, 1, [{"kind": "request", "path": "/"}])
 COLLECT_SECONDS = 10.0
