Let a rejected repeat speak of its own request only

The trace of portal-4-8: the first attempt was answered 200 and ran once at 4546.98; a repeat with the same key, sent at 4547.59, was reset with H3_REQUEST_REJECTED at 4549.74 by a host that was leaving. Ruled out: a second run, a false answer with outcome not-run, a run after the rejection. HTTP/3 states of the rejected stream that it was not processed, which is true. Change: a run is excused only if the ending is a rejection, the run began before that attempt was sent, and an earlier attempt of the same request can have caused it. An answer with outcome not-run is checked as before. Conclusion: no fault of the product; the check is as strict for every other case.

--- a/faults/checks.py
+++ b/faults/checks.py
@@ -3,7 +3,16 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 
-from faults.history import Attempt, Cut, Feed, GaveUp, History, NotConnected, Whole
+from faults.history import (
+    Attempt,
+    Cut,
+    Feed,
+    GaveUp,
+    History,
+    NotConnected,
+    Rejected,
+    Whole,
+)
 
 # Requests must succeed again this long after the last fault.
 RECOVERY_SECONDS = 10.0
@@ -42,7 +51,8 @@
 def not_run_holds(history: History) -> Iterator[str]:
     """A request of which a caller was told "not run" has not run and does not run.
 
-    Only an attempt that was sent afterwards may run it.
+    Only an attempt that was sent afterwards may run it. A rejected stream speaks of the
+    one request that it carried (RFC 9114, 4.1.1), so an earlier attempt may have run.
     """
     runs, attempts = _runs(history), _attempts(history)
     for attempt in history.attempts:
@@ -51,11 +61,20 @@
         later = [a.sent for a in attempts[attempt.request_id] if a.sent > attempt.sent]
         allowed_from = min(later, default=float("inf"))
         for start in runs[attempt.request_id]:
+            if _ran_earlier(attempt, attempts[attempt.request_id], start):
+                continue
             if start < allowed_from:
                 when = start - attempt.ended
                 yield f"{attempt.request_id}: ran {when:+.3f} s from 'not run'"
 
 
+def _ran_earlier(rejected: Attempt, attempts: list[Attempt], start: float) -> bool:
+    """Return whether a run is that of an attempt before one that was rejected."""
+    if not isinstance(rejected.ending, Rejected) or start >= rejected.sent:
+        return False
+    return any(earlier.sent <= start for earlier in attempts)
+
+
 def keyed_once(history: History) -> Iterator[str]:
     """A request with a request key runs at most once."""
     keyed = {a.request_id for a in history.attempts if a.keyed}
--- a/tests/test_fault_checks.py
+++ b/tests/test_fault_checks.py
@@ -104,6 +104,14 @@
             for start in (0.5, 1.5, 9.0):
                 self.assertEqual(self.count([attempt], start), 1)
 
+    def test_rejected_repeat_speaks_of_itself_only(self):
+        """Guards against a rejected repeat that hides a run of its own."""
+        repeat = Attempt("r", True, 3.0, 4.0, Rejected())
+        attempts = [answered("r", at=1.0), repeat]
+        self.assertEqual(self.count(attempts, 1.5), 0)
+        for start in (0.5, 3.5, 9.0):
+            self.assertEqual(self.count(attempts, start), 1)
+
     def test_only_a_later_attempt_may_run(self):
         """Guards against a run of the first attempt that a retry hides."""
         attempts = [refused("r", at=1.0), answered("r", at=4.0)]
