Say in a fake why a call to it is wrong

Cause: FakePort.subscribe raised NotImplementedError, which reads like unfinished work. Change: it fails the test with the reason, since only the plug-in subscribes. Measured: tests.test_relay_schedules passes as before (11 tests). Conclusion: no change of any check.

--- a/tests/test_relay_schedules.py
+++ b/tests/test_relay_schedules.py
@@ -115,7 +115,7 @@
         self._mesh, self._own = mesh, own
 
     def subscribe(self, body_type, callback):
-        raise NotImplementedError
+        raise AssertionError("client and server of the relay do not subscribe")
 
     def send(self, peer, body, incarnation=None):
         return isinstance(self._mesh.transmit(self._own, peer, body, incarnation), Sent)
