--- a/balsamspool/commands/explain.py
+++ b/balsamspool/commands/explain.py
@@ -10,6 +10,7 @@
 from balsamspool.commands.registry import command
 from balsamspool.kernel.errors import ResultError
 from balsamspool.kernel.keyring import KeyRing
+from balsamspool.placement.rendezvous import Candidate, rank
 from balsamspool.plugins.configuration import (
     DownloadRoute,
     FeedRoute,
@@ -19,7 +20,6 @@
 from balsamspool.plugins.configuration.checker import split_address
 from balsamspool.plugins.membership import ListedState
 from balsamspool.plugins.routing import FlowKey
-from balsamspool.plugins.routing.rendezvous import Candidate, rank
 from balsamspool.plugins.routing.token import TokenCodec
 
 
--- a/balsamspool/kernel/events.py
+++ b/balsamspool/kernel/events.py
@@ -93,3 +93,24 @@
     logging.WARNING,
     "The process did not run for longer than the pause limit.",
 )
+SETTINGS_RELOADED = log_event(
+    1007, "settings-reloaded", logging.INFO, "Changed settings are in force."
+)
+SETTINGS_UNCHANGED = log_event(
+    1008,
+    "settings-unchanged",
+    logging.INFO,
+    "The settings were read again; nothing changed.",
+)
+SETTINGS_REFUSED = log_event(
+    1009,
+    "settings-refused",
+    logging.ERROR,
+    "Changed settings are not valid; the earlier ones stay in force.",
+)
+LOG_LINES_DROPPED = log_event(
+    1010,
+    "log-lines-dropped",
+    logging.WARNING,
+    "Log lines were dropped because they came too fast or nobody read them.",
+)
--- a/balsamspool/kernel/identity.py
+++ b/balsamspool/kernel/identity.py
@@ -4,16 +4,18 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from balsamspool.kernel.settings import ProcessSettings
+from balsamspool.kernel.settings import BaseProcessSettings
 
 INCARNATION_BYTES = 8
 
 
 class Role(Enum):
-    """What a process does."""
+    """What a process does. The datagram roles run the front end for opaque flows."""
 
     ENTRY = "entry"
     AGENT = "agent"
+    DATAGRAM_ENTRY = "datagram-entry"
+    DATAGRAM_AGENT = "datagram-agent"
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +43,7 @@
     incarnation: bytes
 
     @classmethod
-    def from_settings(cls, role: Role, settings: ProcessSettings) -> "Identity":
+    def from_settings(cls, role: Role, settings: BaseProcessSettings) -> "Identity":
         """Return the identity of a process that starts now."""
         return cls(
             role=role,
--- a/balsamspool/kernel/keyring.py
+++ b/balsamspool/kernel/keyring.py
@@ -1,7 +1,5 @@
 """Shared keys that authenticate the traffic between the system's own processes."""
 
-from cryptography.hazmat.primitives.hashes import SHA256
-from cryptography.hazmat.primitives.kdf.hkdf import HKDF
 from msgspec import Struct
 
 from balsamspool.kernel.errors import KEY_UNKNOWN, ResultError
@@ -25,6 +23,10 @@
     secrets: dict[str, str]
 
 
+# Of a process that sends nothing authenticated.
+NO_KEYS = KeySet(active=0, secrets={})
+
+
 class KeyRing:
     """Derives one key for each purpose from each shared secret in force.
 
@@ -112,6 +114,10 @@
 
 
 def _derive(secret: bytes, purpose: str, length: int) -> bytes:
+    # Imported here because a process without keys starts faster without it.
+    from cryptography.hazmat.primitives.hashes import SHA256
+    from cryptography.hazmat.primitives.kdf.hkdf import HKDF
+
     info = f"balsamspool {purpose}".encode()
     return HKDF(SHA256(), length, salt=None, info=info).derive(secret)
 
--- a/balsamspool/kernel/lifecycle.py
+++ b/balsamspool/kernel/lifecycle.py
@@ -3,17 +3,20 @@
 import asyncio
 import logging
 import signal
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from enum import Enum
-from typing import Any, TypeVar, cast
-
-from prometheus_client import CollectorRegistry
+from typing import TYPE_CHECKING, Any, TypeVar, cast
 
 from balsamspool.kernel.clock import now
+from balsamspool.kernel.counters import CounterSet
+from balsamspool.kernel.errors import ResultError
 from balsamspool.kernel.events import (
     PROCESS_RESUMED,
     PROCESS_STARTED,
     PROCESS_STOPPED,
+    SETTINGS_REFUSED,
+    SETTINGS_RELOADED,
+    SETTINGS_UNCHANGED,
     STOP_REPEATED,
     STOP_REQUESTED,
     TASK_FAILED,
@@ -23,6 +26,9 @@
 from balsamspool.kernel.registry import Plugin, plugins_of
 from balsamspool.kernel.settings import Settings
 
+if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry
+
 P = TypeVar("P", bound=Plugin)
 
 _logger = logging.getLogger(__name__)
@@ -47,13 +53,22 @@
     Args:
         role: Role of the process.
         settings: Checked settings of the process.
+        read_settings: Reads the settings again after a change, None if they are not
+            read again.
     """
 
-    def __init__(self, role: Role, settings: Settings) -> None:
+    def __init__(
+        self,
+        role: Role,
+        settings: Settings,
+        read_settings: Callable[[], Settings] | None = None,
+    ) -> None:
         self._settings = settings
+        self._read_settings = read_settings
         self._identity = Identity.from_settings(role, settings.process)
-        self._keyring = KeyRing(settings.process.keys)
-        self._metrics = CollectorRegistry()
+        self._keyring = KeyRing(settings.process.shared_keys)
+        self._metrics: CollectorRegistry | None = None
+        self._counters = CounterSet()
         self._state = ProcessState.STARTING
         self._stop_requested = asyncio.Event()
         self._failed = False
@@ -79,10 +94,20 @@
         return self._keyring
 
     @property
-    def metrics(self) -> CollectorRegistry:
+    def metrics(self) -> "CollectorRegistry":
         """Registry in which plug-ins create their metrics."""
+        if self._metrics is None:
+            # Imported here because a process without a scrape starts faster without it.
+            from prometheus_client import CollectorRegistry
+
+            self._metrics = CollectorRegistry()
         return self._metrics
 
+    @property
+    def counters(self) -> CounterSet:
+        """Plain counters and histograms for paths that handle each packet."""
+        return self._counters
+
     @property
     def state(self) -> ProcessState:
         """State of the process."""
@@ -139,6 +164,27 @@
         self._state = ProcessState.LEAVING
         self._stop_requested.set()
 
+    def reload(self) -> None:
+        """Read the settings again and let plug-ins take over what changed.
+
+        Settings that cannot be read or are not valid leave those in force.
+        """
+        if self._read_settings is None:
+            return
+        try:
+            settings = self._read_settings()
+        except ResultError as error:
+            SETTINGS_REFUSED.log(_logger, error=str(error))
+            return
+        if settings == self._settings:
+            SETTINGS_UNCHANGED.log(_logger)
+            return
+        self._settings = settings
+        for plugin in self._plugins.values():
+            plugin.reload()
+        logging.getLogger().setLevel(settings.process.log_level.upper())
+        SETTINGS_RELOADED.log(_logger)
+
     async def run(self) -> int:
         """Start, serve until a stop is requested, drain and stop.
 
@@ -148,6 +194,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.request_stop)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         try:
             await self.start()
             await self._stop_requested.wait()
--- a/balsamspool/kernel/logs.py
+++ b/balsamspool/kernel/logs.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from balsamspool.kernel.events import LogEvent
+from balsamspool.kernel.log_stream import BoundedLogHandler
 
 
 class JsonFormatter(logging.Formatter):
@@ -40,13 +41,13 @@
 
 
 def configure_logging(instance: str, level: str) -> None:
-    """Send all logs of this process to standard error as JSON lines.
+    """Send all logs of this process to standard output as JSON lines.
 
     Args:
         instance: Name of the instance that writes the log.
         level: Lowest level that is written, such as ``info``.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = BoundedLogHandler(sys.stdout.fileno())
     handler.setFormatter(JsonFormatter(instance))
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
     # The QUIC library logs each packet it drops, which a stranger can cause at will.
--- a/balsamspool/plugins/routing/recent.py
+++ b/balsamspool/kernel/recent.py
@@ -43,6 +43,11 @@
             self._new = {}
         self._new[key] = value
 
+    def discard(self, key: bytes) -> None:
+        """Drop a value if it is kept."""
+        self._new.pop(key, None)
+        self._old.pop(key, None)
+
     def clear(self) -> None:
         """Drop all values."""
         self._new = {}
--- a/balsamspool/kernel/registry.py
+++ b/balsamspool/kernel/registry.py
@@ -44,6 +44,9 @@
     async def start(self) -> None:
         """Open sockets and start tasks. Plug-ins in ``requires`` have started."""
 
+    def reload(self) -> None:
+        """Take over changed settings, which ``kernel.settings`` holds by now."""
+
     async def drain(self) -> None:
         """Take no new work and return when the work in progress has ended."""
 
@@ -101,11 +104,18 @@
     return decorate
 
 
-def load_plugins() -> None:
-    """Import every package below ``balsamspool.plugins``."""
+def load_plugins(names: Iterable[str] | None = None) -> None:
+    """Import packages below ``balsamspool.plugins``.
+
+    Args:
+        names: Names of the packages, None for all. A process that needs only a few
+            starts faster and smaller without the libraries of the others.
+    """
     package = balsamspool.plugins
-    for module in pkgutil.iter_modules(package.__path__, f"{package.__name__}."):
-        importlib.import_module(module.name)
+    if names is None:
+        names = [module.name for module in pkgutil.iter_modules(package.__path__)]
+    for name in names:
+        importlib.import_module(f"{package.__name__}.{name}")
 
 
 def plugins_of(role: Role) -> list[Registration]:
--- a/balsamspool/kernel/settings.py
+++ b/balsamspool/kernel/settings.py
@@ -13,12 +13,26 @@
     SETTINGS_UNREADABLE,
     ResultError,
 )
-from balsamspool.kernel.keyring import KeySet, keys_problem
+from balsamspool.kernel.keyring import NO_KEYS, KeySet, keys_problem
 
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
 
+def split_endpoint(endpoint: str) -> tuple[str, int]:
+    """Return address and port of an endpoint in the form ``address:port``.
+
+    Raises:
+        ValueError: If it has another form.
+    """
+    address, _, port = endpoint.rpartition(":")
+    ipaddress.IPv4Address(address)
+    number = int(port)
+    if not 0 < number < 1 << 16:
+        raise ValueError(f"{number} is not a port")
+    return address, number
+
+
 class Section(Struct, frozen=True, forbid_unknown_fields=True):
     """Base of the settings of one plug-in."""
 
@@ -27,8 +41,8 @@
         return None
 
 
-class ProcessSettings(Section, frozen=True):
-    """Settings of the process itself.
+class BaseProcessSettings(Section, frozen=True, kw_only=True):
+    """Settings of a process that shares no keys with others.
 
     Attributes:
         instance: Name of the instance, unique in the fleet.
@@ -37,7 +51,6 @@
         data_port: UDP port for datagrams between entries and agents.
         peer_port: TCP port for messages between processes.
         admin_port: TCP port for metrics, health and status.
-        keys: Shared keys that hold until a configuration is in force.
         log_level: Lowest level that is logged.
     """
 
@@ -47,15 +60,41 @@
     data_port: Port
     peer_port: Port
     admin_port: Port
-    keys: KeySet
     log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
 
+    @property
+    def shared_keys(self) -> KeySet:
+        """Shared keys that hold until a configuration is in force."""
+        return NO_KEYS
+
     def problem(self) -> tuple[str, str] | None:
         """Return the field and what is wrong with it, or None if all is valid."""
         try:
             ipaddress.IPv4Address(self.address)
         except ValueError:
             return "address", f"{self.address!r} is not an IPv4 address"
+        return None
+
+
+class ProcessSettings(BaseProcessSettings, frozen=True, kw_only=True):
+    """Settings of a process that authenticates its messages.
+
+    Attributes:
+        keys: Shared keys that hold until a configuration is in force.
+    """
+
+    keys: KeySet
+
+    @property
+    def shared_keys(self) -> KeySet:
+        """Shared keys that hold until a configuration is in force."""
+        return self.keys
+
+    def problem(self) -> tuple[str, str] | None:
+        """Return the field and what is wrong with it, or None if all is valid."""
+        wrong = super().problem()
+        if wrong is not None:
+            return wrong
         found = keys_problem(self.keys)
         return (f"keys.{found[0]}", found[1]) if found else None
 
@@ -71,13 +110,20 @@
     __slots__ = ("_process", "_sections")
 
     def __init__(
-        self, process: ProcessSettings, sections: Mapping[str, Section]
+        self, process: BaseProcessSettings, sections: Mapping[str, Section]
     ) -> None:
         self._process = process
         self._sections = dict(sections)
 
+    def __eq__(self, other: object) -> bool:
+        if not isinstance(other, Settings):
+            return NotImplemented
+        return self._process == other._process and self._sections == other._sections
+
+    __hash__ = None  # type: ignore[assignment]
+
     @property
-    def process(self) -> ProcessSettings:
+    def process(self) -> BaseProcessSettings:
         """Settings of the process itself."""
         return self._process
 
@@ -86,12 +132,17 @@
         return self._sections[name]
 
 
-def read_settings(path: Path, types: Mapping[str, type[Section]]) -> Settings:
+def read_settings(
+    path: Path,
+    types: Mapping[str, type[Section]],
+    process_type: type[BaseProcessSettings] = ProcessSettings,
+) -> Settings:
     """Read and check a settings file.
 
     Args:
         path: Path of the JSON file.
         types: Type of the section of each plug-in by its name.
+        process_type: Type of the section of the process itself.
 
     Returns:
         The checked settings.
@@ -104,15 +155,20 @@
         document = msgspec.json.decode(path.read_bytes())
     except (OSError, ValueError) as error:
         raise ResultError(SETTINGS_UNREADABLE, f"{path}: {error}") from error
-    return check_settings(document, types)
+    return check_settings(document, types, process_type)
 
 
-def check_settings(document: Any, types: Mapping[str, type[Section]]) -> Settings:
+def check_settings(
+    document: Any,
+    types: Mapping[str, type[Section]],
+    process_type: type[BaseProcessSettings] = ProcessSettings,
+) -> Settings:
     """Check settings that were read from JSON.
 
     Args:
         document: The decoded JSON document.
         types: Type of the section of each plug-in by its name.
+        process_type: Type of the section of the process itself.
 
     Returns:
         The checked settings.
@@ -125,7 +181,7 @@
     unknown = sorted(set(document) - set(types) - {"process"})
     if unknown:
         raise ResultError(SETTINGS_INVALID, f"field {unknown[0]!r} is unknown")
-    process = _check_section("process", document.get("process", {}), ProcessSettings)
+    process = _check_section("process", document.get("process", {}), process_type)
     sections = {
         name: _check_section(name, document.get(name, {}), section_type)
         for name, section_type in types.items()
--- /dev/null
+++ b/balsamspool/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on where flows go, independent of the front end and of the network."""
--- /dev/null
+++ b/balsamspool/placement/load.py
@@ -0,0 +1,101 @@
+"""What the agents report of the load of their backend servers."""
+
+from dataclasses import dataclass, field
+
+# A report that is older than this many of its periods says nothing.
+SILENT_PERIODS = 4.0
+SILENT_SLACK_SECONDS = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load of one backend server as its agent sees it.
+
+    Attributes:
+        in_work: Requests that the backend server has not answered yet.
+        mean_work: Mean of ``in_work`` over the last seconds.
+        flows: Open flows.
+        responsive: Whether the backend server answers.
+        period: Seconds until the next report.
+    """
+
+    in_work: int
+    mean_work: float
+    flows: int
+    responsive: bool
+    period: float
+
+
+@dataclass(slots=True)
+class HostLoad:
+    """The latest report of one host and what was placed there since.
+
+    Attributes:
+        report: The latest report.
+        received: Event loop time of its arrival in seconds.
+        placed: Flows placed there since.
+    """
+
+    report: LoadReport
+    received: float
+    placed: int = field(default=0)
+
+
+class LoadBoard:
+    """Latest load of each host by the address of its agent."""
+
+    __slots__ = ("_hosts", "_newest")
+
+    def __init__(self) -> None:
+        self._hosts: dict[str, HostLoad] = {}
+        self._newest = 0.0
+
+    def note(self, address: str, report: LoadReport, time: float) -> bool:
+        """Record a report.
+
+        Args:
+            address: Address of the agent.
+            report: The report.
+            time: Event loop time in seconds.
+
+        Returns:
+            Whether the backend server began or ceased to answer.
+        """
+        before = self._hosts.get(address)
+        self._hosts[address] = HostLoad(report, time)
+        self._newest = time
+        if before is None:
+            return not report.responsive
+        return before.report.responsive != report.responsive
+
+    def note_placed(self, address: str) -> None:
+        """Count a flow that was placed at a host."""
+        load = self._hosts.get(address)
+        if load is not None:
+            load.placed += 1
+
+    def load(self, address: str) -> HostLoad | None:
+        """Return the latest load of a host, None if it never reported."""
+        return self._hosts.get(address)
+
+    def avoided(self, address: str) -> bool:
+        """Return whether a host should get new flows only if no other is left.
+
+        Silence is measured against the newest report of any host, so that a pause of
+        this process does not make all hosts look silent.
+
+        Args:
+            address: Address of the agent.
+        """
+        load = self._hosts.get(address)
+        if load is None:
+            return False
+        if not load.report.responsive:
+            return True
+        limit = SILENT_PERIODS * load.report.period + SILENT_SLACK_SECONDS
+        return self._newest - load.received > limit
+
+    def retain(self, addresses: set[str]) -> None:
+        """Forget all hosts except those at some addresses."""
+        for address in set(self._hosts) - addresses:
+            del self._hosts[address]
--- /dev/null
+++ b/balsamspool/plugins/admin/plugin.py
@@ -0,0 +1,105 @@
+"""Plug-in that answers readiness probes and serves metrics and status."""
+
+import msgspec
+
+from balsamspool.kernel.identity import Role
+from balsamspool.kernel.lifecycle import Kernel, ProcessState
+from balsamspool.kernel.registry import Plugin, register
+from balsamspool.kernel.settings import Section, split_endpoint
+from balsamspool.plugins.admin.server import Page, PageServer
+
+
+class AdminSettings(Section, frozen=True):
+    """Settings of the admin plug-in.
+
+    Attributes:
+        ready_address: IPv4 address and port at which readiness probes arrive.
+        ready_path: Path of the readiness probe.
+    """
+
+    ready_address: str
+    ready_path: str = "/readyz"
+
+    def problem(self) -> tuple[str, str] | None:
+        """Return the field and what is wrong with it, or None if all is valid."""
+        try:
+            split_endpoint(self.ready_address)
+        except ValueError as error:
+            return "ready_address", str(error)
+        return None
+
+
+@register("admin", roles=[Role.DATAGRAM_ENTRY, Role.DATAGRAM_AGENT])
+class AdminPlugin(Plugin):
+    """Serves the readiness probe, ``/metrics`` and ``/status``.
+
+    Args:
+        kernel: Kernel that runs the plug-in.
+    """
+
+    settings_type = AdminSettings
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._settings: AdminSettings = kernel.settings.section("admin")
+        self._probes = PageServer(self._probe_page)
+        self._pages = PageServer(self._page)
+
+    async def start(self) -> None:
+        """Listen for probes and for readers of metrics."""
+        await self._probes.start(*split_endpoint(self._settings.ready_address))
+        identity = self._kernel.identity
+        await self._pages.start(identity.address, identity.admin_port)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        self._probes.close()
+        self._pages.close()
+
+    def _probe_page(self, path: str) -> Page:
+        if path != self._settings.ready_path:
+            return Page(404, b"")
+        return self._readiness()
+
+    def _readiness(self) -> Page:
+        plugins = self._kernel.plugins
+        waiting = [name for name, plugin in plugins.items() if not plugin.ready]
+        if self._kernel.state is ProcessState.ACCEPTING and not waiting:
+            return Page(200, b"ready\n")
+        state = self._kernel.state.value
+        return Page(503, f"{state}, waiting for {waiting}\n".encode())
+
+    def _page(self, path: str) -> Page:
+        match path:
+            case "/metrics":
+                return self._metrics()
+            case "/status":
+                return self._status()
+            case "/readyz":
+                return self._readiness()
+            case "/healthz":
+                return Page(200, b"ok\n")
+            case _:
+                return Page(404, b"")
+
+    def _metrics(self) -> Page:
+        # Imported here because a process without a scrape starts faster without it.
+        from prometheus_client import generate_latest
+        from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
+        return Page(200, generate_latest(self._kernel.counters), CONTENT_TYPE_LATEST)
+
+    def _status(self) -> Page:
+        identity = self._kernel.identity
+        body = {
+            "instance": identity.instance,
+            "role": identity.role.value,
+            "failure_domain": identity.failure_domain,
+            "incarnation": identity.incarnation.hex(),
+            "state": self._kernel.state.value,
+            "pauses": self._kernel.pauses,
+            "plugins": {
+                name: plugin.status() for name, plugin in self._kernel.plugins.items()
+            },
+        }
+        return Page(200, msgspec.json.encode(body), "application/json")
--- /dev/null
+++ b/balsamspool/plugins/admin/server.py
@@ -0,0 +1,105 @@
+"""Small HTTP server, one task for each connection."""
+
+import asyncio
+from asyncio import StreamReader, StreamWriter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from httptools import HttpParserError, HttpRequestParser, parse_url
+
+READ_BYTES = 4_096
+# Connections that send nothing are closed.
+IDLE_SECONDS = 30.0
+MAX_URL_BYTES = 2_048
+
+_REASONS = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """An answer.
+
+    Attributes:
+        status: HTTP status.
+        body: Body.
+        content_type: Type of the body.
+    """
+
+    status: int
+    body: bytes
+    content_type: str = "text/plain"
+
+
+Handler = Callable[[str], Page]
+
+
+class _Request:
+    """Collects the parts of one request for the parser."""
+
+    __slots__ = ("complete", "url")
+
+    def __init__(self) -> None:
+        self.url = b""
+        self.complete = False
+
+    def on_message_begin(self) -> None:
+        """Start a new request."""
+        self.url = b""
+        self.complete = False
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the URL."""
+        self.url = (self.url + url)[:MAX_URL_BYTES]
+
+    def on_message_complete(self) -> None:
+        """Note that the request has ended."""
+        self.complete = True
+
+
+class PageServer:
+    """Answers GET requests at one address.
+
+    Args:
+        handler: Returns the page at a path.
+    """
+
+    __slots__ = ("_handler", "_server")
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: str, port: int) -> None:
+        """Listen at an address."""
+        self._server = await asyncio.start_server(self._serve, address, port)
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        request = _Request()
+        parser = HttpRequestParser(request)
+        try:
+            while data := await asyncio.wait_for(reader.read(READ_BYTES), IDLE_SECONDS):
+                parser.feed_data(data)
+                if request.complete:
+                    self._answer(request, writer)
+                    request.complete = False
+                    await asyncio.wait_for(writer.drain(), IDLE_SECONDS)
+        except (HttpParserError, TimeoutError, OSError):
+            # A caller that sends nonsense or goes away needs no answer.
+            pass
+        finally:
+            writer.close()
+
+    def _answer(self, request: _Request, writer: StreamWriter) -> None:
+        path = parse_url(request.url).path or b"/"
+        page = self._handler(path.decode("latin-1"))
+        head = (
+            f"HTTP/1.1 {page.status} {_REASONS.get(page.status, 'Unknown')}\r\n"
+            f"Content-Type: {page.content_type}\r\n"
+            f"Content-Length: {len(page.body)}\r\n\r\n"
+        )
+        writer.write(head.encode("latin-1") + page.body)
--- /dev/null
+++ b/balsamspool/plugins/catalog/codes.py
@@ -0,0 +1,15 @@
+"""Result codes of the catalog plug-in."""
+
+from balsamspool.kernel.errors import result_code
+
+CATALOG_UNAVAILABLE = result_code(
+    2301, "catalog-unavailable", "The published catalog could not be read."
+)
+CATALOG_HISTORY_LOST = result_code(
+    2302,
+    "catalog-history-lost",
+    "The changes since the known revision are no longer available.",
+)
+CATALOG_MALFORMED = result_code(
+    2303, "catalog-malformed", "An answer about the published catalog is not readable."
+)
--- /dev/null
+++ b/balsamspool/plugins/catalog/events.py
@@ -0,0 +1,64 @@
+"""Log events of the catalog plug-in."""
+
+import logging
+
+from balsamspool.kernel.events import log_event
+
+CATALOG_READ = log_event(
+    2301, "catalog-read", logging.INFO, "The whole published catalog was read."
+)
+CATALOG_LOST = log_event(
+    2302,
+    "catalog-lost",
+    logging.WARNING,
+    "The published catalog cannot be reached; the last known one stays in use.",
+)
+CATALOG_REGAINED = log_event(
+    2303, "catalog-regained", logging.INFO, "The published catalog answers again."
+)
+HISTORY_LOST = log_event(
+    2304,
+    "catalog-history-lost",
+    logging.WARNING,
+    "Changes were missed; the whole catalog is read again.",
+)
+ROUTES_IN_FORCE = log_event(
+    2305, "routes-in-force", logging.INFO, "A newer route table is in force."
+)
+ROUTES_IGNORED = log_event(
+    2306,
+    "routes-ignored",
+    logging.WARNING,
+    "A route table was ignored because its version is not newer.",
+)
+SERVER_CHANGED = log_event(
+    2307,
+    "backend-server-changed",
+    logging.INFO,
+    "A backend server appeared or changed.",
+)
+SERVER_REMOVED = log_event(
+    2308, "backend-server-removed", logging.INFO, "A backend server was removed."
+)
+SERVER_REMOVAL_DELAYED = log_event(
+    2309,
+    "backend-server-removal-delayed",
+    logging.WARNING,
+    "A backend server is missing after an outage of the catalog; it is kept for a "
+    "moment because its entry may return.",
+)
+RECORD_IGNORED = log_event(
+    2310, "catalog-record-ignored", logging.WARNING, "A record could not be used."
+)
+SNAPSHOT_TAKEN = log_event(
+    2311,
+    "catalog-from-peer",
+    logging.INFO,
+    "Newer records were taken over from a peer.",
+)
+PEER_UNREACHABLE = log_event(
+    2312,
+    "catalog-peer-unreachable",
+    logging.WARNING,
+    "A peer did not answer with its catalog.",
+)
--- /dev/null
+++ b/balsamspool/plugins/catalog/follower.py
@@ -0,0 +1,134 @@
+"""Keeps a view of the catalog up to date."""
+
+import asyncio
+import logging
+import random
+
+from balsamspool.kernel.backoff import Backoff
+from balsamspool.kernel.clock import now
+from balsamspool.kernel.errors import ResultError
+from balsamspool.plugins.catalog.codes import CATALOG_HISTORY_LOST
+from balsamspool.plugins.catalog.events import (
+    CATALOG_LOST,
+    CATALOG_READ,
+    CATALOG_REGAINED,
+    HISTORY_LOST,
+)
+from balsamspool.plugins.catalog.source import CatalogSource
+from balsamspool.plugins.catalog.view import CatalogView
+
+_logger = logging.getLogger(__name__)
+
+FIRST_RETRY_SECONDS = 0.2
+RETRY_LIMIT_SECONDS = 1.0
+# Changes come in groups; each call has a price, and this is short against every bound.
+GATHER_SECONDS = 0.25
+# After the loss of history all processes read everything at the same moment.
+REREAD_SPREAD_SECONDS = 0.2
+
+
+class CatalogFollower:
+    """Reads the catalog once and then follows its changes.
+
+    Args:
+        source: Reads the catalog where it is published.
+        view: What the process knows; it is changed in place.
+        wait: Longest wait of one call in seconds. A connection that went silent is
+            noticed after it.
+        rng: Source of randomness.
+    """
+
+    __slots__ = (
+        "_answered",
+        "_calls",
+        "_reachable",
+        "_revision",
+        "_rng",
+        "_source",
+        "_view",
+        "_wait",
+    )
+
+    def __init__(
+        self,
+        source: CatalogSource,
+        view: CatalogView,
+        wait: float,
+        rng: random.Random,
+    ) -> None:
+        self._source = source
+        self._view = view
+        self._wait = wait
+        self._rng = rng
+        self._revision: int | None = None
+        self._answered: float | None = None
+        self._reachable = True
+        self._calls = 0
+
+    @property
+    def answered(self) -> float | None:
+        """Event loop time of the last answer in seconds, None before the first."""
+        return self._answered
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the last call was answered."""
+        return self._reachable
+
+    @property
+    def revision(self) -> int | None:
+        """Revision up to which changes are known, None before the first answer."""
+        return self._revision
+
+    @property
+    def calls(self) -> int:
+        """Number of calls so far."""
+        return self._calls
+
+    async def run(self) -> None:
+        """Follow the catalog until cancelled."""
+        backoff = Backoff(FIRST_RETRY_SECONDS, RETRY_LIMIT_SECONDS, self._rng)
+        while True:
+            try:
+                await self._step()
+            except ResultError as error:
+                if error.code is CATALOG_HISTORY_LOST:
+                    HISTORY_LOST.log(_logger, revision=self._revision)
+                    self._revision = None
+                    await asyncio.sleep(self._rng.uniform(0, REREAD_SPREAD_SECONDS))
+                    continue
+                self._note_failure(error)
+                await asyncio.sleep(backoff.next_delay())
+            else:
+                backoff.reset()
+
+    async def _step(self) -> None:
+        self._calls += 1
+        if self._revision is None:
+            snapshot = await self._source.read()
+            self._note_answer()
+            self._view.replace(snapshot, now())
+            self._revision = snapshot.revision
+            CATALOG_READ.log(
+                _logger, revision=snapshot.revision, records=len(snapshot.records)
+            )
+            return
+        changes = await self._source.watch(self._revision, self._wait)
+        self._note_answer()
+        for record in changes.records:
+            self._view.apply(record, now())
+        self._revision = max(self._revision, changes.revision)
+        if changes.records:
+            await asyncio.sleep(GATHER_SECONDS)
+
+    def _note_answer(self) -> None:
+        if not self._reachable:
+            self._reachable = True
+            CATALOG_REGAINED.log(_logger, revision=self._revision)
+        self._answered = now()
+
+    def _note_failure(self, error: ResultError) -> None:
+        self._view.note_outage(now())
+        if self._reachable:
+            self._reachable = False
+            CATALOG_LOST.log(_logger, revision=self._revision, error=str(error))
--- /dev/null
+++ b/balsamspool/plugins/catalog/model.py
@@ -0,0 +1,180 @@
+"""Published routes and backend servers, independent of how they are published."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class RouteKind(Enum):
+    """Kind of the requests that a route carries."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    DOWNLOAD = "download"
+
+
+class BackendState(Enum):
+    """State that a backend server reports."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """A service to which a route sends a share of its new flows.
+
+    Attributes:
+        service: Name of the service.
+        weight: Share relative to the other targets, above 0.
+    """
+
+    service: str
+    weight: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """An address at which callers reach a service.
+
+    Attributes:
+        name: Name of the route.
+        address: IPv4 address in dotted form.
+        port: UDP port.
+        targets: Services that take new flows, at least one.
+        kind: Kind of the requests.
+        goal: Latency objective of a request in seconds.
+        priority: Priority, 0 is the highest.
+    """
+
+    name: str
+    address: str
+    port: int
+    targets: tuple[Target, ...]
+    kind: RouteKind = RouteKind.SAFE
+    goal: float = 1.0
+    priority: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTable:
+    """All routes of one version.
+
+    Attributes:
+        version: Version of the table; a higher one is newer.
+        routes: The routes.
+        idle_seconds: A flow that is idle for longer may be forgotten.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    idle_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class BackendServer:
+    """A backend server as it is listed.
+
+    Attributes:
+        name: Name that is unique among all backend servers.
+        service: Name of its service.
+        address: IPv4 address of its instance.
+        port: Port on which it takes packets of its own instance.
+        failure_domain: Failure domain of its instance.
+        slots: Requests that it runs at a time.
+        state: State that it reports.
+        warmup: Seconds for which it stays slow after its start.
+        started_ms: Its start in Unix milliseconds, None if it does not say.
+    """
+
+    name: str
+    service: str
+    address: str
+    port: int
+    failure_domain: str
+    slots: int
+    state: BackendState
+    warmup: float = 0.0
+    started_ms: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RoutesPublished:
+    """The route table was published.
+
+    Attributes:
+        revision: Revision of the record.
+        table: The routes.
+    """
+
+    revision: int
+    table: RouteTable
+
+
+@dataclass(frozen=True, slots=True)
+class ServerPublished:
+    """A backend server appeared or changed.
+
+    Attributes:
+        revision: Revision of the record.
+        server: The backend server.
+    """
+
+    revision: int
+    server: BackendServer
+
+
+@dataclass(frozen=True, slots=True)
+class ServerRemoved:
+    """A backend server is no longer listed.
+
+    Attributes:
+        revision: Revision of the removal.
+        name: Name of the backend server.
+    """
+
+    revision: int
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class RecordIgnored:
+    """A record names nothing that can be used.
+
+    Attributes:
+        revision: Revision of the record.
+        name: Name under which it is published.
+        detail: What is wrong with it.
+    """
+
+    revision: int
+    name: str
+    detail: str
+
+
+Record = RoutesPublished | ServerPublished | ServerRemoved | RecordIgnored
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """All records, read page by page.
+
+    Attributes:
+        revision: Revision before the first page; changes after it may be missing.
+        records: The records.
+    """
+
+    revision: int
+    records: tuple[Record, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Records that changed after a revision.
+
+    Attributes:
+        revision: Revision from which the next changes are to be read.
+        records: The records, empty if nothing changed.
+    """
+
+    revision: int
+    records: tuple[Record, ...]
--- /dev/null
+++ b/balsamspool/plugins/catalog/plugin.py
@@ -0,0 +1,105 @@
+"""Plug-in that keeps the view of the catalog."""
+
+import asyncio
+import random
+from typing import Annotated
+
+from msgspec import Meta
+
+from balsamspool.kernel.clock import now
+from balsamspool.kernel.identity import Role
+from balsamspool.kernel.lifecycle import Kernel
+from balsamspool.kernel.registry import Plugin, register
+from balsamspool.kernel.settings import Section
+from balsamspool.plugins.catalog.follower import CatalogFollower
+from balsamspool.plugins.catalog.source import CatalogSource
+from balsamspool.plugins.catalog.view import CatalogView
+
+EXPIRY_SECONDS = 0.5
+# A watch that waits proves nothing, so an answer stays fresh for one wait and its
+# margin.
+FRESH_MARGIN_SECONDS = 1.0
+
+
+class CatalogSettings(Section, frozen=True):
+    """Settings of the catalog plug-in.
+
+    Attributes:
+        watch_seconds: Longest wait for changes in one call in seconds. It bounds the
+            time after which a silent connection is noticed.
+    """
+
+    watch_seconds: Annotated[float, Meta(gt=0, le=30)] = 2.5
+
+
+@register(
+    "catalog",
+    roles=[Role.DATAGRAM_ENTRY],
+    requires=["catalog-source"],
+)
+class CatalogPlugin(Plugin):
+    """Follows the published catalog.
+
+    Args:
+        kernel: Kernel that runs the plug-in.
+    """
+
+    settings_type = CatalogSettings
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        settings: CatalogSettings = kernel.settings.section("catalog")
+        self._wait = settings.watch_seconds
+        self._view = CatalogView()
+        self._follower = CatalogFollower(
+            kernel.plugin(CatalogSource), self._view, self._wait, random.Random()
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether a route table is in force."""
+        return self._view.table is not None
+
+    @property
+    def view(self) -> CatalogView:
+        """What this process knows of the catalog."""
+        return self._view
+
+    @property
+    def age(self) -> float | None:
+        """Seconds since the last answer of the service, None before the first."""
+        answered = self._follower.answered
+        return None if answered is None else now() - answered
+
+    @property
+    def fresh(self) -> bool:
+        """Whether the view is recent enough to rule out that a route exists."""
+        age = self.age
+        return (
+            self._follower.reachable
+            and age is not None
+            and age < self._wait + FRESH_MARGIN_SECONDS
+        )
+
+    async def start(self) -> None:
+        """Start to follow the catalog."""
+        self._kernel.spawn(self._follower.run(), "catalog follower")
+        self._kernel.spawn(self._expire(), "catalog expiry")
+
+    def status(self) -> dict[str, object]:
+        """Return versions, age and size of the view."""
+        table = self._view.table
+        return {
+            "routes_version": table.version if table else None,
+            "routes": len(table.routes) if table else 0,
+            "revision": self._follower.revision,
+            "reachable": self._follower.reachable,
+            "age_seconds": self.age,
+            "calls": self._follower.calls,
+            "servers": {s.name: s.state.value for s in self._view.servers},
+        }
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_SECONDS)
+            self._view.expire(now())
--- /dev/null
+++ b/balsamspool/plugins/catalog/source.py
@@ -0,0 +1,37 @@
+"""Interface of the service that publishes the catalog."""
+
+from balsamspool.kernel.registry import Plugin
+from balsamspool.plugins.catalog.model import Changes, Snapshot
+
+
+class CatalogSource(Plugin):
+    """Base of the plug-in that reads the catalog where it is published.
+
+    An adapter registers one subclass. It only translates; when to call, and what to do
+    after a failure, is decided by the catalog plug-in.
+    """
+
+    async def read(self) -> Snapshot:
+        """Read all records.
+
+        Raises:
+            ResultError: With code 2301 if the service does not answer, 2303 if its
+                answer cannot be read.
+        """
+        raise NotImplementedError
+
+    async def watch(self, after: int, wait: float) -> Changes:
+        """Wait for changes.
+
+        Args:
+            after: Revision up to which changes are known.
+            wait: Longest wait in seconds.
+
+        Returns:
+            The changes, or none when the wait ended.
+
+        Raises:
+            ResultError: With code 2301 if the service does not answer, 2302 if the
+                changes are no longer available, 2303 if the answer cannot be read.
+        """
+        raise NotImplementedError
--- /dev/null
+++ b/balsamspool/plugins/catalog/view.py
@@ -0,0 +1,325 @@
+"""What a process knows of the published catalog."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from balsamspool.plugins.catalog.events import (
+    RECORD_IGNORED,
+    ROUTES_IGNORED,
+    ROUTES_IN_FORCE,
+    SERVER_CHANGED,
+    SERVER_REMOVAL_DELAYED,
+    SERVER_REMOVED,
+)
+from balsamspool.plugins.catalog.model import (
+    BackendServer,
+    BackendState,
+    Record,
+    RecordIgnored,
+    Route,
+    RoutesPublished,
+    RouteTable,
+    ServerPublished,
+    ServerRemoved,
+    Snapshot,
+)
+
+_logger = logging.getLogger(__name__)
+
+# Entries that lapsed during an outage of the service are back within about 2 s.
+RETURN_SECONDS = 2.2
+# An outage that ended longer ago explains no missing entry.
+OUTAGE_MEMORY_SECONDS = 4.0
+# A backend server that was removed may still hold flows for so long.
+DEPARTED_SECONDS = 20.0
+# Removals of this share of a service within RETURN_SECONDS look like lapsed entries.
+MASS_REMOVAL_SHARE = 0.5
+
+# Earlier services of a route at which its flows are looked for.
+MAX_PAST_SERVICES = 3
+
+
+@dataclass(slots=True)
+class _Missing:
+    """A backend server that is no longer listed but still used.
+
+    Attributes:
+        removed: Revision of the removal.
+        until: Event loop time in seconds at which it counts as gone.
+    """
+
+    removed: int
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Departed:
+    """A backend server that is gone.
+
+    Attributes:
+        server: The backend server.
+        until: Event loop time in seconds until which flows may still belong to it.
+    """
+
+    server: BackendServer
+    until: float
+
+
+class CatalogView:
+    """Routes and backend servers by the newest known revision of each."""
+
+    __slots__ = (
+        "_departed",
+        "_missing",
+        "_outage_end",
+        "_past_services",
+        "_ready_cache",
+        "_records",
+        "_resident_cache",
+        "_revisions",
+        "_routes",
+        "_servers",
+        "_subscribers",
+        "_table",
+        "_table_revision",
+        "_version",
+    )
+
+    def __init__(self) -> None:
+        self._table: RouteTable | None = None
+        self._table_revision = 0
+        self._routes: dict[tuple[str, int], Route] = {}
+        self._past_services: dict[tuple[str, int], tuple[str, ...]] = {}
+        self._servers: dict[str, BackendServer] = {}
+        self._revisions: dict[str, int] = {}
+        self._missing: dict[str, _Missing] = {}
+        self._departed: dict[str, _Departed] = {}
+        self._outage_end: float | None = None
+        self._ready_cache: dict[str, tuple[BackendServer, ...]] = {}
+        self._resident_cache: dict[str, tuple[BackendServer, ...]] = {}
+        self._version = 0
+        self._subscribers: list[Callable[[], None]] = []
+
+    @property
+    def table(self) -> RouteTable | None:
+        """Route table in force, None before the first."""
+        return self._table
+
+    @property
+    def table_revision(self) -> int:
+        """Revision of the record that holds the route table in force."""
+        return self._table_revision
+
+    @property
+    def version(self) -> int:
+        """Counter that grows with each change of routes or backend servers."""
+        return self._version
+
+    @property
+    def servers(self) -> list[BackendServer]:
+        """All listed backend servers."""
+        return list(self._servers.values())
+
+    def revision_of(self, name: str) -> int:
+        """Return the newest known revision of a backend server, 0 if unknown."""
+        return self._revisions.get(name, 0)
+
+    def route(self, address: str, port: int) -> Route | None:
+        """Return the route at an address, or None."""
+        return self._routes.get((address, port))
+
+    def services_at(self, address: str, port: int) -> tuple[str, ...]:
+        """Return the services whose hosts may hold flows of a route.
+
+        A route that is directed to another service keeps its open flows, so its
+        earlier services come after those of the table in force.
+        """
+        route = self.route(address, port)
+        if route is None:
+            return ()
+        present = tuple(target.service for target in route.targets)
+        past = self._past_services.get((address, port), ())
+        return (*present, *(service for service in past if service not in present))
+
+    def ready(self, service: str) -> tuple[BackendServer, ...]:
+        """Return the backend servers of a service that take new flows."""
+        found = self._ready_cache.get(service)
+        if found is None:
+            found = tuple(
+                server
+                for server in self._servers.values()
+                if server.service == service and server.state is BackendState.READY
+            )
+            self._ready_cache[service] = found
+        return found
+
+    def residents(self, service: str) -> tuple[BackendServer, ...]:
+        """Return the backend servers that may hold flows of a service.
+
+        These are all listed ones and those that were removed a short time ago.
+        """
+        found = self._resident_cache.get(service)
+        if found is None:
+            departed = [d.server for d in self._departed.values()]
+            everyone = (*self._servers.values(), *departed)
+            found = tuple(s for s in everyone if s.service == service)
+            self._resident_cache[service] = found
+        return found
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call a function after each change of routes or backend servers."""
+        self._subscribers.append(callback)
+
+    def note_outage(self, time: float) -> None:
+        """Record that the service that publishes the catalog did not answer."""
+        self._outage_end = time
+
+    def apply(self, record: Record, time: float) -> None:
+        """Take over a record unless a newer one of the same name is known.
+
+        Args:
+            record: The record.
+            time: Event loop time in seconds.
+        """
+        match record:
+            case RoutesPublished():
+                self._take_routes(record)
+            case ServerPublished(revision, server):
+                if revision > self._revisions.get(server.name, 0):
+                    self._take_server(server, revision)
+            case ServerRemoved(revision, name):
+                if revision > self._revisions.get(name, 0):
+                    self._remove(name, revision, time)
+            case RecordIgnored(revision, name, detail):
+                if revision > self._revisions.get(name, 0):
+                    RECORD_IGNORED.log(
+                        _logger, name=name, revision=revision, detail=detail
+                    )
+                    self._remove(name, revision, time)
+
+    def replace(self, snapshot: Snapshot, time: float) -> None:
+        """Take over a snapshot; backend servers that it does not list are removed.
+
+        Args:
+            snapshot: All records.
+            time: Event loop time in seconds.
+        """
+        listed = set()
+        for record in snapshot.records:
+            match record:
+                case ServerPublished(_, server):
+                    listed.add(server.name)
+                case RecordIgnored(_, name, _):
+                    listed.add(name)
+            self.apply(record, time)
+        for name in list(self._servers):
+            # A record that is newer than the first page was added between the pages.
+            if name not in listed and self._revisions[name] <= snapshot.revision:
+                self._remove(name, snapshot.revision, time)
+
+    def expire(self, time: float) -> None:
+        """Remove what was kept for a limited time.
+
+        Args:
+            time: Event loop time in seconds.
+        """
+        for name, missing in list(self._missing.items()):
+            if time >= missing.until:
+                self._drop(name, missing.removed, time)
+        gone = [n for n, d in self._departed.items() if time >= d.until]
+        for name in gone:
+            del self._departed[name]
+        if gone:
+            self._changed()
+
+    def _take_routes(self, record: RoutesPublished) -> None:
+        table = record.table
+        if self._table is not None and table.version <= self._table.version:
+            if table.version < self._table.version:
+                ROUTES_IGNORED.log(
+                    _logger, offered=table.version, in_force=self._table.version
+                )
+            return
+        self._remember_services()
+        self._table = table
+        self._table_revision = record.revision
+        self._routes = {(r.address, r.port): r for r in table.routes}
+        self._changed()
+        ROUTES_IN_FORCE.log(
+            _logger,
+            version=table.version,
+            revision=record.revision,
+            routes=len(table.routes),
+        )
+
+    def _remember_services(self) -> None:
+        """Keep the services of each route before another table replaces it."""
+        for endpoint, route in self._routes.items():
+            past = self._past_services.get(endpoint, ())
+            new = [t.service for t in route.targets if t.service not in past]
+            if new:
+                kept = (*new, *past)[:MAX_PAST_SERVICES]
+                self._past_services[endpoint] = kept
+
+    def _take_server(self, server: BackendServer, revision: int) -> None:
+        before = self._servers.get(server.name)
+        self._revisions[server.name] = revision
+        self._missing.pop(server.name, None)
+        self._departed.pop(server.name, None)
+        self._servers[server.name] = server
+        self._changed()
+        if before is None or before.state is not server.state:
+            SERVER_CHANGED.log(
+                _logger,
+                server=server.name,
+                service=server.service,
+                address=server.address,
+                state=server.state.value,
+                revision=revision,
+            )
+
+    def _remove(self, name: str, revision: int, time: float) -> None:
+        server = self._servers.get(name)
+        if server is None:
+            self._revisions[name] = max(revision, self._revisions.get(name, 0))
+            return
+        if name in self._missing:
+            return
+        if server.state is BackendState.READY and self._may_return(server, time):
+            self._missing[name] = _Missing(revision, time + RETURN_SECONDS)
+            SERVER_REMOVAL_DELAYED.log(
+                _logger, server=name, service=server.service, revision=revision
+            )
+            return
+        self._drop(name, revision, time)
+
+    def _may_return(self, server: BackendServer, time: float) -> bool:
+        outage = self._outage_end
+        if outage is not None and time - outage < OUTAGE_MEMORY_SECONDS:
+            return True
+        ready = self.ready(server.service)
+        missing = sum(1 for s in ready if s.name in self._missing) + 1
+        # The last backend server is kept too: there is no other to use instead.
+        return missing >= max(1.0, MASS_REMOVAL_SHARE * len(ready))
+
+    def _drop(self, name: str, revision: int, time: float) -> None:
+        server = self._servers.pop(name)
+        self._missing.pop(name, None)
+        self._revisions[name] = max(revision, self._revisions.get(name, 0))
+        self._departed[name] = _Departed(server, time + DEPARTED_SECONDS)
+        self._changed()
+        SERVER_REMOVED.log(
+            _logger,
+            server=name,
+            service=server.service,
+            address=server.address,
+            revision=revision,
+        )
+
+    def _changed(self) -> None:
+        self._version += 1
+        self._ready_cache.clear()
+        self._resident_cache.clear()
+        for callback in self._subscribers:
+            callback()
--- /dev/null
+++ b/balsamspool/plugins/datagram/_codec.py
@@ -0,0 +1,127 @@
+"""Layout of the messages between entries and agents."""
+
+import struct
+
+from xxhash import xxh32_intdigest
+
+from balsamspool.placement.load import LoadReport
+from balsamspool.plugins.datagram.messages import (
+    FlowEnded,
+    FlowLocated,
+    Forward,
+    Message,
+    PacketReturned,
+    Report,
+    Subscribe,
+)
+
+LAYOUT = 1
+
+_FORWARD, _LOCATED, _ENDED, _RETURNED, _SUBSCRIBE, _REPORT = range(1, 7)
+# Layout, kind, hops, unconfirmed, number of alternatives, service, origin.
+_FORWARD_HEAD = struct.Struct("!BBBBBI4s")
+_FLOW = struct.Struct("!BB12s")
+_RETURNED_HEAD = struct.Struct("!BBB")
+_SUBSCRIPTION = struct.Struct("!BBH")
+# Layout, kind, responsive, requests in work, their mean in 1/256, flows, period in ms.
+_LOAD = struct.Struct("!BBBHIHH")
+
+_MEAN_UNIT = 256
+_MAX_SHORT = 0xFFFF
+_MAX_LONG = 0xFFFFFFFF
+
+
+def service_number(name: str) -> int:
+    """Return the number of a service in messages, which is never 0."""
+    return xxh32_intdigest(name) or 1
+
+
+def forward_head(message: Forward) -> bytes:
+    """Return what stands before the payload of a forwarded packet."""
+    head = _FORWARD_HEAD.pack(
+        LAYOUT,
+        _FORWARD,
+        message.hops,
+        message.unconfirmed,
+        len(message.alternatives),
+        message.service,
+        message.origin,
+    )
+    return head + b"".join(message.alternatives)
+
+
+def returned_head(hops: int) -> bytes:
+    """Return what stands before the payload of a returned packet."""
+    return _RETURNED_HEAD.pack(LAYOUT, _RETURNED, hops)
+
+
+def encode_small(message: FlowLocated | FlowEnded | Subscribe | Report) -> bytes:
+    """Encode a message without a payload."""
+    match message:
+        case FlowLocated(flow):
+            return _FLOW.pack(LAYOUT, _LOCATED, flow)
+        case FlowEnded(flow):
+            return _FLOW.pack(LAYOUT, _ENDED, flow)
+        case Subscribe(lease):
+            milliseconds = min(int(lease * 1000), _MAX_SHORT)
+            return _SUBSCRIPTION.pack(LAYOUT, _SUBSCRIBE, milliseconds)
+        case Report(load):
+            return _LOAD.pack(
+                LAYOUT,
+                _REPORT,
+                load.responsive,
+                min(load.in_work, _MAX_SHORT),
+                min(int(load.mean_work * _MEAN_UNIT), _MAX_LONG),
+                min(load.flows, _MAX_SHORT),
+                min(int(load.period * 1000), _MAX_SHORT),
+            )
+
+
+def decode(data: bytes) -> Message | None:
+    """Decode a message.
+
+    Args:
+        data: The datagram.
+
+    Returns:
+        The message, or None if the datagram is none of this layout.
+    """
+    if len(data) < 2 or data[0] != LAYOUT:
+        return None
+    try:
+        return _decode(data)
+    except struct.error:
+        return None
+
+
+def _decode(data: bytes) -> Message | None:
+    match data[1]:
+        case 1:
+            return _decode_forward(data)
+        case 2:
+            return FlowLocated(_FLOW.unpack(data)[2])
+        case 3:
+            return FlowEnded(_FLOW.unpack(data)[2])
+        case 4:
+            hops = _RETURNED_HEAD.unpack_from(data)[2]
+            return PacketReturned(hops, data[_RETURNED_HEAD.size :])
+        case 5:
+            return Subscribe(_SUBSCRIPTION.unpack(data)[2] / 1000)
+        case 6:
+            _, _, responsive, in_work, mean, flows, period = _LOAD.unpack(data)
+            load = LoadReport(
+                in_work, mean / _MEAN_UNIT, flows, bool(responsive), period / 1000
+            )
+            return Report(load)
+        case _:
+            return None
+
+
+def _decode_forward(data: bytes) -> Forward | None:
+    _, _, hops, unconfirmed, count, service, origin = _FORWARD_HEAD.unpack_from(data)
+    start = _FORWARD_HEAD.size
+    end = start + 4 * count
+    if len(data) < end:
+        return None
+    alternatives = tuple(data[i : i + 4] for i in range(start, end, 4))
+    return Forward(service, origin, hops, bool(unconfirmed), alternatives, data[end:])
--- /dev/null
+++ b/balsamspool/plugins/datagram/agent.py
@@ -0,0 +1,352 @@
+"""Plug-in of the agent: passes packets to and from its backend server."""
+
+import asyncio
+import logging
+import socket
+
+from balsamspool.kernel.clock import now
+from balsamspool.kernel.identity import Role
+from balsamspool.kernel.lifecycle import Kernel
+from balsamspool.kernel.registry import Plugin, register
+from balsamspool.kernel.settings import split_endpoint
+from balsamspool.plugins.datagram._codec import (
+    decode,
+    encode_small,
+    forward_head,
+    returned_head,
+    service_number,
+)
+from balsamspool.plugins.datagram.events import (
+    FLOW_ACCEPTED,
+    FLOW_LOST,
+    OPENING_DROPPED,
+    OPENING_PASSED_ON,
+)
+from balsamspool.plugins.datagram.flows import FlowTable, HostFlow
+from balsamspool.plugins.datagram.liveness import ServerLiveness
+from balsamspool.plugins.datagram.messages import (
+    ANY_SERVICE,
+    FlowEnded,
+    FlowLocated,
+    Forward,
+    Subscribe,
+)
+from balsamspool.plugins.datagram.packet import (
+    Packet,
+    PacketCodec,
+    address_of,
+    flow_id,
+)
+from balsamspool.plugins.datagram.reporter import LoadReporter
+from balsamspool.plugins.datagram.settings import (
+    DatagramAgentSettings,
+)
+from balsamspool.plugins.datagram.sockets import Address, BatchSocket
+from balsamspool.plugins.datagram.work import WorkMeter
+
+_logger = logging.getLogger(__name__)
+
+# Agents that may pass on one packet.
+MAX_HOPS = 16
+# A backend server accepts an opening packet within a millisecond; the rest is room for
+# a slow instance.
+ANSWER_SECONDS = 0.08
+# Packets at the backend server whose way is remembered, in case it gives them back.
+REMEMBERED_PACKETS = 4_096
+EXPIRY_SECONDS = 1.0
+# A stopping agent goes on while packets pass, at most for so long.
+LINGER_SECONDS = 4.0
+QUIET_SECONDS = 0.5
+
+
+@register(
+    "datagram-agent", roles=[Role.DATAGRAM_AGENT], requires=["packet-codec", "admin"]
+)
+class DatagramAgentPlugin(Plugin):
+    """Admits flows to the backend server of its instance.
+
+    Args:
+        kernel: Kernel that runs the plug-in.
+    """
+
+    settings_type = DatagramAgentSettings
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        settings: DatagramAgentSettings = kernel.settings.section("datagram-agent")
+        identity = kernel.identity
+        self._service_name = settings.service
+        self._service = service_number(settings.service)
+        self._backend = split_endpoint(settings.backend)
+        self._outbound_address = split_endpoint(settings.outbound)
+        self._caller_port = split_endpoint(settings.address)[1]
+        self._address = (identity.address, identity.data_port)
+        self._codec = kernel.plugin(PacketCodec)
+        self._peer_socket: BatchSocket
+        self._server_socket: BatchSocket
+        self._sent: list[Forward | None] = [None] * REMEMBERED_PACKETS
+        self._sent_count = 0
+        self._last_packet = 0.0
+        counters = kernel.counters
+        self._malformed = counters.counter(
+            "balsamspool_datagram_malformed", "Datagrams that could not be read"
+        )
+        packets = "balsamspool_datagram_packets"
+        text = "Packets by what was done with them"
+        self._delivered = counters.counter(packets, text, "delivered")
+        self._to_callers = counters.counter(packets, text, "to-caller")
+        self._given_back = counters.counter(packets, text, "given-back")
+        self._passed_on = counters.counter(packets, text, "passed-on")
+        self._to_origin = counters.counter(packets, text, "returned-to-entry")
+        self._resets = counters.counter(packets, text, "reset")
+        self._openings = counters.counter(packets, text, "opening")
+        self._answer_time = counters.histogram(
+            "balsamspool_datagram_answer_seconds",
+            "Time from a request of a caller to the first data of the answer",
+        )
+
+    async def start(self) -> None:
+        """Open the sockets and begin to pass packets."""
+        self._meter = WorkMeter(now())
+        self._flows = FlowTable(self._meter)
+        self._liveness = ServerLiveness()
+        self._peer_socket = BatchSocket(self._address, self._on_peer)
+        self._server_socket = BatchSocket(self._outbound_address, self._on_server)
+        self._reporter = LoadReporter(
+            self._kernel, self._peer_socket, self._meter, self._flows, self._liveness
+        )
+        self._peer_socket.start()
+        self._server_socket.start()
+        self._kernel.spawn(self._expire(), "flow expiry")
+
+    async def drain(self) -> None:
+        """Go on while the backend server or callers still send packets."""
+        end = now() + LINGER_SECONDS
+        while now() < end:
+            if now() - self._last_packet > QUIET_SECONDS:
+                return
+            await asyncio.sleep(QUIET_SECONDS / 4)
+
+    async def stop(self) -> None:
+        """Close the sockets."""
+        for opened in ("_peer_socket", "_server_socket"):
+            if hasattr(self, opened):
+                getattr(self, opened).close()
+
+    def status(self) -> dict[str, object]:
+        """Return the load of the backend server."""
+        return {
+            "service": self._service_name,
+            "flows": len(self._flows),
+            "in_work": self._meter.in_work,
+            "mean_work": round(self._meter.mean(now()), 2),
+            "responsive": self._liveness.responsive,
+            "subscribers": self._reporter.subscribers,
+        }
+
+    def _on_peer(self, data: bytes, sender: Address) -> None:
+        match decode(data):
+            case Forward() as forward:
+                self._on_forward(forward)
+            case Subscribe(lease):
+                self._reporter.subscribe(sender, lease)
+            case _:
+                self._malformed.value += 1
+
+    def _on_forward(self, forward: Forward) -> None:
+        packet = self._codec.decode(bytes(forward.payload))
+        if packet is None:
+            self._malformed.value += 1
+            return
+        self._last_packet = now()
+        if packet.opens:
+            self._on_opening(forward, packet)
+            return
+        flow = self._flows.get(packet.flow_from_caller)
+        if flow is None or not flow.accepted:
+            elsewhere = flow is not None and flow.passed_on
+            if elsewhere or not self._may_hold(forward):
+                self._pass_on(forward, packet)
+                return
+        self._deliver(forward, packet)
+
+    def _may_hold(self, forward: Forward) -> bool:
+        """Return whether the backend server may hold a flow that is not known here."""
+        own = forward.service in (ANY_SERVICE, self._service)
+        # A backend server that is silent gives no packet back, so the search for the
+        # flow would end here.
+        return own and self._liveness.responsive
+
+    def _on_opening(self, forward: Forward, packet: Packet) -> None:
+        self._openings.value += 1
+        if forward.service != self._service:
+            # The address was taken over by a backend server of another service.
+            self._pass_on(forward, packet, "other-service")
+            return
+        flow = self._flows.get(packet.flow_from_caller)
+        known = flow is not None
+        self._deliver(forward, packet)
+        if not self._liveness.responsive:
+            # It is delivered all the same, to notice a backend server that returned.
+            self._pass_on(forward, packet, "silent")
+        elif not known:
+            asyncio.get_running_loop().call_later(
+                ANSWER_SECONDS, self._check_answer, forward, packet
+            )
+
+    def _check_answer(self, forward: Forward, packet: Packet) -> None:
+        """Pass an opening packet on if the backend server has not answered it."""
+        flow = self._flows.get(packet.flow_from_caller)
+        if flow is None or flow.accepted or flow.passed_on:
+            return
+        self._liveness.note_silence(now(), flow.seen)
+        self._pass_on(forward, packet, "no-answer")
+
+    def _deliver(self, forward: Forward, packet: Packet) -> None:
+        time = now()
+        flow = self._flows.ensure(packet.flow_from_caller, forward.origin, time)
+        flow.origin = forward.origin
+        flow.seen = time
+        if forward.unconfirmed:
+            flow.unconfirmed = True
+        if packet.length and not packet.opens:
+            self._flows.note_request(flow, time)
+        flow.caller_ended = flow.caller_ended or packet.ends or packet.resets
+        self._delivered.value += 1
+        parts = self._codec.encode(packet, self._remember(forward))
+        self._server_socket.send(parts, self._backend)
+        self._forget_if_ended(packet.flow_from_caller, flow)
+
+    def _remember(self, forward: Forward) -> bytes:
+        """Keep the way of a packet and return the tag by which it is found again."""
+        count = self._sent_count
+        self._sent_count = (count + 1) % (1 << 32)
+        self._sent[count % REMEMBERED_PACKETS] = forward
+        return count.to_bytes(4, "big")
+
+    def _recall(self, tag: bytes) -> Forward | None:
+        count = int.from_bytes(tag, "big")
+        if (self._sent_count - count) % (1 << 32) > REMEMBERED_PACKETS:
+            return None
+        return self._sent[count % REMEMBERED_PACKETS]
+
+    def _on_server(self, data: bytes, sender: Address) -> None:
+        packet = self._codec.decode(data)
+        if packet is None:
+            self._malformed.value += 1
+            return
+        self._last_packet = time = now()
+        self._liveness.note_answer(time)
+        if packet.returned:
+            self._on_given_back(packet)
+            return
+        key = packet.flow_to_caller
+        flow = self._flows.get(key)
+        if flow is not None:
+            self._note_answer(key, flow, packet, time)
+        self._to_callers.value += 1
+        caller = (address_of(packet.destination), self._caller_port)
+        self._peer_socket.send((data,), caller)
+        if flow is not None:
+            self._forget_if_ended(key, flow)
+
+    def _note_answer(
+        self, key: bytes, flow: HostFlow, packet: Packet, time: float
+    ) -> None:
+        flow.seen = time
+        if not flow.accepted:
+            flow.accepted = True
+            FLOW_ACCEPTED.log(_logger, flow=flow_id(key), entry=address_of(flow.origin))
+        if packet.length:
+            seconds = self._flows.note_answer(flow, time)
+            if seconds is not None:
+                self._answer_time.observe(seconds)
+        flow.server_ended = flow.server_ended or packet.ends or packet.resets
+        if packet.accepts:
+            return
+        flow.held = True
+        if flow.unconfirmed:
+            flow.unconfirmed = False
+            self._tell(flow.origin, FlowLocated(key))
+
+    def _on_given_back(self, packet: Packet) -> None:
+        self._given_back.value += 1
+        key = packet.flow_from_caller
+        flow = self._flows.get(key)
+        forward = self._recall(packet.tag)
+        if flow is not None and flow.held and not packet.opens:
+            self._end_lost(key, flow, packet)
+            return
+        if flow is not None and not flow.accepted:
+            self._flows.remove(key, now())
+        if forward is not None:
+            self._pass_on(forward, packet, "refused")
+
+    def _end_lost(self, key: bytes, flow: HostFlow, packet: Packet) -> None:
+        """Reset a flow that the backend server held and no longer holds."""
+        self._resets.value += 1
+        if not (flow.caller_ended or flow.server_ended):
+            FLOW_LOST.log(_logger, flow=flow_id(key), entry=address_of(flow.origin))
+        caller = (address_of(packet.source), self._caller_port)
+        self._peer_socket.send((self._codec.reset(packet),), caller)
+        self._tell(flow.origin, FlowEnded(key))
+        self._flows.remove(key, now())
+
+    def _pass_on(
+        self, forward: Forward, packet: Packet, reason: str = "not-held"
+    ) -> None:
+        """Send a packet to the next host, or back to its entry if there is none."""
+        hops = forward.hops + 1
+        key = packet.flow_from_caller
+        if not forward.alternatives or hops > MAX_HOPS:
+            self._give_up(forward, packet, reason)
+            return
+        if packet.opens:
+            flow = self._flows.get(key)
+            if flow is not None:
+                flow.passed_on = True
+            OPENING_PASSED_ON.log(
+                _logger,
+                flow=flow_id(key),
+                to=address_of(forward.alternatives[0]),
+                reason=reason,
+                hops=hops,
+            )
+        onward = Forward(
+            forward.service,
+            forward.origin,
+            hops,
+            True,
+            forward.alternatives[1:],
+            forward.payload,
+        )
+        self._passed_on.value += 1
+        parts = [forward_head(onward), *self._codec.encode(packet, bytes(4))]
+        next_agent = socket.inet_ntoa(forward.alternatives[0])
+        self._peer_socket.send(parts, (next_agent, self._address[1]))
+
+    def _give_up(self, forward: Forward, packet: Packet, reason: str) -> None:
+        if packet.opens:
+            OPENING_DROPPED.log(
+                _logger, flow=flow_id(packet.flow_from_caller), reason=reason
+            )
+            return
+        self._to_origin.value += 1
+        head = returned_head(forward.hops + 1)
+        parts = [head, *self._codec.encode(packet, bytes(4))]
+        entry = (socket.inet_ntoa(forward.origin), self._address[1])
+        self._peer_socket.send(parts, entry)
+
+    def _tell(self, origin: bytes, message: FlowLocated | FlowEnded) -> None:
+        entry = (socket.inet_ntoa(origin), self._address[1])
+        self._peer_socket.send((encode_small(message),), entry)
+
+    def _forget_if_ended(self, key: bytes, flow: HostFlow) -> None:
+        """Stop counting the work of a flow that both sides have ended."""
+        if flow.caller_ended and flow.server_ended:
+            self._flows.remove(key, now())
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_SECONDS)
+            self._flows.expire(now())
--- /dev/null
+++ b/balsamspool/plugins/datagram/entry.py
@@ -0,0 +1,361 @@
+"""Plug-in of the entry: forwards packets of callers to the agents of hosts."""
+
+import asyncio
+import logging
+import socket
+from contextlib import suppress
+from dataclasses import dataclass
+
+from balsamspool.kernel.clock import now
+from balsamspool.kernel.identity import Role
+from balsamspool.kernel.lifecycle import Kernel
+from balsamspool.kernel.recent import Recent
+from balsamspool.kernel.registry import Plugin, register
+from balsamspool.kernel.settings import split_endpoint
+from balsamspool.placement.load import LoadBoard
+from balsamspool.placement.lookup import order_lookup
+from balsamspool.placement.opening import Choice, order_choices
+from balsamspool.placement.rendezvous import choose_target
+from balsamspool.plugins.catalog import BackendServer, CatalogPlugin, Route
+from balsamspool.plugins.datagram._codec import (
+    decode,
+    encode_small,
+    forward_head,
+    service_number,
+)
+from balsamspool.plugins.datagram.events import (
+    FLOW_FOUND,
+    FLOW_IGNORED,
+    FLOW_MOVED,
+    FLOW_PLACED,
+    FLOW_REJECTED,
+    FLOW_SEARCHED,
+    FLOW_UNKNOWN,
+    HOST_AVOIDED,
+)
+from balsamspool.plugins.datagram.messages import (
+    ANY_SERVICE,
+    FlowEnded,
+    FlowLocated,
+    Forward,
+    PacketReturned,
+    Report,
+    Subscribe,
+)
+from balsamspool.plugins.datagram.packet import (
+    Packet,
+    PacketCodec,
+    address_of,
+    flow_id,
+    port_of,
+)
+from balsamspool.plugins.datagram.settings import (
+    DatagramSettings,
+)
+from balsamspool.plugins.datagram.sockets import Address, BatchSocket
+
+_logger = logging.getLogger(__name__)
+
+# In each of two generations.
+MAX_KNOWN_FLOWS = 65_536
+SUBSCRIBE_SECONDS = 1.0
+SUBSCRIBE_PAUSE_SECONDS = 0.1
+# Two lost renewals do not end a subscription.
+LEASE_SECONDS = 3.5
+MAX_SUBSCRIPTIONS = 512
+# Agents named in a forwarded packet.
+MAX_ALTERNATIVES = 12
+# A stopping entry goes on while callers send packets, at most for so long. The fabric
+# takes it out of rotation after two missed probes.
+LINGER_SECONDS = 2.5
+ROTATION_SECONDS = 1.2
+QUIET_SECONDS = 0.4
+
+
+@dataclass(slots=True)
+class EntryFlow:
+    """Where a flow is, as far as the entry knows.
+
+    Attributes:
+        service: Number of the service to which it was opened.
+        hosts: Addresses of the agents that may hold it, the likeliest first, 4 octets
+            each.
+        confirmed: Whether the first of them said that it holds the flow.
+    """
+
+    service: int
+    hosts: tuple[bytes, ...]
+    confirmed: bool = False
+
+
+@register(
+    "datagram-entry",
+    roles=[Role.DATAGRAM_ENTRY],
+    requires=["packet-codec", "catalog", "admin"],
+)
+class DatagramEntryPlugin(Plugin):
+    """Chooses a host for each flow and forwards its packets there.
+
+    Args:
+        kernel: Kernel that runs the plug-in.
+    """
+
+    settings_type = DatagramSettings
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        settings: DatagramSettings = kernel.settings.section("datagram-entry")
+        identity = kernel.identity
+        self._caller_address = split_endpoint(settings.address)
+        self._caller_port = split_endpoint(settings.address)[1]
+        self._peer_address = (identity.address, identity.data_port)
+        self._origin = socket.inet_aton(identity.address)
+        self._codec = kernel.plugin(PacketCodec)
+        self._catalog = kernel.plugin(CatalogPlugin)
+        self._board = LoadBoard()
+        self._flows: Recent[EntryFlow] = Recent(MAX_KNOWN_FLOWS)
+        self._caller_socket: BatchSocket
+        self._peer_socket: BatchSocket
+        self._last_packet = 0.0
+        self._servers_changed = asyncio.Event()
+        self._catalog.view.subscribe(self._servers_changed.set)
+        counters = kernel.counters
+        self._malformed = counters.counter(
+            "balsamspool_datagram_malformed", "Datagrams that could not be read"
+        )
+        packets = "balsamspool_datagram_packets"
+        text = "Packets by what was done with them"
+        self._forwarded = counters.counter(packets, text, "forwarded")
+        self._placed = counters.counter(packets, text, "placed")
+        self._searched = counters.counter(packets, text, "searched")
+        self._came_back = counters.counter(packets, text, "returned-by-agent")
+        self._unknown = counters.counter(packets, text, "unknown-flow")
+        self._rejected = counters.counter(packets, text, "rejected")
+        self._ignored = counters.counter(packets, text, "ignored")
+
+    async def start(self) -> None:
+        """Open the sockets and begin to forward."""
+        self._peer_socket = BatchSocket(self._peer_address, self._on_peer)
+        self._caller_socket = BatchSocket(self._caller_address, self._on_caller)
+        self._peer_socket.start()
+        self._caller_socket.start()
+        self._kernel.spawn(self._subscribe(), "load subscriptions")
+
+    async def drain(self) -> None:
+        """Go on until the fabric has taken this process out of rotation."""
+        start = now()
+        await asyncio.sleep(ROTATION_SECONDS)
+        while now() - start < LINGER_SECONDS:
+            if now() - self._last_packet > QUIET_SECONDS:
+                return
+            await asyncio.sleep(QUIET_SECONDS / 4)
+
+    async def stop(self) -> None:
+        """Close the sockets."""
+        for opened in ("_peer_socket", "_caller_socket"):
+            if hasattr(self, opened):
+                getattr(self, opened).close()
+
+    def status(self) -> dict[str, object]:
+        """Return the number of known flows and the avoided hosts."""
+        servers = self._catalog.view.servers
+        return {
+            "flows": len(self._flows),
+            "avoided": [s.name for s in servers if self._board.avoided(s.address)],
+        }
+
+    def _on_caller(self, data: bytes, sender: Address) -> None:
+        packet = self._codec.decode(data)
+        if packet is None or packet.accepts or packet.returned:
+            self._malformed.value += 1
+            return
+        self._last_packet = now()
+        if packet.opens:
+            self._on_opening(packet)
+            return
+        flow = self._flows.get(packet.flow_from_caller)
+        if flow is None:
+            self._search(packet, 0, None)
+        else:
+            self._send(packet, flow.service, flow.hosts, not flow.confirmed)
+
+    def _on_opening(self, packet: Packet) -> None:
+        key = packet.flow_from_caller
+        route = self._route(packet)
+        if route is None:
+            self._reject(packet, "no-route")
+            return
+        target = choose_target(key, route.targets)
+        servers = self._catalog.view.ready(target.service)
+        if not servers:
+            self._reject(packet, "no-host")
+            return
+        choices = order_choices(key, servers, self._board, now())
+        known = self._flows.get(key)
+        if known is not None and packet.attempt:
+            self._move(packet, known, choices)
+            return
+        hosts = tuple(socket.inet_aton(c.server.address) for c in choices)
+        flow = EntryFlow(service_number(target.service), hosts)
+        self._flows.put(key, flow)
+        self._placed.value += 1
+        self._board.note_placed(choices[0].server.address)
+        self._send(packet, flow.service, hosts, unconfirmed=True)
+        self._log_placed(key, route, choices)
+
+    def _move(self, packet: Packet, flow: EntryFlow, choices: list[Choice]) -> None:
+        """Send a copy of an opening packet to a host that has not had one."""
+        key = packet.flow_from_caller
+        if flow.confirmed:
+            self._send(packet, flow.service, flow.hosts, unconfirmed=False)
+            return
+        tried = flow.hosts[: packet.attempt]
+        usable = [socket.inet_aton(c.server.address) for c in choices]
+        fresh = [host for host in usable if host not in tried] or usable
+        # The host that had the first copy may still answer; the packets that follow
+        # go there first.
+        flow.hosts = (*tried, *fresh)[:MAX_ALTERNATIVES]
+        self._send(packet, flow.service, tuple(fresh), unconfirmed=True)
+        FLOW_MOVED.log(
+            _logger,
+            flow=flow_id(key),
+            to=socket.inet_ntoa(fresh[0]),
+            attempt=packet.attempt,
+            tried=[socket.inet_ntoa(host) for host in tried],
+        )
+
+    def _search(self, packet: Packet, searches: int, without: str | None) -> None:
+        """Send a packet of an unknown flow along the hosts that may hold it."""
+        key = packet.flow_from_caller
+        services = self._catalog.view.services_at(*self._destination(packet))
+        servers: list[BackendServer] = []
+        for service in services:
+            servers.extend(self._catalog.view.residents(service))
+        found = order_lookup(key, servers, self._board)
+        hosts = tuple(
+            socket.inet_aton(s.address) for s in found if s.address != without
+        )
+        if not hosts:
+            self._unknown.value += 1
+            FLOW_UNKNOWN.log(_logger, flow=flow_id(key), services=list(services))
+            return
+        number = service_number(services[0]) if len(services) == 1 else ANY_SERVICE
+        self._searched.value += 1
+        self._flows.put(key, EntryFlow(number, hosts))
+        self._send(packet, number, hosts, unconfirmed=True, hops=searches)
+        FLOW_SEARCHED.log(_logger, flow=flow_id(key), hosts=[s.name for s in found[:4]])
+
+    def _route(self, packet: Packet) -> Route | None:
+        return self._catalog.view.route(*self._destination(packet))
+
+    def _destination(self, packet: Packet) -> tuple[str, int]:
+        return address_of(packet.destination), port_of(packet.destination)
+
+    def _reject(self, packet: Packet, reason: str) -> None:
+        """Answer an opening packet by a reset if the catalog is surely up to date."""
+        flow = flow_id(packet.flow_from_caller)
+        if not self._catalog.fresh:
+            self._ignored.value += 1
+            FLOW_IGNORED.log(
+                _logger, flow=flow, reason=reason, age_seconds=self._catalog.age
+            )
+            return
+        self._rejected.value += 1
+        caller = (address_of(packet.source), self._caller_port)
+        self._caller_socket.send((self._codec.reset(packet),), caller)
+        table = self._catalog.view.table
+        FLOW_REJECTED.log(
+            _logger,
+            flow=flow,
+            reason=reason,
+            routes_version=table.version if table else None,
+            age_seconds=self._catalog.age,
+        )
+
+    def _send(
+        self,
+        packet: Packet,
+        service: int,
+        hosts: tuple[bytes, ...],
+        unconfirmed: bool,
+        hops: int = 0,
+    ) -> None:
+        rest = hosts[1:] if unconfirmed else ()
+        forward = Forward(service, self._origin, hops, unconfirmed, rest, packet.data)
+        self._forwarded.value += 1
+        agent = (socket.inet_ntoa(hosts[0]), self._peer_address[1])
+        self._peer_socket.send((forward_head(forward), packet.data), agent)
+
+    def _on_peer(self, data: bytes, sender: Address) -> None:
+        match decode(data):
+            case Report(load):
+                if self._board.note(sender[0], load, now()):
+                    HOST_AVOIDED.log(
+                        _logger, address=sender[0], responsive=load.responsive
+                    )
+            case FlowLocated(key):
+                self._on_located(key, sender[0])
+            case FlowEnded(key):
+                self._flows.discard(key)
+            case PacketReturned(hops, payload):
+                self._on_returned(hops, bytes(payload), sender[0])
+            case _:
+                self._malformed.value += 1
+
+    def _on_located(self, key: bytes, agent: str) -> None:
+        flow = self._flows.get(key)
+        host = socket.inet_aton(agent)
+        if flow is None:
+            self._flows.put(key, EntryFlow(ANY_SERVICE, (host,), confirmed=True))
+            return
+        if flow.hosts[0] != host:
+            FLOW_FOUND.log(_logger, flow=flow_id(key), address=agent)
+        flow.hosts = (host,)
+        flow.confirmed = True
+
+    def _on_returned(self, hops: int, data: bytes, agent: str) -> None:
+        """Search once more for a flow that is not where it was thought to be."""
+        packet = self._codec.decode(data)
+        if packet is None:
+            self._malformed.value += 1
+            return
+        self._came_back.value += 1
+        key = packet.flow_from_caller
+        flow = self._flows.get(key)
+        was_confirmed = flow is not None and flow.confirmed
+        if was_confirmed:
+            self._flows.discard(key)
+            self._search(packet, hops, agent)
+            return
+        self._unknown.value += 1
+        self._flows.discard(key)
+        FLOW_UNKNOWN.log(_logger, flow=flow_id(key), hops=hops, last=agent)
+
+    def _log_placed(self, key: bytes, route: Route, choices: list[Choice]) -> None:
+        first = choices[0]
+        FLOW_PLACED.log(
+            _logger,
+            flow=flow_id(key),
+            route=route.name,
+            service=first.server.service,
+            server=first.server.name,
+            cost=round(first.cost, 2),
+            load_age=round(first.age, 3) if first.age is not None else None,
+            next=[f"{c.server.name}:{c.cost:.2f}" for c in choices[1:]],
+            catalog_version=self._catalog.view.version,
+        )
+
+    async def _subscribe(self) -> None:
+        """Renew the subscriptions to load reports, at once after a change."""
+        while True:
+            self._servers_changed.clear()
+            addresses = {server.address for server in self._catalog.view.servers}
+            self._board.retain(addresses)
+            message = encode_small(Subscribe(LEASE_SECONDS))
+            for address in list(addresses)[:MAX_SUBSCRIPTIONS]:
+                self._peer_socket.send((message,), (address, self._peer_address[1]))
+            with suppress(TimeoutError):
+                async with asyncio.timeout(SUBSCRIBE_SECONDS):
+                    await self._servers_changed.wait()
+            # Several changes at once need one round of subscriptions.
+            await asyncio.sleep(SUBSCRIBE_PAUSE_SECONDS)
--- /dev/null
+++ b/balsamspool/plugins/datagram/events.py
@@ -0,0 +1,88 @@
+"""Log events of the datagram plug-ins."""
+
+import logging
+
+from balsamspool.kernel.events import log_event
+
+FLOW_PLACED = log_event(
+    2401, "flow-placed", logging.INFO, "An opening packet was sent to a host."
+)
+FLOW_MOVED = log_event(
+    2402,
+    "flow-moved",
+    logging.INFO,
+    "A copy of an opening packet was sent to another host.",
+)
+FLOW_REJECTED = log_event(
+    2403, "flow-rejected", logging.INFO, "An opening packet was answered by a reset."
+)
+FLOW_IGNORED = log_event(
+    2404,
+    "flow-ignored",
+    logging.INFO,
+    "An opening packet was dropped because the catalog is not recent enough to rule "
+    "out its route.",
+)
+FLOW_SEARCHED = log_event(
+    2405,
+    "flow-searched",
+    logging.INFO,
+    "A packet of an unknown flow was sent along the hosts that may hold the flow.",
+)
+FLOW_FOUND = log_event(
+    2406, "flow-found", logging.INFO, "An agent confirmed that it holds a flow."
+)
+FLOW_LOST = log_event(
+    2407,
+    "flow-lost",
+    logging.WARNING,
+    "A backend server gave up a flow that it held; the caller got a reset.",
+)
+FLOW_UNKNOWN = log_event(
+    2408,
+    "flow-unknown",
+    logging.INFO,
+    "No host that was asked holds the flow of a packet; the packet was dropped.",
+)
+OPENING_PASSED_ON = log_event(
+    2409,
+    "opening-passed-on",
+    logging.INFO,
+    "An agent passed an opening packet on to another host.",
+)
+OPENING_DROPPED = log_event(
+    2410,
+    "opening-dropped",
+    logging.WARNING,
+    "No host was left to which an opening packet could be passed on.",
+)
+SERVER_SILENT = log_event(
+    2411,
+    "backend-server-silent",
+    logging.WARNING,
+    "The backend server does not answer opening packets.",
+)
+SERVER_ANSWERS = log_event(
+    2412, "backend-server-answers", logging.INFO, "The backend server answers again."
+)
+HOST_AVOIDED = log_event(
+    2413,
+    "host-avoided",
+    logging.WARNING,
+    "An agent reports that its backend server began or ceased to answer.",
+)
+SUBSCRIBER_ADDED = log_event(
+    2414, "load-subscriber-added", logging.INFO, "An entry asked for load reports."
+)
+SUBSCRIBER_EXPIRED = log_event(
+    2415,
+    "load-subscriber-expired",
+    logging.INFO,
+    "An entry did not renew its subscription to load reports.",
+)
+SEND_FAILED = log_event(
+    2416, "datagram-send-failed", logging.WARNING, "A datagram could not be sent."
+)
+FLOW_ACCEPTED = log_event(
+    2417, "flow-accepted", logging.INFO, "The backend server accepted a flow."
+)
--- /dev/null
+++ b/balsamspool/plugins/datagram/messages.py
@@ -0,0 +1,89 @@
+"""Messages between entries and agents of the datagram front end."""
+
+from dataclasses import dataclass
+
+from balsamspool.placement.load import LoadReport
+
+# Number of a service in messages that may concern any service.
+ANY_SERVICE = 0
+
+
+@dataclass(slots=True)
+class Forward:
+    """A packet of a caller on its way to a backend server.
+
+    Attributes:
+        service: Number of the service that may take the packet.
+        origin: Address of the entry that received it, 4 octets.
+        hops: Agents that passed it on.
+        unconfirmed: Whether the entry wants to know who holds the flow.
+        alternatives: Addresses of agents to ask next, 4 octets each.
+        payload: The packet.
+    """
+
+    service: int
+    origin: bytes
+    hops: int
+    unconfirmed: bool
+    alternatives: tuple[bytes, ...]
+    payload: bytes | memoryview
+
+
+@dataclass(frozen=True, slots=True)
+class FlowLocated:
+    """The sender's backend server holds a flow.
+
+    Attributes:
+        flow: Key of the flow.
+    """
+
+    flow: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class FlowEnded:
+    """The sender's backend server no longer holds a flow.
+
+    Attributes:
+        flow: Key of the flow.
+    """
+
+    flow: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class PacketReturned:
+    """No agent that was asked holds the flow of a packet.
+
+    Attributes:
+        hops: Agents that were asked.
+        payload: The packet.
+    """
+
+    hops: int
+    payload: bytes | memoryview
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    """The sender wants load reports for a while.
+
+    Attributes:
+        lease: Seconds for which reports are wanted.
+    """
+
+    lease: float
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """Load of the sender's backend server.
+
+    Attributes:
+        load: The load.
+    """
+
+    load: LoadReport
+
+
+Message = Forward | FlowLocated | FlowEnded | PacketReturned | Subscribe | Report
--- /dev/null
+++ b/balsamspool/plugins/datagram/packet.py
@@ -0,0 +1,107 @@
+"""A packet of a flow, independent of its layout on the wire."""
+
+import socket
+from dataclasses import dataclass
+
+from balsamspool.kernel.registry import Plugin
+
+
+@dataclass(slots=True)
+class Packet:
+    """Facts about one packet.
+
+    Endpoints are 6 octets each: IPv4 address and port, in network order.
+
+    Attributes:
+        source: Endpoint of the sender.
+        destination: Endpoint of the receiver.
+        opens: Whether it asks to open a flow.
+        accepts: Whether it accepts a flow that was asked for.
+        ends: Whether its sender sends nothing after it.
+        resets: Whether it resets the flow.
+        returned: Whether a backend server gave it back because it does not hold the
+            flow.
+        attempt: Number of earlier copies of an opening packet.
+        acknowledged: Acknowledged sequence number.
+        length: Octets of data.
+        tag: Four octets between entry and agent, kept by a backend server that gives
+            the packet back.
+        data: The whole packet.
+    """
+
+    source: bytes
+    destination: bytes
+    opens: bool
+    accepts: bool
+    ends: bool
+    resets: bool
+    returned: bool
+    attempt: int
+    acknowledged: int
+    length: int
+    tag: bytes
+    data: bytes
+
+    @property
+    def flow_from_caller(self) -> bytes:
+        """Key of the flow if the packet comes from a caller."""
+        return self.source + self.destination
+
+    @property
+    def flow_to_caller(self) -> bytes:
+        """Key of the flow if the packet goes to a caller."""
+        return self.destination + self.source
+
+
+class PacketCodec(Plugin):
+    """Base of the plug-in that knows the layout of packets on the wire.
+
+    An adapter registers one subclass.
+    """
+
+    def decode(self, data: bytes) -> Packet | None:
+        """Read a packet.
+
+        Args:
+            data: The datagram.
+
+        Returns:
+            The packet, or None if the datagram is none.
+        """
+        raise NotImplementedError
+
+    def encode(self, packet: Packet, tag: bytes) -> list[bytes | memoryview]:
+        """Return the parts of a packet for a backend server or for another agent.
+
+        Args:
+            packet: The packet. It counts as not returned.
+            tag: Four octets to carry along.
+        """
+        raise NotImplementedError
+
+    def reset(self, packet: Packet) -> bytes:
+        """Return a reset that tells a caller that its flow is not open.
+
+        Args:
+            packet: Packet of the caller.
+        """
+        raise NotImplementedError
+
+
+def address_of(endpoint: bytes) -> str:
+    """Return the IPv4 address of an endpoint in dotted form."""
+    return socket.inet_ntoa(endpoint[:4])
+
+
+def port_of(endpoint: bytes) -> int:
+    """Return the port of an endpoint."""
+    return int.from_bytes(endpoint[4:6], "big")
+
+
+def flow_id(key: bytes) -> str:
+    """Return a flow key in the form that logs use."""
+    caller, service = key[:6], key[6:]
+    return (
+        f"{address_of(caller)}:{port_of(caller)}"
+        f">{address_of(service)}:{port_of(service)}"
+    )
--- /dev/null
+++ b/balsamspool/plugins/datagram/reporter.py
@@ -0,0 +1,97 @@
+"""Sends load reports to the entries that subscribed, one task for each."""
+
+import asyncio
+import logging
+
+from balsamspool.kernel.clock import now
+from balsamspool.kernel.lifecycle import Kernel
+from balsamspool.placement.load import LoadReport
+from balsamspool.plugins.datagram._codec import encode_small
+from balsamspool.plugins.datagram.events import SUBSCRIBER_ADDED, SUBSCRIBER_EXPIRED
+from balsamspool.plugins.datagram.flows import FlowTable
+from balsamspool.plugins.datagram.liveness import ServerLiveness
+from balsamspool.plugins.datagram.messages import Report
+from balsamspool.plugins.datagram.sockets import Address, BatchSocket
+from balsamspool.plugins.datagram.work import WorkMeter
+
+_logger = logging.getLogger(__name__)
+
+# A few service times: an entry places a flow or two between two reports.
+PERIOD_SECONDS = 0.1
+# Reports a second to all entries together. More entries get fewer reports each.
+REPORTS_PER_SECOND = 80.0
+MAX_SUBSCRIBERS = 1_024
+
+
+class LoadReporter:
+    """Reports the load of a backend server.
+
+    Args:
+        kernel: Kernel that runs the tasks.
+        peer_socket: Socket from which the reports are sent.
+        meter: Counts the requests in work.
+        flows: Flows of the backend server.
+        liveness: Whether the backend server answers.
+    """
+
+    __slots__ = (
+        "_flows",
+        "_kernel",
+        "_leases",
+        "_liveness",
+        "_meter",
+        "_peer_socket",
+    )
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        peer_socket: BatchSocket,
+        meter: WorkMeter,
+        flows: FlowTable,
+        liveness: ServerLiveness,
+    ) -> None:
+        self._kernel = kernel
+        self._peer_socket = peer_socket
+        self._meter = meter
+        self._flows = flows
+        self._liveness = liveness
+        self._leases: dict[Address, float] = {}
+
+    @property
+    def subscribers(self) -> int:
+        """Number of entries that get reports."""
+        return len(self._leases)
+
+    def subscribe(self, entry: Address, lease: float) -> None:
+        """Start or go on to send reports to an entry.
+
+        Args:
+            entry: Address and port of the entry.
+            lease: Seconds for which it wants reports.
+        """
+        known = entry in self._leases
+        if not known and len(self._leases) >= MAX_SUBSCRIBERS:
+            return
+        self._leases[entry] = now() + lease
+        if not known:
+            SUBSCRIBER_ADDED.log(_logger, entry=entry[0])
+            self._kernel.spawn(self._report(entry), f"load reports to {entry[0]}")
+
+    async def _report(self, entry: Address) -> None:
+        while now() < self._leases[entry]:
+            period = max(PERIOD_SECONDS, len(self._leases) / REPORTS_PER_SECOND)
+            report = Report(self._load(period))
+            self._peer_socket.send((encode_small(report),), entry)
+            await asyncio.sleep(period)
+        del self._leases[entry]
+        SUBSCRIBER_EXPIRED.log(_logger, entry=entry[0])
+
+    def _load(self, period: float) -> LoadReport:
+        return LoadReport(
+            in_work=self._meter.in_work,
+            mean_work=self._meter.mean(now()),
+            flows=len(self._flows),
+            responsive=self._liveness.responsive,
+            period=period,
+        )
--- /dev/null
+++ b/balsamspool/plugins/datagram/settings.py
@@ -0,0 +1,50 @@
+"""Settings of the datagram plug-ins."""
+
+from balsamspool.kernel.settings import Section, split_endpoint
+
+
+class DatagramSettings(Section, frozen=True):
+    """Settings of both datagram plug-ins.
+
+    Attributes:
+        address: IPv4 address and port at which datagrams of callers arrive. Callers
+            take their datagrams at the same port.
+    """
+
+    address: str
+
+    def problem(self) -> tuple[str, str] | None:
+        """Return the field and what is wrong with it, or None if all is valid."""
+        return endpoint_problem("address", self.address)
+
+
+class DatagramAgentSettings(DatagramSettings, frozen=True, kw_only=True):
+    """Settings of the datagram agent.
+
+    Attributes:
+        service: Name of the service of the backend server.
+        backend: IPv4 address and port of the backend server.
+        outbound: IPv4 address and port at which the packets of the backend server
+            arrive.
+    """
+
+    service: str
+    backend: str
+    outbound: str
+
+    def problem(self) -> tuple[str, str] | None:
+        """Return the field and what is wrong with it, or None if all is valid."""
+        return (
+            endpoint_problem("address", self.address)
+            or endpoint_problem("backend", self.backend)
+            or endpoint_problem("outbound", self.outbound)
+        )
+
+
+def endpoint_problem(field: str, endpoint: str) -> tuple[str, str] | None:
+    """Return the field and what is wrong with its endpoint, or None."""
+    try:
+        split_endpoint(endpoint)
+    except ValueError as error:
+        return field, str(error)
+    return None
--- /dev/null
+++ b/balsamspool/plugins/datagram/sockets.py
@@ -0,0 +1,91 @@
+"""UDP sockets that are read in batches."""
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable, Sequence
+
+from balsamspool.plugins.datagram.events import SEND_FAILED
+
+_logger = logging.getLogger(__name__)
+
+Address = tuple[str, int]
+OnDatagram = Callable[[bytes, Address], None]
+
+MAX_DATAGRAM_BYTES = 2048
+# Datagrams read before other work gets a turn.
+BATCH = 64
+RECEIVE_BUFFER_BYTES = 1 << 20
+
+
+class BatchSocket:
+    """A bound UDP socket.
+
+    Args:
+        address: Address and port to bind.
+        on_datagram: Called with each datagram and its sender.
+    """
+
+    __slots__ = ("_on_datagram", "_send_failures", "_socket")
+
+    def __init__(self, address: Address, on_datagram: OnDatagram) -> None:
+        self._on_datagram = on_datagram
+        self._send_failures = 0
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        self._socket.bind(address)
+
+    @property
+    def address(self) -> Address:
+        """Address and port to which the socket is bound."""
+        return self._socket.getsockname()
+
+    @property
+    def send_failures(self) -> int:
+        """Datagrams that could not be sent."""
+        return self._send_failures
+
+    def start(self) -> None:
+        """Begin to read."""
+        asyncio.get_running_loop().add_reader(self._socket, self._read)
+
+    def close(self) -> None:
+        """Stop reading and close the socket."""
+        asyncio.get_running_loop().remove_reader(self._socket)
+        self._socket.close()
+
+    def send(self, parts: Sequence[bytes | memoryview], address: Address) -> None:
+        """Send one datagram that consists of parts.
+
+        A datagram that the system does not take is lost, as on the way.
+
+        Args:
+            parts: The parts, which are not joined before they are sent.
+            address: Address and port of the receiver.
+        """
+        try:
+            self._socket.sendmsg(parts, (), 0, address)
+        except OSError as error:
+            self._send_failures += 1
+            # Each power of two, so that a lasting failure does not fill the log.
+            if self._send_failures & (self._send_failures - 1) == 0:
+                SEND_FAILED.log(
+                    _logger,
+                    address=f"{address[0]}:{address[1]}",
+                    error=str(error),
+                    failures=self._send_failures,
+                )
+
+    def _read(self) -> None:
+        for _ in range(BATCH):
+            try:
+                data, sender = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except (BlockingIOError, InterruptedError):
+                return
+            except ConnectionRefusedError:
+                # An earlier datagram met a closed port.
+                continue
+            self._on_datagram(data, sender)
--- a/balsamspool/plugins/forwarding/probe.py
+++ b/balsamspool/plugins/forwarding/probe.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass
 
 from balsamspool.kernel.clock import now
+from balsamspool.placement.rendezvous import Candidate, rank
 from balsamspool.plugins.forwarding.envelope import Probe
 from balsamspool.plugins.membership import Signal
 from balsamspool.plugins.membership.signals import SignalState
-from balsamspool.plugins.routing.rendezvous import Candidate, rank
 
 Address = tuple[str, int]
 
--- a/balsamspool/plugins/frontend/opening_policy.py
+++ b/balsamspool/plugins/frontend/opening_policy.py
@@ -6,6 +6,7 @@
 
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.lifecycle import Kernel
+from balsamspool.placement.rendezvous import Candidate
 from balsamspool.plugins.admission import AdmissionPlugin
 from balsamspool.plugins.configuration import ConfigurationPlugin
 from balsamspool.plugins.forwarding.envelope import Forward
@@ -31,7 +32,6 @@
     Peer,
     Refuse,
 )
-from balsamspool.plugins.routing.rendezvous import Candidate
 from balsamspool.plugins.routing.token import TokenCodec
 from balsamspool.plugins.serving import ServingPlugin
 
--- a/balsamspool/plugins/membership/instance.py
+++ b/balsamspool/plugins/membership/instance.py
@@ -8,6 +8,9 @@
 from balsamspool.kernel.identity import Role
 from balsamspool.kernel.settings import Name, Port
 
+# Roles of the processes that exchange messages over the mesh.
+LISTED_ROLES = frozenset({Role.ENTRY, Role.AGENT})
+
 
 class ListedState(Enum):
     """State of an instance in the platform's list."""
@@ -53,6 +56,8 @@
             socket.inet_pton(socket.AF_INET, self.address)
         except (OSError, ValueError):
             return f"address {self.address!r} is not an IPv4 address"
+        if self.role not in LISTED_ROLES:
+            return f"role {self.role.value!r} is not listed"
         if self.role is Role.AGENT and self.service is None:
             return "an agent without a service"
         return None
--- a/balsamspool/plugins/routing/handover.py
+++ b/balsamspool/plugins/routing/handover.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from balsamspool.plugins.routing.rendezvous import Candidate, choose
+from balsamspool.placement.rendezvous import Candidate, choose
 
 MAX_HOPS = 2
 MEMORY_ENTRIES = 65_536
--- a/balsamspool/plugins/routing/plugin.py
+++ b/balsamspool/plugins/routing/plugin.py
@@ -8,11 +8,11 @@
 from balsamspool.kernel.identity import Role
 from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.kernel.registry import Plugin, register
+from balsamspool.placement.rendezvous import Candidate
 from balsamspool.plugins.configuration import Configuration, ConfigurationPlugin
 from balsamspool.plugins.membership import Instance, MembershipPlugin
 from balsamspool.plugins.membership.signals import SIGNAL_LIFETIME_SECONDS
 from balsamspool.plugins.routing.flow import Packet
-from balsamspool.plugins.routing.rendezvous import Candidate
 from balsamspool.plugins.routing.router import Decision, Router
 from balsamspool.plugins.routing.token import TokenCodec
 from balsamspool.plugins.routing.weights import HostAges, HostReport, weight_of
--- a/balsamspool/plugins/routing/router.py
+++ b/balsamspool/plugins/routing/router.py
@@ -5,9 +5,9 @@
 from enum import Enum
 from ipaddress import IPv4Address, IPv4Network
 
+from balsamspool.kernel.recent import Recent
+from balsamspool.placement.rendezvous import Candidate, choose
 from balsamspool.plugins.routing.flow import Packet
-from balsamspool.plugins.routing.recent import Recent
-from balsamspool.plugins.routing.rendezvous import Candidate, choose
 from balsamspool.plugins.routing.token import RoutingToken, TokenCodec
 
 # Twice the hosts of the growth target (4,100).
--- a/balsamspool/programs/_runner.py
+++ b/balsamspool/programs/_runner.py
@@ -5,6 +5,7 @@
 import os
 import sys
 from collections.abc import Coroutine
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -20,7 +21,12 @@
 from balsamspool.kernel.lifecycle import Kernel  # noqa: E402
 from balsamspool.kernel.logs import configure_logging  # noqa: E402
 from balsamspool.kernel.registry import load_plugins, plugins_of  # noqa: E402
-from balsamspool.kernel.settings import Settings, read_settings  # noqa: E402
+from balsamspool.kernel.settings import (  # noqa: E402
+    BaseProcessSettings,
+    ProcessSettings,
+    Settings,
+    read_settings,
+)
 
 EXIT_INVALID = 2
 EXIT_FAILED = 1
@@ -36,11 +42,26 @@
         return runner.run(work)
 
 
-def load_settings(role: Role, path: str) -> Settings:
-    """Read and check the settings of a role.
+@dataclass(frozen=True, slots=True)
+class Program:
+    """What a program runs.
 
-    Args:
+    Attributes:
         role: Role of the process.
+        packages: Packages of plug-ins that it loads, None for all.
+        process_type: Type of the settings of the process itself.
+    """
+
+    role: Role
+    packages: tuple[str, ...] | None = None
+    process_type: type[BaseProcessSettings] = ProcessSettings
+
+
+def load_settings(program: Program, path: str) -> Settings:
+    """Read and check the settings of a program.
+
+    Args:
+        program: The program.
         path: Path of the settings file.
 
     Returns:
@@ -49,35 +70,40 @@
     Raises:
         ResultError: With code 1001 or 1002 if the settings are not valid.
     """
-    load_plugins()
-    types = {entry.name: entry.plugin.settings_type for entry in plugins_of(role)}
-    return read_settings(Path(path), types)
+    load_plugins(program.packages)
+    plugins = plugins_of(program.role)
+    types = {entry.name: entry.plugin.settings_type for entry in plugins}
+    return read_settings(Path(path), types, program.process_type)
 
 
-def run_role(role: Role, settings: str, check: bool) -> None:
-    """Run a process of a role until it is asked to stop, then exit.
+def run_program(program: Program, settings: str, check: bool) -> None:
+    """Run a program until it is asked to stop, then exit.
 
     Args:
-        role: Role of the process.
+        program: The program.
         settings: Path of the settings file.
         check: Only check the settings.
     """
     try:
-        checked = load_settings(role, settings)
+        checked = load_settings(program, settings)
     except ResultError as error:
         sys.stderr.write(f"{error}\n")
         sys.exit(EXIT_INVALID)
     if check:
-        sys.stdout.write(f"{settings}: valid settings of role {role.value}\n")
+        role = program.role.value
+        sys.stdout.write(f"{settings}: valid settings of role {role}\n")
         return
     process = checked.process
     configure_logging(process.instance, process.log_level)
-    sys.exit(run_on_uvloop(_serve(role, checked)))
+    sys.exit(run_on_uvloop(_serve(program, settings, checked)))
+
 
+async def _serve(program: Program, path: str, settings: Settings) -> int:
+    def read_again() -> Settings:
+        return load_settings(program, path)
 
-async def _serve(role: Role, settings: Settings) -> int:
     try:
-        return await Kernel(role, settings).run()
+        return await Kernel(program.role, settings, read_again).run()
     except (ResultError, OSError) as error:
         _logger.exception("%d %s", START_FAILED.number, error)
         return EXIT_FAILED
--- a/balsamspool/programs/entry.py
+++ b/balsamspool/programs/entry.py
@@ -3,7 +3,7 @@
 from fire import Fire
 
 from balsamspool.kernel.identity import Role
-from balsamspool.programs._runner import run_role
+from balsamspool.programs._runner import Program, run_program
 
 
 def run(settings: str, check: bool = False) -> None:
@@ -13,7 +13,7 @@
         settings: Path of the JSON settings file.
         check: Only check the settings, then exit with 0 or 2.
     """
-    run_role(Role.ENTRY, settings, check)
+    run_program(Program(Role.ENTRY), settings, check)
 
 
 def main() -> None:
--- a/benchmarks/policy/fleet.py
+++ b/benchmarks/policy/fleet.py
@@ -8,6 +8,7 @@
 
 from balsamspool.kernel.backoff import RetryBudget
 from balsamspool.kernel.clock import now
+from balsamspool.placement.rendezvous import Candidate, choose
 from balsamspool.plugins.admission.controller import no_peers
 from balsamspool.plugins.admission.decision import Admit, Refuse, Relay, Shed
 from balsamspool.plugins.backend.outlier import Standing
@@ -15,7 +16,6 @@
 from balsamspool.plugins.routing.flow import FlowKey
 from balsamspool.plugins.routing.handover import Accept, HandOver, Peer
 from balsamspool.plugins.routing.handover import Refuse as RefuseFlow
-from balsamspool.plugins.routing.rendezvous import Candidate, choose
 from balsamspool.plugins.routing.weights import HostAges, HostReport, weight_of
 from balsamspool.plugins.serving.handler import MAX_PEERS
 from balsamspool.requests.relay import PeerLoad
--- a/benchmarks/policy/host.py
+++ b/benchmarks/policy/host.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from balsamspool.kernel.clock import now
+from balsamspool.placement.rendezvous import Candidate
 from balsamspool.plugins.admission.controller import AdmissionController
 from balsamspool.plugins.admission.estimate import Estimator
 from balsamspool.plugins.admission.policy import RelayPolicy
@@ -13,7 +14,6 @@
 from balsamspool.plugins.backend.outlier import OutlierJudge, Standing
 from balsamspool.plugins.mesh.message import PeerAddress
 from balsamspool.plugins.routing.handover import Handover, OwnHost, OwnState
-from balsamspool.plugins.routing.rendezvous import Candidate
 from balsamspool.requests.relay import PeerLoad
 from benchmarks.policy.parts import System
 from benchmarks.policy.workload import (
--- a/tests/test_routing_cache.py
+++ b/tests/test_routing_cache.py
@@ -4,9 +4,9 @@
 from unittest.mock import patch
 
 from balsamspool.kernel.keyring import KeyRing, KeySet
+from balsamspool.kernel.recent import Recent
 from balsamspool.plugins.routing import router as router_module
 from balsamspool.plugins.routing.flow import FlowKey, Packet
-from balsamspool.plugins.routing.recent import Recent
 from balsamspool.plugins.routing.router import Deliver, Drop, DropReason, Router
 from balsamspool.plugins.routing.token import RoutingToken, TokenCodec
 
--- a/tests/test_routing_handover.py
+++ b/tests/test_routing_handover.py
@@ -2,6 +2,7 @@
 
 from unittest import TestCase
 
+from balsamspool.placement.rendezvous import Candidate, choose
 from balsamspool.plugins.routing.handover import (
     Accept,
     HandOver,
@@ -14,7 +15,6 @@
     RefuseReason,
     TableHistory,
 )
-from balsamspool.plugins.routing.rendezvous import Candidate, choose
 
 HOSTS = [Candidate(f"portal-{n}", f"10.0.0.{n}", 4000) for n in range(1, 8)]
 
--- a/tests/test_routing_weights.py
+++ b/tests/test_routing_weights.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from unittest import TestCase
 
-from balsamspool.plugins.routing.rendezvous import Candidate, choose
+from balsamspool.placement.rendezvous import Candidate, choose
 from balsamspool.plugins.routing.weights import HostAges, HostReport, weight_of
 
 
