--- a/balsamspool/plugins/datagram/_codec.py
+++ b/balsamspool/plugins/datagram/_codec.py
@@ -33,7 +33,7 @@
 
 def service_number(name: str) -> int:
     """Return the number of a service in messages, which is never 0."""
-    return xxh32_intdigest(name) or 1
+    return xxh32_intdigest(name.encode()) or 1
 
 
 def forward_head(message: Forward) -> bytes:
