Look for unknown flows at hosts that report before those that are gone

The new entry sent the packets of open flows along the ranking, which held hosts removed within the last 20 s. Such a host is dark and gives no packet back, so the search ended there and each retransmission was lost.

Ruled out: loss while the entry stopped; the requests were sent before its exit.

--- a/balsamspool/placement/lookup.py
+++ b/balsamspool/placement/lookup.py
@@ -14,19 +14,30 @@
 S = TypeVar("S", bound=Placeable)
 
 
-def order_lookup(key: bytes, servers: Sequence[S], board: LoadBoard) -> list[S]:
+def order_lookup(
+    key: bytes, listed: Sequence[S], departed: Sequence[S], board: LoadBoard
+) -> list[S]:
     """Order the hosts that may hold a flow, the likeliest first.
 
+    A host that is gone gives no packet back, and the search ends there. So hosts that
+    reported lately come first, and hosts that are no longer listed come last.
+
     Args:
         key: Bytes of the flow key.
-        servers: Backend servers that may hold flows of the service.
+        listed: Backend servers of the service.
+        departed: Backend servers of the service that are no longer listed.
         board: Latest load of each host.
 
     Returns:
-        At most ``LOOKUP_LIMIT`` backend servers. A silent host would end the search,
-        so silent ones come last.
+        At most ``LOOKUP_LIMIT`` backend servers.
     """
-    ranked = rank_equal(key, servers)
-    heard = [s for s in ranked if not board.avoided(s.address)]
-    silent = [s for s in ranked if board.avoided(s.address)]
-    return [*heard, *silent][:LOOKUP_LIMIT]
+    ranked = rank_equal(key, listed)
+    ranked.sort(key=lambda server: _doubt(server, board))
+    return [*ranked, *rank_equal(key, departed)][:LOOKUP_LIMIT]
+
+
+def _doubt(server: Placeable, board: LoadBoard) -> int:
+    """Return 0 for a host that reports, 1 for an unknown and 2 for a silent one."""
+    if board.avoided(server.address):
+        return 2
+    return 0 if board.load(server.address) is not None else 1
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -76,7 +76,7 @@
         "_past_services",
         "_ready_cache",
         "_records",
-        "_resident_cache",
+        "_listed_cache",
         "_revisions",
         "_routes",
         "_servers",
@@ -97,7 +97,7 @@
         self._departed: dict[str, _Departed] = {}
         self._outage_end: float | None = None
         self._ready_cache: dict[str, tuple[BackendServer, ...]] = {}
-        self._resident_cache: dict[str, tuple[BackendServer, ...]] = {}
+        self._listed_cache: dict[str, tuple[BackendServer, ...]] = {}
         self._version = 0
         self._subscribers: list[Callable[[], None]] = []
 
@@ -154,19 +154,23 @@
             self._ready_cache[service] = found
         return found
 
-    def residents(self, service: str) -> tuple[BackendServer, ...]:
-        """Return the backend servers that may hold flows of a service.
-
-        These are all listed ones and those that were removed a short time ago.
-        """
-        found = self._resident_cache.get(service)
+    def listed(self, service: str) -> tuple[BackendServer, ...]:
+        """Return the listed backend servers of a service, in any state."""
+        found = self._listed_cache.get(service)
         if found is None:
-            departed = [d.server for d in self._departed.values()]
-            everyone = (*self._servers.values(), *departed)
-            found = tuple(s for s in everyone if s.service == service)
-            self._resident_cache[service] = found
+            found = tuple(s for s in self._servers.values() if s.service == service)
+            self._listed_cache[service] = found
         return found
 
+    def departed(self, service: str) -> tuple[BackendServer, ...]:
+        """Return the backend servers of a service that were removed a short time ago.
+
+        One whose entry lapsed while it could not reach the service that publishes the
+        catalog still holds its flows.
+        """
+        servers = (departed.server for departed in self._departed.values())
+        return tuple(server for server in servers if server.service == service)
+
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call a function after each change of routes or backend servers."""
         self._subscribers.append(callback)
@@ -320,6 +324,6 @@
     def _changed(self) -> None:
         self._version += 1
         self._ready_cache.clear()
-        self._resident_cache.clear()
+        self._listed_cache.clear()
         for callback in self._subscribers:
             callback()
--- a/balsamspool/plugins/datagram/entry.py
+++ b/balsamspool/plugins/datagram/entry.py
@@ -227,11 +227,14 @@
     def _search(self, packet: Packet, searches: int, without: str | None) -> None:
         """Send a packet of an unknown flow along the hosts that may hold it."""
         key = packet.flow_from_caller
-        services = self._catalog.view.services_at(*self._destination(packet))
-        servers: list[BackendServer] = []
+        view = self._catalog.view
+        services = view.services_at(*self._destination(packet))
+        listed: list[BackendServer] = []
+        departed: list[BackendServer] = []
         for service in services:
-            servers.extend(self._catalog.view.residents(service))
-        found = order_lookup(key, servers, self._board)
+            listed.extend(view.listed(service))
+            departed.extend(view.departed(service))
+        found = order_lookup(key, listed, departed, self._board)
         hosts = tuple(
             socket.inet_aton(s.address) for s in found if s.address != without
         )
