--- /dev/null
+++ b/balsamspool/datagram/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that entry and agent of the front end for opaque flows have in common."""
--- a/balsamspool/plugins/datagram/_codec.py
+++ b/balsamspool/datagram/_codec.py
@@ -4,8 +4,7 @@
 
 from xxhash import xxh32_intdigest
 
-from balsamspool.placement.load import LoadReport
-from balsamspool.plugins.datagram.messages import (
+from balsamspool.datagram.messages import (
     FlowEnded,
     FlowLocated,
     Forward,
@@ -14,6 +13,7 @@
     Report,
     Subscribe,
 )
+from balsamspool.placement.load import LoadReport
 
 LAYOUT = 1
 
--- a/balsamspool/plugins/datagram/messages.py
+++ b/balsamspool/datagram/messages.py
@@ -1,6 +1,6 @@
 """Messages between entries and agents of the datagram front end."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from balsamspool.placement.load import LoadReport
 
@@ -8,8 +8,7 @@
 ANY_SERVICE = 0
 
 
-@dataclass(slots=True)
-class Forward:
+class Forward(Struct):
     """A packet of a caller on its way to a backend server.
 
     Attributes:
@@ -29,8 +28,7 @@
     payload: bytes | memoryview
 
 
-@dataclass(frozen=True, slots=True)
-class FlowLocated:
+class FlowLocated(Struct, frozen=True):
     """The sender's backend server holds a flow.
 
     Attributes:
@@ -40,8 +38,7 @@
     flow: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class FlowEnded:
+class FlowEnded(Struct, frozen=True):
     """The sender's backend server no longer holds a flow.
 
     Attributes:
@@ -51,8 +48,7 @@
     flow: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class PacketReturned:
+class PacketReturned(Struct, frozen=True):
     """No agent that was asked holds the flow of a packet.
 
     Attributes:
@@ -64,8 +60,7 @@
     payload: bytes | memoryview
 
 
-@dataclass(frozen=True, slots=True)
-class Subscribe:
+class Subscribe(Struct, frozen=True):
     """The sender wants load reports for a while.
 
     Attributes:
@@ -75,8 +70,7 @@
     lease: float
 
 
-@dataclass(frozen=True, slots=True)
-class Report:
+class Report(Struct, frozen=True):
     """Load of the sender's backend server.
 
     Attributes:
--- a/balsamspool/plugins/datagram/packet.py
+++ b/balsamspool/datagram/packet.py
@@ -1,13 +1,13 @@
 """A packet of a flow, independent of its layout on the wire."""
 
 import socket
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from balsamspool.kernel.registry import Plugin
 
 
-@dataclass(slots=True)
-class Packet:
+class Packet(Struct):
     """Facts about one packet.
 
     Endpoints are 6 octets each: IPv4 address and port, in network order.
--- a/balsamspool/plugins/datagram/sockets.py
+++ b/balsamspool/datagram/sockets.py
@@ -5,7 +5,7 @@
 import socket
 from collections.abc import Callable, Sequence
 
-from balsamspool.plugins.datagram.events import SEND_FAILED
+from balsamspool.datagram.events import SEND_FAILED
 
 _logger = logging.getLogger(__name__)
 
--- a/balsamspool/kernel/counters.py
+++ b/balsamspool/kernel/counters.py
@@ -6,9 +6,10 @@
 
 from bisect import bisect_left
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 if TYPE_CHECKING:
     from prometheus_client import Metric
 
@@ -16,8 +17,7 @@
 LATENCY_BOUNDS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
 
 
-@dataclass(slots=True)
-class Tally:
+class Tally(Struct):
     """A counter of one series.
 
     Attributes:
--- a/balsamspool/kernel/errors.py
+++ b/balsamspool/kernel/errors.py
@@ -4,9 +4,10 @@
 of them; a test compares the page with the registered codes.
 """
 
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 
 class Outcome(Enum):
     """What is known about the execution of a request that was not answered in full."""
@@ -17,8 +18,7 @@
     NONE = "none"  # the code does not concern a request
 
 
-@dataclass(frozen=True, slots=True)
-class ResultCode:
+class ResultCode(Struct, frozen=True):
     """One numbered result code.
 
     Attributes:
--- a/balsamspool/kernel/events.py
+++ b/balsamspool/kernel/events.py
@@ -5,12 +5,12 @@
 """
 
 import logging
-from dataclasses import dataclass
 from typing import Any
 
+from msgspec import Struct
 
-@dataclass(frozen=True, slots=True)
-class LogEvent:
+
+class LogEvent(Struct, frozen=True):
     """One numbered log event.
 
     Attributes:
--- a/balsamspool/kernel/identity.py
+++ b/balsamspool/kernel/identity.py
@@ -1,9 +1,10 @@
 """Identity of a process."""
 
-import secrets
-from dataclasses import dataclass
+import os
 from enum import Enum
 
+from msgspec import Struct
+
 from balsamspool.kernel.settings import BaseProcessSettings
 
 INCARNATION_BYTES = 8
@@ -18,8 +19,7 @@
     DATAGRAM_AGENT = "datagram-agent"
 
 
-@dataclass(frozen=True, slots=True)
-class Identity:
+class Identity(Struct, frozen=True):
     """Who a process is.
 
     Attributes:
@@ -53,5 +53,5 @@
             data_port=settings.data_port,
             peer_port=settings.peer_port,
             admin_port=settings.admin_port,
-            incarnation=secrets.token_bytes(INCARNATION_BYTES),
+            incarnation=os.urandom(INCARNATION_BYTES),
         )
--- a/balsamspool/kernel/registry.py
+++ b/balsamspool/kernel/registry.py
@@ -7,9 +7,10 @@
 import importlib
 import pkgutil
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeVar
 
+from msgspec import Struct
+
 import balsamspool.plugins
 from balsamspool.kernel.errors import PLUGIN_MISSING, ResultError
 from balsamspool.kernel.identity import Role
@@ -61,8 +62,7 @@
 P = TypeVar("P", bound=Plugin)
 
 
-@dataclass(frozen=True, slots=True)
-class Registration:
+class Registration(Struct, frozen=True):
     """A registered plug-in.
 
     Attributes:
--- a/balsamspool/kernel/settings.py
+++ b/balsamspool/kernel/settings.py
@@ -1,8 +1,7 @@
 """Settings of a process: one JSON object with a section for each plug-in."""
 
-import ipaddress
+import socket
 from collections.abc import Mapping
-from pathlib import Path
 from typing import Annotated, Any
 
 import msgspec
@@ -19,6 +18,16 @@
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
 
+def is_ipv4(address: str) -> bool:
+    """Return whether a text is an IPv4 address in dotted form."""
+    try:
+        # ipaddress would take a tenth of the time that a small process needs to start.
+        socket.inet_pton(socket.AF_INET, address)
+    except (OSError, ValueError):
+        return False
+    return True
+
+
 def split_endpoint(endpoint: str) -> tuple[str, int]:
     """Return address and port of an endpoint in the form ``address:port``.
 
@@ -26,7 +35,8 @@
         ValueError: If it has another form.
     """
     address, _, port = endpoint.rpartition(":")
-    ipaddress.IPv4Address(address)
+    if not is_ipv4(address):
+        raise ValueError(f"{address!r} is not an IPv4 address")
     number = int(port)
     if not 0 < number < 1 << 16:
         raise ValueError(f"{number} is not a port")
@@ -69,9 +79,7 @@
 
     def problem(self) -> tuple[str, str] | None:
         """Return the field and what is wrong with it, or None if all is valid."""
-        try:
-            ipaddress.IPv4Address(self.address)
-        except ValueError:
+        if not is_ipv4(self.address):
             return "address", f"{self.address!r} is not an IPv4 address"
         return None
 
@@ -133,7 +141,7 @@
 
 
 def read_settings(
-    path: Path,
+    path: str,
     types: Mapping[str, type[Section]],
     process_type: type[BaseProcessSettings] = ProcessSettings,
 ) -> Settings:
@@ -152,7 +160,8 @@
             wrong.
     """
     try:
-        document = msgspec.json.decode(path.read_bytes())
+        with open(path, "rb") as file:
+            document = msgspec.json.decode(file.read())
     except (OSError, ValueError) as error:
         raise ResultError(SETTINGS_UNREADABLE, f"{path}: {error}") from error
     return check_settings(document, types, process_type)
--- a/balsamspool/placement/load.py
+++ b/balsamspool/placement/load.py
@@ -1,14 +1,13 @@
 """What the agents report of the load of their backend servers."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct
 
 # A report that is older than this many of its periods says nothing.
 SILENT_PERIODS = 4.0
 SILENT_SLACK_SECONDS = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class LoadReport:
+class LoadReport(Struct, frozen=True):
     """Load of one backend server as its agent sees it.
 
     Attributes:
@@ -26,8 +25,7 @@
     period: float
 
 
-@dataclass(slots=True)
-class HostLoad:
+class HostLoad(Struct):
     """The latest report of one host and what was placed there since.
 
     Attributes:
@@ -38,7 +36,7 @@
 
     report: LoadReport
     received: float
-    placed: int = field(default=0)
+    placed: int = 0
 
 
 class LoadBoard:
--- a/balsamspool/placement/opening.py
+++ b/balsamspool/placement/opening.py
@@ -7,9 +7,10 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Protocol
 
+from msgspec import Struct
+
 from balsamspool.placement.load import LoadBoard
 from balsamspool.placement.rendezvous import Named, rank_equal
 
@@ -44,8 +45,7 @@
         """Failure domain of its instance."""
 
 
-@dataclass(frozen=True, slots=True)
-class Choice:
+class Choice(Struct, frozen=True):
     """A backend server and why it stands where it does.
 
     Attributes:
--- a/balsamspool/plugins/admin/server.py
+++ b/balsamspool/plugins/admin/server.py
@@ -3,9 +3,9 @@
 import asyncio
 from asyncio import StreamReader, StreamWriter
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from httptools import HttpParserError, HttpRequestParser, parse_url
+from msgspec import Struct
 
 READ_BYTES = 4_096
 # Connections that send nothing are closed.
@@ -15,8 +15,7 @@
 _REASONS = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
 
 
-@dataclass(frozen=True, slots=True)
-class Page:
+class Page(Struct, frozen=True):
     """An answer.
 
     Attributes:
--- a/balsamspool/plugins/catalog/model.py
+++ b/balsamspool/plugins/catalog/model.py
@@ -1,8 +1,9 @@
 """Published routes and backend servers, independent of how they are published."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 
 class RouteKind(Enum):
     """Kind of the requests that a route carries."""
@@ -19,8 +20,7 @@
     DRAINING = "draining"
 
 
-@dataclass(frozen=True, slots=True)
-class Target:
+class Target(Struct, frozen=True):
     """A service to which a route sends a share of its new flows.
 
     Attributes:
@@ -32,8 +32,7 @@
     weight: int = 1
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Struct, frozen=True):
     """An address at which callers reach a service.
 
     Attributes:
@@ -55,8 +54,7 @@
     priority: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class RouteTable:
+class RouteTable(Struct, frozen=True):
     """All routes of one version.
 
     Attributes:
@@ -70,8 +68,7 @@
     idle_seconds: float
 
 
-@dataclass(frozen=True, slots=True)
-class BackendServer:
+class BackendServer(Struct, frozen=True):
     """A backend server as it is listed.
 
     Attributes:
@@ -97,8 +94,7 @@
     started_ms: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class RoutesPublished:
+class RoutesPublished(Struct, frozen=True):
     """The route table was published.
 
     Attributes:
@@ -110,8 +106,7 @@
     table: RouteTable
 
 
-@dataclass(frozen=True, slots=True)
-class ServerPublished:
+class ServerPublished(Struct, frozen=True):
     """A backend server appeared or changed.
 
     Attributes:
@@ -123,8 +118,7 @@
     server: BackendServer
 
 
-@dataclass(frozen=True, slots=True)
-class ServerRemoved:
+class ServerRemoved(Struct, frozen=True):
     """A backend server is no longer listed.
 
     Attributes:
@@ -136,8 +130,7 @@
     name: str
 
 
-@dataclass(frozen=True, slots=True)
-class RecordIgnored:
+class RecordIgnored(Struct, frozen=True):
     """A record names nothing that can be used.
 
     Attributes:
@@ -154,8 +147,7 @@
 Record = RoutesPublished | ServerPublished | ServerRemoved | RecordIgnored
 
 
-@dataclass(frozen=True, slots=True)
-class Snapshot:
+class Snapshot(Struct, frozen=True):
     """All records, read page by page.
 
     Attributes:
@@ -167,8 +159,7 @@
     records: tuple[Record, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Changes:
+class Changes(Struct, frozen=True):
     """Records that changed after a revision.
 
     Attributes:
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -2,7 +2,8 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from balsamspool.plugins.catalog.events import (
     RECORD_IGNORED,
@@ -40,8 +41,7 @@
 MAX_PAST_SERVICES = 3
 
 
-@dataclass(slots=True)
-class _Missing:
+class _Missing(Struct):
     """A backend server that is no longer listed but still used.
 
     Attributes:
@@ -53,8 +53,7 @@
     until: float
 
 
-@dataclass(frozen=True, slots=True)
-class _Departed:
+class _Departed(Struct, frozen=True):
     """A backend server that is gone.
 
     Attributes:
--- a/balsamspool/plugins/datagram/flows.py
+++ b/balsamspool/plugins/datagram_agent/flows.py
@@ -1,9 +1,10 @@
 """Flows that an agent sees at its backend server."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 
-from balsamspool.plugins.datagram.work import WorkMeter
+from msgspec import Struct
+
+from balsamspool.plugins.datagram_agent.work import WorkMeter
 
 MAX_FLOWS = 65_536
 # A request without an answer for so long is not counted as work any more.
@@ -12,8 +13,7 @@
 IDLE_SECONDS = 30.0
 
 
-@dataclass(slots=True)
-class HostFlow:
+class HostFlow(Struct):
     """A flow at the agent's own backend server.
 
     Attributes:
--- a/balsamspool/plugins/datagram/liveness.py
+++ b/balsamspool/plugins/datagram_agent/liveness.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from balsamspool.plugins.datagram.events import SERVER_ANSWERS, SERVER_SILENT
+from balsamspool.datagram.events import SERVER_ANSWERS, SERVER_SILENT
 
 _logger = logging.getLogger(__name__)
 
--- a/balsamspool/plugins/datagram/agent.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -4,45 +4,45 @@
 import logging
 import socket
 
-from balsamspool.kernel.clock import now
-from balsamspool.kernel.identity import Role
-from balsamspool.kernel.lifecycle import Kernel
-from balsamspool.kernel.registry import Plugin, register
-from balsamspool.kernel.settings import split_endpoint
-from balsamspool.plugins.datagram._codec import (
+from balsamspool.datagram._codec import (
     decode,
     encode_small,
     forward_head,
     returned_head,
     service_number,
 )
-from balsamspool.plugins.datagram.events import (
+from balsamspool.datagram.events import (
     FLOW_ACCEPTED,
     FLOW_LOST,
     OPENING_DROPPED,
     OPENING_PASSED_ON,
 )
-from balsamspool.plugins.datagram.flows import FlowTable, HostFlow
-from balsamspool.plugins.datagram.liveness import ServerLiveness
-from balsamspool.plugins.datagram.messages import (
+from balsamspool.datagram.messages import (
     ANY_SERVICE,
     FlowEnded,
     FlowLocated,
     Forward,
     Subscribe,
 )
-from balsamspool.plugins.datagram.packet import (
+from balsamspool.datagram.packet import (
     Packet,
     PacketCodec,
     address_of,
     flow_id,
 )
-from balsamspool.plugins.datagram.reporter import LoadReporter
-from balsamspool.plugins.datagram.settings import (
+from balsamspool.datagram.settings import (
     DatagramAgentSettings,
 )
-from balsamspool.plugins.datagram.sockets import Address, BatchSocket
-from balsamspool.plugins.datagram.work import WorkMeter
+from balsamspool.datagram.sockets import Address, BatchSocket
+from balsamspool.kernel.clock import now
+from balsamspool.kernel.identity import Role
+from balsamspool.kernel.lifecycle import Kernel
+from balsamspool.kernel.registry import Plugin, register
+from balsamspool.kernel.settings import split_endpoint
+from balsamspool.plugins.datagram_agent.flows import FlowTable, HostFlow
+from balsamspool.plugins.datagram_agent.liveness import ServerLiveness
+from balsamspool.plugins.datagram_agent.reporter import LoadReporter
+from balsamspool.plugins.datagram_agent.work import WorkMeter
 
 _logger = logging.getLogger(__name__)
 
--- a/balsamspool/plugins/datagram/reporter.py
+++ b/balsamspool/plugins/datagram_agent/reporter.py
@@ -3,16 +3,16 @@
 import asyncio
 import logging
 
+from balsamspool.datagram._codec import encode_small
+from balsamspool.datagram.events import SUBSCRIBER_ADDED, SUBSCRIBER_EXPIRED
+from balsamspool.datagram.messages import Report
+from balsamspool.datagram.sockets import Address, BatchSocket
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.placement.load import LoadReport
-from balsamspool.plugins.datagram._codec import encode_small
-from balsamspool.plugins.datagram.events import SUBSCRIBER_ADDED, SUBSCRIBER_EXPIRED
-from balsamspool.plugins.datagram.flows import FlowTable
-from balsamspool.plugins.datagram.liveness import ServerLiveness
-from balsamspool.plugins.datagram.messages import Report
-from balsamspool.plugins.datagram.sockets import Address, BatchSocket
-from balsamspool.plugins.datagram.work import WorkMeter
+from balsamspool.plugins.datagram_agent.flows import FlowTable
+from balsamspool.plugins.datagram_agent.liveness import ServerLiveness
+from balsamspool.plugins.datagram_agent.work import WorkMeter
 
 _logger = logging.getLogger(__name__)
 
--- a/balsamspool/plugins/datagram/entry.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -4,26 +4,16 @@
 import logging
 import socket
 from contextlib import suppress
-from dataclasses import dataclass
 
-from balsamspool.kernel.clock import now
-from balsamspool.kernel.identity import Role
-from balsamspool.kernel.lifecycle import Kernel
-from balsamspool.kernel.recent import Recent
-from balsamspool.kernel.registry import Plugin, register
-from balsamspool.kernel.settings import split_endpoint
-from balsamspool.placement.load import LoadBoard
-from balsamspool.placement.lookup import order_lookup
-from balsamspool.placement.opening import Choice, order_choices
-from balsamspool.placement.rendezvous import choose_target
-from balsamspool.plugins.catalog import BackendServer, CatalogPlugin, Route
-from balsamspool.plugins.datagram._codec import (
+from msgspec import Struct
+
+from balsamspool.datagram._codec import (
     decode,
     encode_small,
     forward_head,
     service_number,
 )
-from balsamspool.plugins.datagram.events import (
+from balsamspool.datagram.events import (
     FLOW_FOUND,
     FLOW_IGNORED,
     FLOW_MOVED,
@@ -33,7 +23,7 @@
     FLOW_UNKNOWN,
     HOST_AVOIDED,
 )
-from balsamspool.plugins.datagram.messages import (
+from balsamspool.datagram.messages import (
     ANY_SERVICE,
     FlowEnded,
     FlowLocated,
@@ -42,17 +32,28 @@
     Report,
     Subscribe,
 )
-from balsamspool.plugins.datagram.packet import (
+from balsamspool.datagram.packet import (
     Packet,
     PacketCodec,
     address_of,
     flow_id,
     port_of,
 )
-from balsamspool.plugins.datagram.settings import (
+from balsamspool.datagram.settings import (
     DatagramSettings,
 )
-from balsamspool.plugins.datagram.sockets import Address, BatchSocket
+from balsamspool.datagram.sockets import Address, BatchSocket
+from balsamspool.kernel.clock import now
+from balsamspool.kernel.identity import Role
+from balsamspool.kernel.lifecycle import Kernel
+from balsamspool.kernel.recent import Recent
+from balsamspool.kernel.registry import Plugin, register
+from balsamspool.kernel.settings import split_endpoint
+from balsamspool.placement.load import LoadBoard
+from balsamspool.placement.lookup import order_lookup
+from balsamspool.placement.opening import Choice, order_choices
+from balsamspool.placement.rendezvous import choose_target
+from balsamspool.plugins.catalog import BackendServer, CatalogPlugin, Route
 
 _logger = logging.getLogger(__name__)
 
@@ -72,8 +73,7 @@
 QUIET_SECONDS = 0.4
 
 
-@dataclass(slots=True)
-class EntryFlow:
+class EntryFlow(Struct):
     """Where a flow is, as far as the entry knows.
 
     Attributes:
--- a/balsamspool/programs/_runner.py
+++ b/balsamspool/programs/_runner.py
@@ -5,10 +5,10 @@
 import os
 import sys
 from collections.abc import Coroutine
-from dataclasses import dataclass
-from pathlib import Path
 from typing import Any, TypeVar
 
+from msgspec import Struct
+
 # uvloop bundles a libuv with io_uring code, which the platform does not permit. libuv
 # 1.48 reads this variable when the loop is made. libuv 1.52, in uvloop 0.23, opens a
 # ring whatever the variable says, so uvloop is pinned.
@@ -42,8 +42,7 @@
         return runner.run(work)
 
 
-@dataclass(frozen=True, slots=True)
-class Program:
+class Program(Struct, frozen=True):
     """What a program runs.
 
     Attributes:
@@ -73,7 +72,7 @@
     load_plugins(program.packages)
     plugins = plugins_of(program.role)
     types = {entry.name: entry.plugin.settings_type for entry in plugins}
-    return read_settings(Path(path), types, program.process_type)
+    return read_settings(path, types, program.process_type)
 
 
 def run_program(program: Program, settings: str, check: bool) -> None:
