Reset flows that no host holds any more

In calm seconds 15 opening packets a second were sent to a second host although the first had accepted them: the record of a short flow was removed before the check of its answer and made anew by a late packet.

Change: an entry resets a flow if its host is removed and silent, if the host that confirmed it gave it back, or if every host of a list that was read after the flow was found to be missing gave it back. The last needs a list that names all hosts alive: no outage of the store within the time in which lapsed entries return, and for a process that just started a history without unexplained removals. Ended flows are kept for 5 s.

Ruled out: resetting after one search; the list may be older than a new host's flow.

--- a/balsamspool/datagram/_codec.py
+++ b/balsamspool/datagram/_codec.py
@@ -18,14 +18,17 @@
 LAYOUT = 1
 
 _FORWARD, _LOCATED, _ENDED, _RETURNED, _SUBSCRIBE, _REPORT = range(1, 7)
-# Layout, kind, hops, unconfirmed, number of alternatives, service, origin.
+# Layout, kind, hops, flags, number of alternatives, service, origin.
 _FORWARD_HEAD = struct.Struct("!BBBBBI4s")
 _FLOW = struct.Struct("!BB12s")
-_RETURNED_HEAD = struct.Struct("!BBB")
+# Layout, kind, hops, flags.
+_RETURNED_HEAD = struct.Struct("!BBBB")
 _SUBSCRIPTION = struct.Struct("!BBH")
 # Layout, kind, responsive, requests in work, their mean in 1/256, flows, period in ms.
 _LOAD = struct.Struct("!BBBHIHH")
 
+_UNCONFIRMED, _SKIPPED = 1, 2
+
 _MEAN_UNIT = 256
 _MAX_SHORT = 0xFFFF
 _MAX_LONG = 0xFFFFFFFF
@@ -42,7 +45,7 @@
         LAYOUT,
         _FORWARD,
         message.hops,
-        message.unconfirmed,
+        _UNCONFIRMED * message.unconfirmed | _SKIPPED * message.skipped,
         len(message.alternatives),
         message.service,
         message.origin,
@@ -50,9 +53,9 @@
     return head + b"".join(message.alternatives)
 
 
-def returned_head(hops: int) -> bytes:
+def returned_head(hops: int, skipped: bool) -> bytes:
     """Return what stands before the payload of a returned packet."""
-    return _RETURNED_HEAD.pack(LAYOUT, _RETURNED, hops)
+    return _RETURNED_HEAD.pack(LAYOUT, _RETURNED, hops, _SKIPPED * skipped)
 
 
 def encode_small(message: FlowLocated | FlowEnded | Subscribe | Report) -> bytes:
@@ -103,8 +106,9 @@
         case 3:
             return FlowEnded(_FLOW.unpack(data)[2])
         case 4:
-            hops = _RETURNED_HEAD.unpack_from(data)[2]
-            return PacketReturned(hops, data[_RETURNED_HEAD.size :])
+            _, _, hops, flags = _RETURNED_HEAD.unpack_from(data)
+            payload = data[_RETURNED_HEAD.size :]
+            return PacketReturned(hops, bool(flags & _SKIPPED), payload)
         case 5:
             return Subscribe(_SUBSCRIPTION.unpack(data)[2] / 1000)
         case 6:
@@ -118,10 +122,18 @@
 
 
 def _decode_forward(data: bytes) -> Forward | None:
-    _, _, hops, unconfirmed, count, service, origin = _FORWARD_HEAD.unpack_from(data)
+    _, _, hops, flags, count, service, origin = _FORWARD_HEAD.unpack_from(data)
     start = _FORWARD_HEAD.size
     end = start + 4 * count
     if len(data) < end:
         return None
     alternatives = tuple(data[i : i + 4] for i in range(start, end, 4))
-    return Forward(service, origin, hops, bool(unconfirmed), alternatives, data[end:])
+    return Forward(
+        service=service,
+        origin=origin,
+        hops=hops,
+        unconfirmed=bool(flags & _UNCONFIRMED),
+        skipped=bool(flags & _SKIPPED),
+        alternatives=alternatives,
+        payload=data[end:],
+    )
--- a/balsamspool/datagram/events.py
+++ b/balsamspool/datagram/events.py
@@ -86,3 +86,9 @@
 FLOW_ACCEPTED = log_event(
     2417, "flow-accepted", logging.INFO, "The backend server accepted a flow."
 )
+FLOW_RESET = log_event(
+    2418,
+    "flow-reset",
+    logging.INFO,
+    "A flow that its host no longer holds was reset.",
+)
--- a/balsamspool/datagram/messages.py
+++ b/balsamspool/datagram/messages.py
@@ -16,6 +16,7 @@
         origin: Address of the entry that received it, 4 octets.
         hops: Agents that passed it on.
         unconfirmed: Whether the entry wants to know who holds the flow.
+        skipped: Whether an agent passed it on without asking its backend server.
         alternatives: Addresses of agents to ask next, 4 octets each.
         payload: The packet.
     """
@@ -24,6 +25,7 @@
     origin: bytes
     hops: int
     unconfirmed: bool
+    skipped: bool
     alternatives: tuple[bytes, ...]
     payload: bytes | memoryview
 
@@ -53,10 +55,12 @@
 
     Attributes:
         hops: Agents that were asked.
+        skipped: Whether an agent passed it on without asking its backend server.
         payload: The packet.
     """
 
     hops: int
+    skipped: bool
     payload: bytes | memoryview
 
 
--- a/balsamspool/kernel/clock.py
+++ b/balsamspool/kernel/clock.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 
 
 def now() -> float:
@@ -12,6 +13,15 @@
     return asyncio.get_running_loop().time()
 
 
+def suspended_seconds() -> float:
+    """Return for how long the machine was suspended since its start.
+
+    The event loop's clock stands still meanwhile.
+    """
+    boot = time.clock_gettime(time.CLOCK_BOOTTIME)
+    return boot - time.clock_gettime(time.CLOCK_MONOTONIC)
+
+
 class Deadline:
     """A point in time by which something must be done.
 
--- a/balsamspool/kernel/lifecycle.py
+++ b/balsamspool/kernel/lifecycle.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any, TypeVar, cast
 
-from balsamspool.kernel.clock import now
+from balsamspool.kernel.clock import now, suspended_seconds
 from balsamspool.kernel.counters import CounterSet
 from balsamspool.kernel.errors import ResultError
 from balsamspool.kernel.events import (
@@ -240,11 +240,11 @@
             self.request_stop()
 
     async def _watch_pauses(self) -> None:
-        last = now()
+        last, suspended = now(), suspended_seconds()
         while True:
             await asyncio.sleep(PAUSE_CHECK_SECONDS)
-            gap = now() - last
-            last = now()
+            gap = now() - last + suspended_seconds() - suspended
+            last, suspended = now(), suspended_seconds()
             if gap > PAUSE_LIMIT_SECONDS + PAUSE_CHECK_SECONDS:
                 self._pauses += 1
                 PROCESS_RESUMED.log(_logger, seconds=round(gap, 3))
--- a/balsamspool/placement/load.py
+++ b/balsamspool/placement/load.py
@@ -79,17 +79,23 @@
     def avoided(self, address: str) -> bool:
         """Return whether a host should get new flows only if no other is left.
 
-        Silence is measured against the newest report of any host, so that a pause of
-        this process does not make all hosts look silent.
-
         Args:
             address: Address of the agent.
         """
         load = self._hosts.get(address)
         if load is None:
             return False
-        if not load.report.responsive:
-            return True
+        return not load.report.responsive or self.silent(address)
+
+    def silent(self, address: str) -> bool:
+        """Return whether a host that reported before does so no longer.
+
+        Silence is measured against the newest report of any host, so that a pause of
+        this process does not make all hosts look silent.
+        """
+        load = self._hosts.get(address)
+        if load is None:
+            return False
         limit = SILENT_PERIODS * load.report.period + SILENT_SLACK_SECONDS
         return self._newest - load.received > limit
 
--- a/balsamspool/plugins/catalog/events.py
+++ b/balsamspool/plugins/catalog/events.py
@@ -62,3 +62,9 @@
     logging.WARNING,
     "A peer did not answer with its catalog.",
 )
+REFRESH_FAILED = log_event(
+    2313,
+    "catalog-refresh-failed",
+    logging.WARNING,
+    "The catalog could not be read again to decide on unknown flows.",
+)
--- a/balsamspool/plugins/catalog/follower.py
+++ b/balsamspool/plugins/catalog/follower.py
@@ -8,6 +8,7 @@
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.errors import ResultError
 from balsamspool.plugins.catalog.codes import CATALOG_HISTORY_LOST
+from balsamspool.plugins.catalog.completeness import Completeness
 from balsamspool.plugins.catalog.events import (
     CATALOG_LOST,
     CATALOG_READ,
@@ -33,6 +34,7 @@
     Args:
         source: Reads the catalog where it is published.
         view: What the process knows; it is changed in place.
+        completeness: Learns of answers and outages.
         wait: Longest wait of one call in seconds. A connection that went silent is
             noticed after it.
         rng: Source of randomness.
@@ -40,6 +42,7 @@
 
     __slots__ = (
         "_answered",
+        "_completeness",
         "_calls",
         "_reachable",
         "_revision",
@@ -53,11 +56,13 @@
         self,
         source: CatalogSource,
         view: CatalogView,
+        completeness: Completeness,
         wait: float,
         rng: random.Random,
     ) -> None:
         self._source = source
         self._view = view
+        self._completeness = completeness
         self._wait = wait
         self._rng = rng
         self._revision: int | None = None
@@ -105,6 +110,7 @@
     async def _step(self) -> None:
         self._calls += 1
         if self._revision is None:
+            first = self._answered is None
             snapshot = await self._source.read()
             self._note_answer()
             self._view.replace(snapshot, now())
@@ -112,6 +118,9 @@
             CATALOG_READ.log(
                 _logger, revision=snapshot.revision, records=len(snapshot.records)
             )
+            if first:
+                history = await self._source.history(snapshot.revision)
+                self._completeness.note_history(history)
             return
         changes = await self._source.watch(self._revision, self._wait)
         self._note_answer()
@@ -126,9 +135,11 @@
             self._reachable = True
             CATALOG_REGAINED.log(_logger, revision=self._revision)
         self._answered = now()
+        self._completeness.note_answer(now())
 
     def _note_failure(self, error: ResultError) -> None:
         self._view.note_outage(now())
+        self._completeness.note_outage(now())
         if self._reachable:
             self._reachable = False
             CATALOG_LOST.log(_logger, revision=self._revision, error=str(error))
--- a/balsamspool/plugins/catalog/plugin.py
+++ b/balsamspool/plugins/catalog/plugin.py
@@ -11,7 +11,9 @@
 from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.kernel.settings import Section
+from balsamspool.plugins.catalog.completeness import Completeness
 from balsamspool.plugins.catalog.follower import CatalogFollower
+from balsamspool.plugins.catalog.refresher import CatalogRefresher
 from balsamspool.plugins.catalog.source import CatalogSource
 from balsamspool.plugins.catalog.view import CatalogView
 
@@ -50,10 +52,14 @@
         super().__init__(kernel)
         settings: CatalogSettings = kernel.settings.section("catalog")
         self._wait = settings.watch_seconds
+        source = kernel.plugin(CatalogSource)
         self._view = CatalogView()
+        self._completeness = Completeness()
         self._follower = CatalogFollower(
-            kernel.plugin(CatalogSource), self._view, self._wait, random.Random()
+            source, self._view, self._completeness, self._wait, random.Random()
         )
+        self._refresher = CatalogRefresher(source, self._view)
+        self._pauses = 0
 
     @property
     def ready(self) -> bool:
@@ -81,8 +87,23 @@
             and age < self._wait + FRESH_MARGIN_SECONDS
         )
 
+    @property
+    def refresher(self) -> CatalogRefresher:
+        """Reads the catalog again on demand."""
+        return self._refresher
+
+    @property
+    def complete(self) -> bool:
+        """Whether every backend server that is alive is listed."""
+        return (
+            self._follower.reachable
+            and not self._view.missing
+            and self._completeness.holds(now())
+        )
+
     async def start(self) -> None:
         """Start to follow the catalog."""
+        self._kernel.spawn(self._refresher.run(), "catalog refresher")
         self._kernel.spawn(self._follower.run(), "catalog follower")
         self._kernel.spawn(self._expire(), "catalog expiry")
 
@@ -102,4 +123,12 @@
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_SECONDS)
+            self._note_pauses()
             self._view.expire(now())
+
+    def _note_pauses(self) -> None:
+        """Treat a pause of this process like an outage, which it may have hidden."""
+        if self._kernel.pauses != self._pauses:
+            self._pauses = self._kernel.pauses
+            self._view.note_outage(now())
+            self._completeness.note_outage(now())
--- a/balsamspool/plugins/catalog/source.py
+++ b/balsamspool/plugins/catalog/source.py
@@ -8,7 +8,8 @@
     """Base of the plug-in that reads the catalog where it is published.
 
     An adapter registers one subclass. It only translates; when to call, and what to do
-    after a failure, is decided by the catalog plug-in.
+    after a failure, is decided by the catalog plug-in. `watch` may run at the same time
+    as one of the other calls.
     """
 
     async def read(self) -> Snapshot:
@@ -20,6 +21,14 @@
         """
         raise NotImplementedError
 
+    async def history(self, revision: int) -> Changes | None:
+        """Return the latest changes up to a revision, None if they are not kept.
+
+        Raises:
+            ResultError: With code 2301 or 2303, as for `read`.
+        """
+        raise NotImplementedError
+
     async def watch(self, after: int, wait: float) -> Changes:
         """Wait for changes.
 
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -120,6 +120,11 @@
         """All listed backend servers."""
         return list(self._servers.values())
 
+    @property
+    def gone(self) -> list[BackendServer]:
+        """Backend servers that were removed a short time ago."""
+        return [departed.server for departed in self._departed.values()]
+
     def revision_of(self, name: str) -> int:
         """Return the newest known revision of a backend server, 0 if unknown."""
         return self._revisions.get(name, 0)
@@ -174,6 +179,11 @@
         """Call a function after each change of routes or backend servers."""
         self._subscribers.append(callback)
 
+    @property
+    def missing(self) -> bool:
+        """Whether a backend server is kept although it is not listed."""
+        return bool(self._missing)
+
     def note_outage(self, time: float) -> None:
         """Record that the service that publishes the catalog did not answer."""
         self._outage_end = time
--- a/balsamspool/plugins/datagram_agent/flows.py
+++ b/balsamspool/plugins/datagram_agent/flows.py
@@ -1,7 +1,5 @@
 """Flows that an agent sees at its backend server."""
 
-from collections.abc import Iterator
-
 from msgspec import Struct
 
 from balsamspool.plugins.datagram_agent.work import WorkMeter
@@ -11,6 +9,8 @@
 MAX_WORK_SECONDS = 10.0
 # Longer than a caller keeps an idle flow open.
 IDLE_SECONDS = 30.0
+# Late packets of an ended flow must not be taken for a new one.
+ENDED_SECONDS = 5.0
 
 
 class HostFlow(Struct):
@@ -27,6 +27,7 @@
             None without one.
         caller_ended: Whether the caller has ended its side.
         server_ended: Whether the backend server has ended its side.
+        ended: Whether it counts as ended.
     """
 
     origin: bytes
@@ -38,6 +39,7 @@
     working_since: float | None = None
     caller_ended: bool = False
     server_ended: bool = False
+    ended: bool = False
 
 
 class FlowTable:
@@ -47,19 +49,16 @@
         meter: Counts the requests in work.
     """
 
-    __slots__ = ("_flows", "_meter")
+    __slots__ = ("_ended", "_flows", "_meter")
 
     def __init__(self, meter: WorkMeter) -> None:
         self._flows: dict[bytes, HostFlow] = {}
         self._meter = meter
+        self._ended = 0
 
     def __len__(self) -> int:
-        """Return the number of flows."""
-        return len(self._flows)
-
-    def __iter__(self) -> Iterator[HostFlow]:
-        """Yield all flows."""
-        return iter(self._flows.values())
+        """Return the number of flows that have not ended."""
+        return len(self._flows) - self._ended
 
     def get(self, key: bytes) -> HostFlow | None:
         """Return the flow with a key, or None."""
@@ -99,15 +98,24 @@
         self._meter.end(time)
         return seconds
 
+    def end_if_closed(self, flow: HostFlow, time: float) -> None:
+        """Stop counting a flow and its work if both sides have ended it."""
+        if flow.caller_ended and flow.server_ended and not flow.ended:
+            flow.ended = True
+            self._ended += 1
+            self.note_answer(flow, time)
+
     def remove(self, key: bytes, time: float) -> None:
         """Forget a flow."""
         flow = self._flows.pop(key, None)
-        if flow is not None:
-            self.note_answer(flow, time)
+        if flow is None:
+            return
+        self._ended -= flow.ended
+        self.note_answer(flow, time)
 
     def expire(self, time: float) -> None:
         """Forget flows without packets and requests without an answer."""
-        idle = [k for k, f in self._flows.items() if time - f.seen > IDLE_SECONDS]
+        idle = [k for k, f in self._flows.items() if time - f.seen > _lifetime(f)]
         for key in idle:
             self.remove(key, time)
         for flow in self._flows.values():
@@ -119,3 +127,7 @@
         oldest = next(iter(self._flows))
         flow = self._flows[oldest]
         self.remove(oldest, flow.seen)
+
+
+def _lifetime(flow: HostFlow) -> float:
+    return ENDED_SECONDS if flow.ended else IDLE_SECONDS
--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -165,25 +165,29 @@
         flow = self._flows.get(packet.flow_from_caller)
         if flow is None or not flow.accepted:
             elsewhere = flow is not None and flow.passed_on
-            if elsewhere or not self._may_hold(forward):
-                self._pass_on(forward, packet)
+            if forward.service not in (ANY_SERVICE, self._service):
+                self._pass_on(forward, packet, "other-service")
+                return
+            if elsewhere or not self._liveness.responsive:
+                # A backend server that is silent gives no packet back, so the search
+                # for the flow would end here.
+                forward.skipped = True
+                self._pass_on(forward, packet, "silent")
                 return
         self._deliver(forward, packet)
 
-    def _may_hold(self, forward: Forward) -> bool:
-        """Return whether the backend server may hold a flow that is not known here."""
-        own = forward.service in (ANY_SERVICE, self._service)
-        # A backend server that is silent gives no packet back, so the search for the
-        # flow would end here.
-        return own and self._liveness.responsive
-
     def _on_opening(self, forward: Forward, packet: Packet) -> None:
         self._openings.value += 1
         if forward.service != self._service:
             # The address was taken over by a backend server of another service.
             self._pass_on(forward, packet, "other-service")
             return
-        flow = self._flows.get(packet.flow_from_caller)
+        key = packet.flow_from_caller
+        flow = self._flows.get(key)
+        if flow is not None and flow.ended and not packet.attempt:
+            # The caller uses the port for another flow.
+            self._flows.remove(key, now())
+            flow = None
         known = flow is not None
         self._deliver(forward, packet)
         if not self._liveness.responsive:
@@ -215,7 +219,7 @@
         self._delivered.value += 1
         parts = self._codec.encode(packet, self._remember(forward))
         self._server_socket.send(parts, self._backend)
-        self._forget_if_ended(packet.flow_from_caller, flow)
+        self._flows.end_if_closed(flow, time)
 
     def _remember(self, forward: Forward) -> bytes:
         """Keep the way of a packet and return the tag by which it is found again."""
@@ -248,7 +252,7 @@
         caller = (address_of(packet.destination), self._caller_port)
         self._peer_socket.send((data,), caller)
         if flow is not None:
-            self._forget_if_ended(key, flow)
+            self._flows.end_if_closed(flow, time)
 
     def _note_answer(
         self, key: bytes, flow: HostFlow, packet: Packet, time: float
@@ -317,6 +321,7 @@
             forward.origin,
             hops,
             True,
+            forward.skipped,
             forward.alternatives[1:],
             forward.payload,
         )
@@ -332,7 +337,7 @@
             )
             return
         self._to_origin.value += 1
-        head = returned_head(forward.hops + 1)
+        head = returned_head(forward.hops + 1, forward.skipped)
         parts = [head, *self._codec.encode(packet, bytes(4))]
         entry = (socket.inet_ntoa(forward.origin), self._address[1])
         self._peer_socket.send(parts, entry)
@@ -341,11 +346,6 @@
         entry = (socket.inet_ntoa(origin), self._address[1])
         self._peer_socket.send((encode_small(message),), entry)
 
-    def _forget_if_ended(self, key: bytes, flow: HostFlow) -> None:
-        """Stop counting the work of a flow that both sides have ended."""
-        if flow.caller_ended and flow.server_ended:
-            self._flows.remove(key, now())
-
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_SECONDS)
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -19,6 +19,7 @@
     FLOW_MOVED,
     FLOW_PLACED,
     FLOW_REJECTED,
+    FLOW_RESET,
     FLOW_SEARCHED,
     FLOW_UNKNOWN,
     HOST_AVOIDED,
@@ -66,6 +67,8 @@
 MAX_SUBSCRIPTIONS = 512
 # Agents named in a forwarded packet.
 MAX_ALTERNATIVES = 12
+# Flows that wait for another reading of the catalog.
+MAX_MISSING = 4_096
 # A stopping entry goes on while callers send packets, at most for so long. The fabric
 # takes it out of rotation after two missed probes.
 LINGER_SECONDS = 2.5
@@ -81,11 +84,19 @@
         hosts: Addresses of the agents that may hold it, the likeliest first, 4 octets
             each.
         confirmed: Whether the first of them said that it holds the flow.
+        searched: Event loop time in seconds at which the last search for it began,
+            None if none did.
+        exhaustive: Whether that search asks every listed host.
+        missing_since: Event loop time in seconds at which the first search ended
+            without a host, None if none did.
     """
 
     service: int
     hosts: tuple[bytes, ...]
     confirmed: bool = False
+    searched: float | None = None
+    exhaustive: bool = False
+    missing_since: float | None = None
 
 
 @register(
@@ -118,7 +129,12 @@
         self._peer_socket: BatchSocket
         self._last_packet = 0.0
         self._servers_changed = asyncio.Event()
-        self._catalog.view.subscribe(self._servers_changed.set)
+        # Addresses of hosts that were removed from the catalog a short time ago.
+        self._gone: set[str] = set()
+        # Packets of flows that wait for another reading of the catalog.
+        self._missing: dict[bytes, Packet] = {}
+        self._catalog.view.subscribe(self._on_catalog)
+        self._catalog.refresher.subscribe(self._search_missing)
         counters = kernel.counters
         self._malformed = counters.counter(
             "balsamspool_datagram_malformed", "Datagrams that could not be read"
@@ -131,6 +147,7 @@
         self._came_back = counters.counter(packets, text, "returned-by-agent")
         self._unknown = counters.counter(packets, text, "unknown-flow")
         self._rejected = counters.counter(packets, text, "rejected")
+        self._resets = counters.counter(packets, text, "reset")
         self._ignored = counters.counter(packets, text, "ignored")
 
     async def start(self) -> None:
@@ -164,6 +181,12 @@
             "avoided": [s.name for s in servers if self._board.avoided(s.address)],
         }
 
+    def _on_catalog(self) -> None:
+        view = self._catalog.view
+        listed = {server.address for server in view.servers}
+        self._gone = {server.address for server in view.gone} - listed
+        self._servers_changed.set()
+
     def _on_caller(self, data: bytes, sender: Address) -> None:
         packet = self._codec.decode(data)
         if packet is None or packet.accepts or packet.returned:
@@ -175,7 +198,9 @@
             return
         flow = self._flows.get(packet.flow_from_caller)
         if flow is None:
-            self._search(packet, 0, None)
+            self._search(packet)
+        elif flow.confirmed and self._is_gone(flow.hosts[0]):
+            self._reset_lost(packet, "host-gone")
         else:
             self._send(packet, flow.service, flow.hosts, not flow.confirmed)
 
@@ -224,7 +249,7 @@
             tried=[socket.inet_ntoa(host) for host in tried],
         )
 
-    def _search(self, packet: Packet, searches: int, without: str | None) -> None:
+    def _search(self, packet: Packet, missing_since: float | None = None) -> None:
         """Send a packet of an unknown flow along the hosts that may hold it."""
         key = packet.flow_from_caller
         view = self._catalog.view
@@ -235,19 +260,47 @@
             listed.extend(view.listed(service))
             departed.extend(view.departed(service))
         found = order_lookup(key, listed, departed, self._board)
-        hosts = tuple(
-            socket.inet_aton(s.address) for s in found if s.address != without
-        )
+        hosts = tuple(dict.fromkeys(socket.inet_aton(s.address) for s in found))
         if not hosts:
             self._unknown.value += 1
             FLOW_UNKNOWN.log(_logger, flow=flow_id(key), services=list(services))
             return
         number = service_number(services[0]) if len(services) == 1 else ANY_SERVICE
+        flow = EntryFlow(
+            number,
+            hosts,
+            searched=now(),
+            exhaustive=len(found) >= len(listed),
+            missing_since=missing_since,
+        )
         self._searched.value += 1
-        self._flows.put(key, EntryFlow(number, hosts))
-        self._send(packet, number, hosts, unconfirmed=True, hops=searches)
+        self._flows.put(key, flow)
+        self._send(packet, number, hosts, unconfirmed=True)
         FLOW_SEARCHED.log(_logger, flow=flow_id(key), hosts=[s.name for s in found[:4]])
 
+    def _is_gone(self, host: bytes) -> bool:
+        """Return whether the host was removed from the catalog and is silent."""
+        address = socket.inet_ntoa(host)
+        return address in self._gone and self._board.silent(address)
+
+    def _reset_lost(self, packet: Packet, reason: str) -> None:
+        """Reset a flow whose host is known to hold it no longer."""
+        key = packet.flow_from_caller
+        self._flows.discard(key)
+        self._missing.pop(key, None)
+        if packet.resets:
+            return
+        self._resets.value += 1
+        caller = (address_of(packet.source), self._caller_port)
+        self._caller_socket.send((self._codec.reset(packet),), caller)
+        FLOW_RESET.log(
+            _logger,
+            flow=flow_id(key),
+            reason=reason,
+            catalog_age=self._catalog.age,
+            catalog_version=self._catalog.view.version,
+        )
+
     def _route(self, packet: Packet) -> Route | None:
         return self._catalog.view.route(*self._destination(packet))
 
@@ -281,10 +334,11 @@
         service: int,
         hosts: tuple[bytes, ...],
         unconfirmed: bool,
-        hops: int = 0,
     ) -> None:
         rest = hosts[1:] if unconfirmed else ()
-        forward = Forward(service, self._origin, hops, unconfirmed, rest, packet.data)
+        forward = Forward(
+            service, self._origin, 0, unconfirmed, False, rest, packet.data
+        )
         self._forwarded.value += 1
         agent = (socket.inet_ntoa(hosts[0]), self._peer_address[1])
         self._peer_socket.send((forward_head(forward), packet.data), agent)
@@ -300,8 +354,8 @@
                 self._on_located(key, sender[0])
             case FlowEnded(key):
                 self._flows.discard(key)
-            case PacketReturned(hops, payload):
-                self._on_returned(hops, bytes(payload), sender[0])
+            case PacketReturned() as returned:
+                self._on_returned(returned)
             case _:
                 self._malformed.value += 1
 
@@ -316,23 +370,62 @@
         flow.hosts = (host,)
         flow.confirmed = True
 
-    def _on_returned(self, hops: int, data: bytes, agent: str) -> None:
-        """Search once more for a flow that is not where it was thought to be."""
-        packet = self._codec.decode(data)
+    def _on_returned(self, returned: PacketReturned) -> None:
+        """Decide on a packet whose flow is at none of the hosts that were asked."""
+        packet = self._codec.decode(bytes(returned.payload))
         if packet is None:
             self._malformed.value += 1
             return
         self._came_back.value += 1
         key = packet.flow_from_caller
         flow = self._flows.get(key)
-        was_confirmed = flow is not None and flow.confirmed
-        if was_confirmed:
+        if flow is None or returned.skipped:
+            self._drop_unknown(packet, returned.hops, "not-all-asked")
+        elif flow.confirmed:
+            self._reset_lost(packet, "not-held")
+        elif flow.searched is None or not flow.exhaustive:
+            self._drop_unknown(packet, returned.hops, "not-all-asked")
+        elif not self._catalog.complete:
+            self._drop_unknown(packet, returned.hops, "catalog-incomplete")
+        elif self._is_verified(flow):
+            self._reset_lost(packet, "held-nowhere")
+        else:
+            self._verify(packet, flow)
+
+    def _is_verified(self, flow: EntryFlow) -> bool:
+        """Return whether the last search asked all hosts listed after the flow was
+        found to be missing.
+        """
+        refresher = self._catalog.refresher
+        missing, searched = flow.missing_since, flow.searched
+        if missing is None or searched is None:
+            return False
+        return missing <= refresher.started and refresher.finished <= searched
+
+    def _verify(self, packet: Packet, flow: EntryFlow) -> None:
+        """Read the catalog again, then search once more for the flow."""
+        if flow.missing_since is None:
+            flow.missing_since = now()
+        if len(self._missing) < MAX_MISSING:
+            self._missing[packet.flow_from_caller] = packet
+        self._catalog.refresher.request()
+
+    def _search_missing(self) -> None:
+        """Search again for the flows that were missing before the catalog was read."""
+        missing, self._missing = self._missing, {}
+        for key, packet in missing.items():
+            flow = self._flows.get(key)
+            if flow is not None and not flow.confirmed:
+                self._search(packet, flow.missing_since)
+
+    def _drop_unknown(self, packet: Packet, hops: int, reason: str) -> None:
+        key = packet.flow_from_caller
+        flow = self._flows.get(key)
+        # The next packet begins another search, unless a host is known.
+        if flow is None or not flow.confirmed:
             self._flows.discard(key)
-            self._search(packet, hops, agent)
-            return
         self._unknown.value += 1
-        self._flows.discard(key)
-        FLOW_UNKNOWN.log(_logger, flow=flow_id(key), hops=hops, last=agent)
+        FLOW_UNKNOWN.log(_logger, flow=flow_id(key), hops=hops, reason=reason)
 
     def _log_placed(self, key: bytes, route: Route, choices: list[Choice]) -> None:
         first = choices[0]
@@ -352,7 +445,9 @@
         """Renew the subscriptions to load reports, at once after a change."""
         while True:
             self._servers_changed.clear()
-            addresses = {server.address for server in self._catalog.view.servers}
+            view = self._catalog.view
+            # A host that was removed is heard as well, to know whether it is silent.
+            addresses = {s.address for s in (*view.servers, *view.gone)}
             self._board.retain(addresses)
             message = encode_small(Subscribe(LEASE_SECONDS))
             for address in list(addresses)[:MAX_SUBSCRIPTIONS]:
