--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -200,7 +200,7 @@
                 self._take_routes(record)
             case ServerPublished(revision, server):
                 if revision > self._revisions.get(server.name, 0):
-                    self._take_server(server, revision)
+                    self._take_server(server, revision, time)
             case ServerRemoved(revision, name):
                 if revision > self._revisions.get(name, 0):
                     self._remove(name, revision, time)
@@ -275,9 +275,18 @@
                 kept = (*new, *past)[:MAX_PAST_SERVICES]
                 self._past_services[endpoint] = kept
 
-    def _take_server(self, server: BackendServer, revision: int) -> None:
+    def _take_server(self, server: BackendServer, revision: int, time: float) -> None:
         before = self._servers.get(server.name)
         self._revisions[server.name] = revision
+        other = self._at_address(server)
+        if other is not None:
+            # An instance has one backend server. An entry that is not renewed any more
+            # stays listed for a while after the next one has started there.
+            if _started_after(other, server):
+                if before is not None:
+                    self._drop(server.name, revision, time)
+                return
+            self._drop(other.name, self._revisions[other.name], time)
         self._missing.pop(server.name, None)
         self._departed.pop(server.name, None)
         self._servers[server.name] = server
@@ -292,6 +301,13 @@
                 revision=revision,
             )
 
+    def _at_address(self, server: BackendServer) -> BackendServer | None:
+        """Return another listed backend server at the same address, or None."""
+        for other in self._servers.values():
+            if other.address == server.address and other.name != server.name:
+                return other
+        return None
+
     def _remove(self, name: str, revision: int, time: float) -> None:
         server = self._servers.get(name)
         if server is None:
@@ -336,3 +352,10 @@
         self._listed_cache.clear()
         for callback in self._subscribers:
             callback()
+
+
+def _started_after(server: BackendServer, other: BackendServer) -> bool:
+    """Return whether a backend server is known to have started after another one."""
+    if server.started_ms is None or other.started_ms is None:
+        return False
+    return server.started_ms > other.started_ms
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -393,9 +393,7 @@
             self._verify(packet, flow)
 
     def _is_verified(self, flow: EntryFlow) -> bool:
-        """Return whether the last search asked all hosts listed after the flow was
-        found to be missing.
-        """
+        """Return whether the list was read between the loss and the last search."""
         refresher = self._catalog.refresher
         missing, searched = flow.missing_since, flow.searched
         if missing is None or searched is None:
