--- a/balsamspool/plugins/catalog/follower.py
+++ b/balsamspool/plugins/catalog/follower.py
@@ -8,13 +8,12 @@
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.errors import ResultError
 from balsamspool.plugins.catalog.codes import CATALOG_HISTORY_LOST
-from balsamspool.plugins.catalog.completeness import Completeness, unexplained_removals
+from balsamspool.plugins.catalog.completeness import Completeness
 from balsamspool.plugins.catalog.events import (
     CATALOG_LOST,
     CATALOG_READ,
     CATALOG_REGAINED,
     HISTORY_LOST,
-    HISTORY_READ,
 )
 from balsamspool.plugins.catalog.source import CatalogSource
 from balsamspool.plugins.catalog.view import CatalogView
@@ -111,7 +110,6 @@
     async def _step(self) -> None:
         self._calls += 1
         if self._revision is None:
-            first = self._answered is None
             snapshot = await self._source.read()
             self._note_answer()
             self._view.replace(snapshot, now())
@@ -119,16 +117,6 @@
             CATALOG_READ.log(
                 _logger, revision=snapshot.revision, records=len(snapshot.records)
             )
-            if first:
-                history = await self._source.history(snapshot.revision)
-                self._completeness.note_history(history)
-                HISTORY_READ.log(
-                    _logger,
-                    records=len(history.records) if history else None,
-                    unexplained=sorted(unexplained_removals(history))
-                    if history
-                    else None,
-                )
             return
         changes = await self._source.watch(self._revision, self._wait)
         self._note_answer()
--- a/balsamspool/plugins/catalog/plugin.py
+++ b/balsamspool/plugins/catalog/plugin.py
@@ -58,7 +58,7 @@
         self._follower = CatalogFollower(
             source, self._view, self._completeness, self._wait, random.Random()
         )
-        self._refresher = CatalogRefresher(source, self._view)
+        self._refresher = CatalogRefresher(source, self._view, self._completeness)
         self._pauses = 0
 
     @property
--- a/balsamspool/plugins/catalog/refresher.py
+++ b/balsamspool/plugins/catalog/refresher.py
@@ -6,7 +6,15 @@
 
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.errors import ResultError
-from balsamspool.plugins.catalog.events import CATALOG_READ, REFRESH_FAILED
+from balsamspool.plugins.catalog.completeness import (
+    Completeness,
+    unexplained_removals,
+)
+from balsamspool.plugins.catalog.events import (
+    CATALOG_READ,
+    HISTORY_READ,
+    REFRESH_FAILED,
+)
 from balsamspool.plugins.catalog.source import CatalogSource
 from balsamspool.plugins.catalog.view import CatalogView
 
@@ -22,13 +30,25 @@
     Args:
         source: Reads the catalog where it is published.
         view: What the process knows; it is changed in place.
+        completeness: Learns what the history explains.
     """
 
-    __slots__ = ("_callbacks", "_finished", "_source", "_started", "_view", "_wanted")
+    __slots__ = (
+        "_callbacks",
+        "_completeness",
+        "_finished",
+        "_source",
+        "_started",
+        "_view",
+        "_wanted",
+    )
 
-    def __init__(self, source: CatalogSource, view: CatalogView) -> None:
+    def __init__(
+        self, source: CatalogSource, view: CatalogView, completeness: Completeness
+    ) -> None:
         self._source = source
         self._view = view
+        self._completeness = completeness
         self._wanted = asyncio.Event()
         self._started = 0.0
         self._finished = 0.0
@@ -64,6 +84,8 @@
         started = now()
         try:
             snapshot = await self._source.read()
+            if not self._completeness.holds(now()):
+                await self._explain(snapshot.revision)
         except ResultError as error:
             REFRESH_FAILED.log(_logger, error=str(error))
             return
@@ -75,3 +97,13 @@
         )
         for callback in self._callbacks:
             callback()
+
+    async def _explain(self, revision: int) -> None:
+        """Look in the history for entries that may have lapsed before the start."""
+        history = await self._source.history(revision)
+        self._completeness.note_history(history)
+        HISTORY_READ.log(
+            _logger,
+            records=len(history.records) if history else None,
+            unexplained=sorted(unexplained_removals(history)) if history else None,
+        )
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -385,10 +385,11 @@
             self._reset_lost(packet, "not-held")
         elif flow.searched is None or not flow.exhaustive:
             self._drop_unknown(packet, returned.hops, "not-all-asked")
-        elif not self._catalog.complete:
-            self._drop_unknown(packet, returned.hops, "catalog-incomplete")
         elif self._is_verified(flow):
-            self._reset_lost(packet, "held-nowhere")
+            if self._catalog.complete:
+                self._reset_lost(packet, "held-nowhere")
+            else:
+                self._drop_unknown(packet, returned.hops, "catalog-incomplete")
         else:
             self._verify(packet, flow)
 
