--- a/balsamspool/plugins/catalog/refresher.py
+++ b/balsamspool/plugins/catalog/refresher.py
@@ -21,7 +21,7 @@
 _logger = logging.getLogger(__name__)
 
 # Calls have a price. Many flows can be decided after one reading.
-PAUSE_SECONDS = 0.5
+PAUSE_SECONDS = 0.15
 
 
 class CatalogRefresher:
