--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -328,9 +328,21 @@
         if outage is not None and time - outage < OUTAGE_MEMORY_SECONDS:
             return True
         ready = self.ready(server.service)
-        missing = sum(1 for s in ready if s.name in self._missing) + 1
+        dropped = self._recently_dropped(server.service, time)
+        missing = sum(1 for s in ready if s.name in self._missing) + 1 + dropped
         # The last backend server is kept too: there is no other to use instead.
-        return missing >= max(1.0, MASS_REMOVAL_SHARE * len(ready))
+        return missing >= max(1.0, MASS_REMOVAL_SHARE * (len(ready) + dropped))
+
+    def _recently_dropped(self, service: str, time: float) -> int:
+        """Return how many backend servers of a service ceased without draining."""
+        since = time - RETURN_SECONDS
+        return sum(
+            1
+            for departed in self._departed.values()
+            if departed.server.service == service
+            and departed.server.state is BackendState.READY
+            and departed.until - DEPARTED_SECONDS >= since
+        )
 
     def _drop(self, name: str, revision: int, time: float) -> None:
         server = self._servers.pop(name)
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -218,6 +218,7 @@
         choices = order_choices(key, servers, self._board, now())
         known = self._flows.get(key)
         if known is not None and packet.attempt:
+            known.service = service_number(target.service)
             self._move(packet, known, choices)
             return
         hosts = tuple(socket.inet_aton(c.server.address) for c in choices)
@@ -355,7 +356,7 @@
             case FlowEnded(key):
                 self._flows.discard(key)
             case PacketReturned() as returned:
-                self._on_returned(returned)
+                self._on_returned(returned, sender[0])
             case _:
                 self._malformed.value += 1
 
@@ -370,7 +371,7 @@
         flow.hosts = (host,)
         flow.confirmed = True
 
-    def _on_returned(self, returned: PacketReturned) -> None:
+    def _on_returned(self, returned: PacketReturned, agent: str) -> None:
         """Decide on a packet whose flow is at none of the hosts that were asked."""
         packet = self._codec.decode(bytes(returned.payload))
         if packet is None:
@@ -379,11 +380,14 @@
         self._came_back.value += 1
         key = packet.flow_from_caller
         flow = self._flows.get(key)
-        if flow is None or returned.skipped:
-            self._drop_unknown(packet, returned.hops, "not-all-asked")
-        elif flow.confirmed:
-            self._reset_lost(packet, "not-held")
-        elif flow.searched is None or not flow.exhaustive:
+        if flow is not None and flow.confirmed:
+            self._on_returned_confirmed(packet, flow, returned, agent)
+        elif (
+            flow is None
+            or returned.skipped
+            or flow.searched is None
+            or not flow.exhaustive
+        ):
             self._drop_unknown(packet, returned.hops, "not-all-asked")
         elif self._is_verified(flow):
             if self._catalog.complete:
@@ -393,6 +397,19 @@
         else:
             self._verify(packet, flow)
 
+    def _on_returned_confirmed(
+        self, packet: Packet, flow: EntryFlow, returned: PacketReturned, agent: str
+    ) -> None:
+        """Decide on a packet of a flow that a host has confirmed."""
+        direct = agent == socket.inet_ntoa(flow.hosts[0]) and returned.hops == 1
+        if not direct:
+            # It was sent before the host was known.
+            self._send(packet, flow.service, flow.hosts, unconfirmed=False)
+        elif returned.skipped:
+            self._drop_unknown(packet, returned.hops, "not-all-asked")
+        else:
+            self._reset_lost(packet, "not-held")
+
     def _is_verified(self, flow: EntryFlow) -> bool:
         """Return whether the list was read between the loss and the last search."""
         refresher = self._catalog.refresher
--- /dev/null
+++ b/tests/test_datagram_agent.py
@@ -0,0 +1,278 @@
+"""Agent of opaque flows: what it passes, hands on, counts and reports."""
+
+import asyncio
+import socket
+from unittest import mock
+
+from balsamspool.datagram._codec import encode_small, forward_head, service_number
+from balsamspool.datagram.messages import (
+    FlowEnded,
+    FlowLocated,
+    Forward,
+    PacketReturned,
+    Report,
+    Subscribe,
+)
+from balsamspool.datagram.settings import DatagramAgentSettings
+from balsamspool.kernel.identity import Role
+from balsamspool.plugins.datagram_agent import DatagramAgentPlugin, plugin
+from tests._clock import PausedClockTestCase
+from tests.datagram_fakes import (
+    ACK,
+    BOUNCED,
+    CALLER,
+    CODEC,
+    FIN,
+    RST,
+    SYN,
+    FakeKernel,
+    FakeSocket,
+    answer,
+    packet,
+)
+
+ENTRY = "10.0.1.1"
+NEXT = "10.0.0.2"
+BACKEND = ("10.0.0.1", 8165)
+SETTINGS = DatagramAgentSettings(
+    address="10.0.0.1:8172",
+    service="portal",
+    backend="10.0.0.1:8165",
+    outbound="10.0.0.1:8162",
+)
+
+
+class AgentTest(PausedClockTestCase):
+    async def asyncSetUp(self):
+        patched = mock.patch.object(plugin, "BatchSocket", FakeSocket)
+        patched.start()
+        self.addCleanup(patched.stop)
+        sections = {"datagram-agent": SETTINGS}
+        self.kernel = FakeKernel(Role.DATAGRAM_AGENT, "10.0.0.1", sections)
+        self.agent = DatagramAgentPlugin(self.kernel)
+        await self.agent.start()
+        self.peers = FakeSocket.opened["10.0.0.1", 7720]
+        self.backend = FakeSocket.opened["10.0.0.1", 8162]
+
+    async def asyncTearDown(self):
+        await self.kernel.stop()
+
+    def forward(self, data, alternatives=(NEXT,), unconfirmed=True, service="portal"):
+        message = Forward(
+            service_number(service),
+            socket.inet_aton(ENTRY),
+            0,
+            unconfirmed,
+            False,
+            tuple(socket.inet_aton(a) for a in alternatives),
+            data,
+        )
+        self.peers.receive(forward_head(message) + data, (ENTRY, 7720))
+
+    def reply(self, data):
+        self.backend.receive(data, BACKEND)
+
+    def give_back(self):
+        """Return the packet that the backend server got last, as it does itself."""
+        data, address = self.backend.take()[-1]
+        self.assertEqual(address, BACKEND)
+        self.reply(bytes((data[0] | BOUNCED,)) + data[1:])
+
+    def open_flow(self):
+        self.forward(packet(SYN))
+        self.reply(answer(SYN | ACK))
+        self.forward(packet(ACK, b"request"))
+        self.reply(answer(ACK, b"answer"))
+        self.peers.take()
+        self.backend.take()
+
+    async def test_packets_pass_unchanged_both_ways(self):
+        """Guards against a packet that its receiver takes for forged."""
+        self.forward(packet(SYN, ack=1))
+        data, _ = self.backend.take()[0]
+        self.assertEqual(data[:27], packet(SYN, ack=1)[:27])
+        sent = answer(SYN | ACK, seq=99)
+        self.reply(sent)
+        self.assertEqual(self.peers.take(), [(sent, (CALLER[0], 8172))])
+
+    async def test_the_entry_is_told_once_who_holds_a_flow(self):
+        """Guards against an entry that searches for each packet."""
+        self.forward(packet(SYN))
+        self.reply(answer(SYN | ACK))
+        self.forward(packet(ACK, b"request"))
+        self.peers.take()
+        self.reply(answer(ACK, b"answer"))
+        self.reply(answer(ACK, b"more"))
+        told = [m for m, a in self.peers.take_messages() if a == ENTRY]
+        key = CODEC.decode(packet(ACK)).flow_from_caller
+        self.assertEqual(told, [FlowLocated(key)])
+
+    async def test_a_refused_opening_goes_to_the_next_host_at_once(self):
+        """Guards against a caller that waits for its next copy."""
+        self.forward(packet(SYN))
+        self.give_back()
+        ((passed, address),) = self.peers.take_forwards()
+        self.assertEqual((address, passed.hops), (NEXT, 1))
+        self.assertEqual(passed.alternatives, ())
+        self.assertEqual(bytes(passed.payload), packet(SYN))
+
+    async def test_an_unanswered_opening_goes_to_the_next_host(self):
+        """Guards against a dead backend server that costs 200 ms a flow."""
+        self.forward(packet(SYN))
+        await asyncio.sleep(0.1)
+        ((_, address),) = self.peers.take_forwards()
+        self.assertEqual(address, NEXT)
+
+    async def test_a_short_flow_is_not_opened_twice(self):
+        """Guards against a second host for a flow that ended at once (quiet-1)."""
+        self.open_flow()
+        self.forward(packet(FIN | ACK))
+        self.reply(answer(FIN | ACK))
+        self.forward(packet(ACK))
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.peers.take_forwards(), [])
+        self.assertEqual(self.agent.status()["flows"], 0)
+
+    async def test_the_port_of_an_ended_flow_can_be_used_again(self):
+        """Guards against a new flow that is taken for the late rest of an old one."""
+        self.open_flow()
+        self.forward(packet(FIN | ACK))
+        self.reply(answer(FIN | ACK))
+        self.forward(packet(SYN, seq=500))
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(self.peers.take_forwards()), 1)
+
+    async def test_after_a_silent_opening_the_flow_goes_where_it_was_passed(self):
+        """Guards against packets that are sent into a dead backend server."""
+        self.forward(packet(SYN))
+        await asyncio.sleep(0.1)
+        self.peers.take()
+        self.forward(packet(ACK, b"request"))
+        ((_, address),) = self.peers.take_forwards()
+        self.assertEqual(address, NEXT)
+
+    async def test_a_silent_backend_server_is_reported_and_passed_over(self):
+        """Guards against each new flow that waits for a dead backend server."""
+        for port in (1, 2):
+            self.forward(packet(SYN, source=("100.64.0.9", port)))
+            await asyncio.sleep(0.1)
+        self.assertFalse(self.agent.status()["responsive"])
+        self.peers.take()
+        self.forward(packet(SYN, source=("100.64.0.9", 3)))
+        self.assertEqual(len(self.peers.take_forwards()), 1)
+        # It is also delivered, so that a return is noticed.
+        self.reply(answer(SYN | ACK, caller=("100.64.0.9", 3)))
+        self.assertTrue(self.agent.status()["responsive"])
+
+    async def test_a_flow_that_the_backend_server_lost_is_reset(self):
+        """Guards against a caller that waits for a server that started again."""
+        self.open_flow()
+        self.forward(packet(ACK, b"request", ack=77))
+        self.give_back()
+        sent = self.peers.take()
+        reset = CODEC.reset(CODEC.decode(packet(ACK, b"request", ack=77)))
+        self.assertIn((reset, (CALLER[0], 8172)), sent)
+        key = CODEC.decode(packet(ACK)).flow_from_caller
+        told = (encode_small(FlowEnded(key)), (ENTRY, 7720))
+        self.assertIn(told, sent)
+
+    async def test_a_flow_that_was_never_held_here_is_not_reset(self):
+        """Guards against a reset of a flow that is open at another host."""
+        self.forward(packet(ACK, b"request"))
+        self.give_back()
+        ((passed, address),) = self.peers.take_forwards()
+        self.assertEqual(address, NEXT)
+        self.assertFalse(passed.skipped)
+
+    async def test_the_end_of_the_chain_goes_back_to_the_entry(self):
+        """Guards against packets that vanish at the last host."""
+        self.forward(packet(ACK, b"request"), alternatives=())
+        self.give_back()
+        ((message, address),) = self.peers.take_messages()
+        self.assertEqual(address, ENTRY)
+        self.assertEqual(message, PacketReturned(1, False, packet(ACK, b"request")))
+
+    async def test_a_packet_of_another_service_is_not_delivered(self):
+        """Guards against a portal packet that reaches records on a reused address."""
+        self.forward(packet(SYN), service="records")
+        self.forward(packet(ACK, b"request"), service="records")
+        self.assertEqual(self.backend.take(), [])
+        self.assertEqual([a for _, a in self.peers.take_forwards()], [NEXT, NEXT])
+
+    async def test_a_chain_that_passed_over_a_silent_host_says_so(self):
+        """Guards against a reset of a flow that a silent host may hold."""
+        for port in (1, 2):
+            self.forward(packet(SYN, source=("100.64.0.9", port)))
+            await asyncio.sleep(0.1)
+        self.peers.take()
+        self.forward(packet(ACK, b"request"), alternatives=())
+        ((message, _),) = self.peers.take_messages()
+        self.assertTrue(message.skipped)
+
+    async def test_hops_are_bounded(self):
+        """Guards against a packet that circles between agents."""
+        message = Forward(
+            service_number("portal"),
+            bytes(4),
+            plugin.MAX_HOPS,
+            True,
+            False,
+            (socket.inet_aton(NEXT),),
+            packet(ACK, b"x"),
+        )
+        self.peers.receive(forward_head(message) + packet(ACK, b"x"), (ENTRY, 7720))
+        self.give_back()
+        ((message, _),) = self.peers.take_messages()
+        self.assertIsInstance(message, PacketReturned)
+
+    async def test_work_is_counted_from_request_to_answer(self):
+        """Guards against a load that entries cannot trust."""
+        self.open_flow()
+        self.forward(packet(ACK, b"one"))
+        self.forward(packet(ACK, b"two"))
+        self.assertEqual(self.agent.status()["in_work"], 1)
+        self.reply(answer(ACK))
+        self.assertEqual(self.agent.status()["in_work"], 1)
+        self.reply(answer(ACK, b"answer"))
+        self.assertEqual(self.agent.status()["in_work"], 0)
+        self.forward(packet(ACK, b"three"))
+        self.forward(packet(RST))
+        self.reply(answer(RST))
+        self.assertEqual(self.agent.status()["in_work"], 0)
+
+    async def test_reports_go_to_subscribers_until_their_lease_ends(self):
+        """Guards against reports for entries that are gone."""
+        lease = encode_small(Subscribe(1.0))
+        self.peers.receive(lease, (ENTRY, 7720))
+        await asyncio.sleep(0.95)
+        reports = self.peers.take_messages()
+        self.assertGreaterEqual(len(reports), 9)
+        self.assertIsInstance(reports[0][0], Report)
+        await asyncio.sleep(0.5)
+        self.peers.take()
+        await asyncio.sleep(1)
+        self.assertEqual(self.peers.take(), [])
+
+    async def test_many_subscribers_share_a_bounded_rate(self):
+        """Guards against control traffic that grows with entries times hosts."""
+        for number in range(200):
+            address = (f"10.1.0.{number}", 7720)
+            self.peers.receive(encode_small(Subscribe(5.0)), address)
+        await asyncio.sleep(0)
+        self.peers.take()
+        await asyncio.sleep(2)
+        self.assertLess(len(self.peers.take()), 2 * plugin_rate())
+
+    async def test_other_datagrams_are_counted_and_dropped(self):
+        """Guards against a stranger's datagram that stops the process."""
+        for data in (b"", b"x", b"\x01", b"\x01\x01", b"\x01\x07" + bytes(40)):
+            self.peers.receive(data, ("203.0.113.9", 1))
+            self.backend.receive(data, BACKEND)
+        values = self.kernel.counters.values()
+        self.assertEqual(values["balsamspool_datagram_malformed"], 10)
+
+
+def plugin_rate():
+    from balsamspool.plugins.datagram_agent.reporter import REPORTS_PER_SECOND
+
+    return REPORTS_PER_SECOND * 1.5
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,132 @@
+"""Where a new flow opens, and where an unknown one is looked for."""
+
+from collections import Counter
+from unittest import TestCase
+
+from balsamspool.placement.load import LoadBoard, LoadReport
+from balsamspool.placement.lookup import LOOKUP_LIMIT, order_lookup
+from balsamspool.placement.opening import CHOICES, order_choices
+from balsamspool.placement.rendezvous import choose_target, rank_equal
+from balsamspool.plugins.catalog.model import Target
+from tests.datagram_fakes import server
+
+KEYS = [n.to_bytes(12, "big") for n in range(400)]
+SERVERS = [server(n) for n in range(1, 8)]
+
+
+def report(in_work=0, mean=0.0, flows=0, responsive=True):
+    return LoadReport(in_work, mean, flows, responsive, period=0.1)
+
+
+def board_of(reports, time=10.0):
+    board = LoadBoard()
+    for found, load in zip(SERVERS, reports, strict=False):
+        board.note(found.address, load, time)
+    return board
+
+
+class OpeningTest(TestCase):
+    def first(self, key, board, time=10.0, servers=SERVERS):
+        return order_choices(key, servers, board, time)[0].server
+
+    def test_flows_spread_without_any_report(self):
+        """Guards against a start at which all flows meet at one host."""
+        counts = Counter(self.first(key, LoadBoard()).name for key in KEYS)
+        self.assertEqual(len(counts), 7)
+        self.assertLess(max(counts.values()), 2 * len(KEYS) / 7)
+
+    def test_the_least_loaded_of_the_first_choices_is_taken(self):
+        """Guards against a flow that waits while its neighbour is idle."""
+        board = board_of([report(in_work=n, mean=n) for n in range(7)])
+        for key in KEYS[:50]:
+            first = rank_equal(key, SERVERS)[:CHOICES]
+            self.assertEqual(self.first(key, board), min(first, key=SERVERS.index))
+
+    def test_a_slow_host_gets_fewer_flows(self):
+        """Guards against hosts of unlike speed that get equal shares."""
+        loads = [report(in_work=2, mean=1.8, flows=20)]
+        loads += [report(in_work=0, mean=0.6, flows=20)] * 6
+        counts = Counter(self.first(key, board_of(loads)).name for key in KEYS)
+        self.assertLess(counts["i-1"], len(KEYS) / 7 / 2)
+
+    def test_flows_placed_since_the_report_count(self):
+        """Guards against a burst that goes to one host between two reports."""
+        board = board_of([report()] * 7)
+        counts = Counter()
+        for key in KEYS[:70]:
+            first = self.first(key, board)
+            board.note_placed(first.address)
+            counts[first.name] += 1
+        self.assertLessEqual(max(counts.values()) - min(counts.values()), 4)
+
+    def test_a_new_host_with_many_flows_is_not_taken_for_idle(self):
+        """Guards against a replaced host that gets all flows until it is slow."""
+        loads = [report(in_work=0, mean=0.0, flows=40)]
+        loads += [report(in_work=0, mean=0.5, flows=10)] * 6
+        key = next(k for k in KEYS if SERVERS[0] in rank_equal(k, SERVERS)[:CHOICES])
+        self.assertNotEqual(self.first(key, board_of(loads)), SERVERS[0])
+
+    def test_silent_and_unresponsive_hosts_come_last(self):
+        """Guards against flows that open at a dead host while others live."""
+        board = board_of([report(responsive=False), *[report()] * 6])
+        board.note(SERVERS[1].address, report(), 5.0)
+        for found in SERVERS[2:]:
+            board.note(found.address, report(), 10.0)
+        for key in KEYS:
+            self.assertNotIn(self.first(key, board), SERVERS[:2])
+
+    def test_the_last_host_is_used_even_if_it_is_silent(self):
+        """Guards against a service that is refused on the word of a lost report."""
+        board = board_of([report(responsive=False)])
+        self.assertEqual(self.first(KEYS[0], board, servers=SERVERS[:1]), SERVERS[0])
+
+    def test_a_host_that_warms_up_costs_more(self):
+        """Guards against cold hosts that get a full share."""
+        cold = server(1, warmup=1.5)
+        board = board_of([report(in_work=1, mean=1.0)] * 2)
+        for key in KEYS[:20]:
+            first = self.first(key, board, servers=[cold, SERVERS[1]])
+            self.assertEqual(first, SERVERS[1])
+
+
+class LoadBoardTest(TestCase):
+    def test_silence_is_measured_against_other_hosts(self):
+        """Guards against a pause of the entry that makes all hosts look dead."""
+        board = board_of([report()] * 3, time=1.0)
+        self.assertFalse(board.silent(SERVERS[0].address))
+        board.note(SERVERS[1].address, report(), 9.0)
+        self.assertTrue(board.silent(SERVERS[0].address))
+        self.assertFalse(board.silent(SERVERS[1].address))
+        self.assertFalse(board.silent("10.9.9.9"))
+
+
+class LookupTest(TestCase):
+    def test_an_open_flow_is_found_by_the_first_choices(self):
+        """Guards against a chain that grows with the number of hosts."""
+        for key in KEYS[:50]:
+            choices = order_choices(key, SERVERS, LoadBoard(), 0.0)
+            found = order_lookup(key, SERVERS, [], LoadBoard())[:CHOICES]
+            self.assertIn(choices[0].server, found)
+
+    def test_hosts_that_report_come_before_silent_and_departed_ones(self):
+        """Guards against a search that ends at a dark host (quiet-1, 9 requests)."""
+        board = board_of([report(responsive=False), *[report()] * 5])
+        departed = [server(90)]
+        for key in KEYS[:50]:
+            found = order_lookup(key, SERVERS, departed, board)
+            self.assertEqual([s.name for s in found[-3:]], ["i-7", "i-1", "i-90"])
+
+    def test_the_chain_is_bounded(self):
+        """Guards against a packet that visits every host of a large service."""
+        many = [server(n) for n in range(1, 60)]
+        self.assertEqual(
+            len(order_lookup(KEYS[0], many, many, LoadBoard())), LOOKUP_LIMIT
+        )
+
+
+class TargetTest(TestCase):
+    def test_targets_share_flows_by_weight(self):
+        """Guards against a split that ignores its weights."""
+        targets = (Target("a", 90), Target("b", 10))
+        counts = Counter(choose_target(key, targets).service for key in KEYS)
+        self.assertAlmostEqual(counts["b"] / len(KEYS), 0.1, delta=0.05)
