--- a/balsamspool/plugins/catalog/follower.py
+++ b/balsamspool/plugins/catalog/follower.py
@@ -22,6 +22,8 @@
 
 FIRST_RETRY_SECONDS = 0.2
 RETRY_LIMIT_SECONDS = 1.0
+# Longest wait of the first call after a failure.
+PROBE_SECONDS = 0.05
 # Changes come in groups; each call has a price, and this is short against every bound.
 GATHER_SECONDS = 0.25
 # After the loss of history all processes read everything at the same moment.
@@ -118,7 +120,9 @@
                 _logger, revision=snapshot.revision, records=len(snapshot.records)
             )
             return
-        changes = await self._source.watch(self._revision, self._wait)
+        # A waiting call does not show whether the service is back.
+        wait = self._wait if self._reachable else PROBE_SECONDS
+        changes = await self._source.watch(self._revision, wait)
         self._note_answer()
         for record in changes.records:
             self._view.apply(record, now())
