Prefer hosts of the entry's own failure domain when loads are alike

Most bytes are downloads of records, whose hosts are idle.

Change: a host of another failure domain has to be better by 0.2 requests for each slot.

--- a/balsamspool/placement/opening.py
+++ b/balsamspool/placement/opening.py
@@ -21,6 +21,9 @@
 INSTANT_SHARE = 0.5
 # Requests in work that a flow is expected to add until the next report.
 PLACED_WORK = 0.5
+# Expected requests for each slot by which a host of another failure domain has to be
+# better. Bytes between failure domains have a price, and a wait costs more.
+DOMAIN_PENALTY = 0.2
 # A backend server that warms up works this much slower.
 WARMUP_FACTOR = 1.6
 
@@ -62,13 +65,18 @@
 
 
 def order_choices(
-    key: bytes, servers: Sequence[Placeable], board: LoadBoard, time: float
+    key: bytes,
+    servers: Sequence[Placeable],
+    board: LoadBoard,
+    time: float,
+    failure_domain: str,
 ) -> list[Choice]:
     """Order the backend servers that may open a flow, the best first.
 
     Args:
         key: Bytes of the flow key.
         servers: Backend servers that take new flows.
+        failure_domain: Failure domain of the entry, and so of its callers.
         board: Latest load of each host.
         time: Event loop time in seconds.
 
@@ -85,7 +93,11 @@
             choices.append(_choice(server, board, flow_work, time, avoided=False))
         if len(choices) == CHOICES:
             break
-    choices.sort(key=lambda choice: choice.cost)
+    choices.sort(
+        key=lambda c: (
+            c.cost + DOMAIN_PENALTY * (c.server.failure_domain != failure_domain)
+        )
+    )
     return [*choices, *avoided][:CHOICES]
 
 
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -120,6 +120,7 @@
         self._caller_address = split_endpoint(settings.address)
         self._caller_port = split_endpoint(settings.address)[1]
         self._peer_address = (identity.address, identity.data_port)
+        self._failure_domain = identity.failure_domain
         self._origin = socket.inet_aton(identity.address)
         self._codec = kernel.plugin(PacketCodec)
         self._catalog = kernel.plugin(CatalogPlugin)
@@ -215,7 +216,7 @@
         if not servers:
             self._reject(packet, "no-host")
             return
-        choices = order_choices(key, servers, self._board, now())
+        choices = order_choices(key, servers, self._board, now(), self._failure_domain)
         known = self._flows.get(key)
         if known is not None and packet.attempt:
             known.service = service_number(target.service)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -27,7 +27,7 @@
 
 class OpeningTest(TestCase):
     def first(self, key, board, time=10.0, servers=SERVERS):
-        return order_choices(key, servers, board, time)[0].server
+        return order_choices(key, servers, board, time, "z")[0].server
 
     def test_flows_spread_without_any_report(self):
         """Guards against a start at which all flows meet at one host."""
@@ -89,6 +89,27 @@
             self.assertEqual(first, SERVERS[1])
 
 
+class FailureDomainTest(TestCase):
+    SERVERS = [server(n, failure_domain="ab"[n % 2]) for n in range(1, 5)]
+
+    def own_share(self, loads):
+        board = LoadBoard()
+        for found in self.SERVERS:
+            board.note(found.address, loads[found.failure_domain], 10.0)
+        choices = [order_choices(k, self.SERVERS, board, 10.0, "a")[0] for k in KEYS]
+        own = [c for c in choices if c.server.failure_domain == "a"]
+        return len(own) / len(KEYS)
+
+    def test_an_idle_host_of_the_own_domain_is_preferred(self):
+        """Guards against bytes between failure domains that serve nobody."""
+        self.assertEqual(self.own_share({"a": report(), "b": report()}), 1.0)
+
+    def test_a_busy_domain_spills_over(self):
+        """Guards against callers that wait beside an idle neighbour domain."""
+        loads = {"a": report(in_work=2, mean=1.5), "b": report()}
+        self.assertEqual(self.own_share(loads), 0.0)
+
+
 class LoadBoardTest(TestCase):
     def test_silence_is_measured_against_other_hosts(self):
         """Guards against a pause of the entry that makes all hosts look dead."""
@@ -104,7 +125,7 @@
     def test_an_open_flow_is_found_by_the_first_choices(self):
         """Guards against a chain that grows with the number of hosts."""
         for key in KEYS[:50]:
-            choices = order_choices(key, SERVERS, LoadBoard(), 0.0)
+            choices = order_choices(key, SERVERS, LoadBoard(), 0.0, "z")
             found = order_lookup(key, SERVERS, [], LoadBoard())[:CHOICES]
             self.assertIn(choices[0].server, found)
 
