--- a/balsamspool/plugins/catalog/plugin.py
+++ b/balsamspool/plugins/catalog/plugin.py
@@ -31,7 +31,7 @@
             time after which a silent connection is noticed.
     """
 
-    watch_seconds: Annotated[float, Meta(gt=0, le=30)] = 2.5
+    watch_seconds: Annotated[float, Meta(gt=0, le=30)] = 10.0
 
 
 @register(
