--- /dev/null
+++ b/standins/packet_fleet.py
@@ -0,0 +1,313 @@
+"""Runs entries and agents of opaque flows as processes, between the stand-ins.
+
+Each machine of the platform is a loopback address, so that all of them can use the same
+ports.
+"""
+
+import asyncio
+import os
+import sys
+from asyncio.subprocess import Process
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from itertools import count
+from pathlib import Path
+from signal import SIGKILL, SIGTERM
+
+import msgspec
+from aiohttp import ClientError, ClientSession, ClientTimeout, web
+
+from standins.packet_caller import CallerSocket
+from standins.packet_server import PacketServer
+from standins.packets import Endpoint
+from standins.store import StoreStandIn
+
+ROOT = Path(__file__).resolve().parent.parent
+PROGRAM = ROOT / "platform" / "main.py"
+DATAGRAM_PORT, READY_PORT, OUTBOUND_PORT, APP_PORT, STORE_PORT = (
+    8172,
+    8167,
+    8162,
+    8165,
+    8169,
+)
+INTERNAL_PORTS = (7720, 7735)
+ADMIN_PORT = 9464
+READY_PATH = "/-/ready"
+PROBE_SECONDS = 0.5
+MISSED_PROBES = 2
+START_SECONDS = 20.0
+STOP_SECONDS = 8.0
+
+
+@dataclass(slots=True)
+class Machine:
+    """An address with one of the product's processes.
+
+    Attributes:
+        name: Name of the instance.
+        role: ``entry`` or ``agent``.
+        address: IPv4 address.
+        service: Name of the service, agents only.
+        server: The backend server, agents only.
+        server_name: Name under which the backend server is listed.
+        process: The running process.
+        ready: Whether the fabric has it in rotation.
+        misses: Probes that were missed in a row.
+    """
+
+    name: str
+    role: str
+    address: str
+    service: str = ""
+    server: PacketServer | None = None
+    server_name: str = ""
+    process: Process | None = None
+    ready: bool = False
+    misses: int = 0
+
+
+@dataclass(slots=True)
+class PacketFleet:
+    """Store, fabric, callers, backend servers and the product's processes.
+
+    Attributes:
+        directory: Directory for settings and logs.
+        store: The store.
+        entries: Machines with an entry.
+        agents: Machines with an agent and a backend server.
+        runs: Service, caller's endpoint and data of each request that was run.
+    """
+
+    directory: Path
+    store: StoreStandIn = field(default_factory=StoreStandIn)
+    entries: list[Machine] = field(default_factory=list)
+    agents: list[Machine] = field(default_factory=list)
+    runs: list[tuple[str, Endpoint, bytes]] = field(default_factory=list)
+    _numbers: Callable[[], int] = field(default=count(1).__next__)
+    _version: int = 1
+
+    @property
+    def network(self) -> str:
+        """First two octets of all addresses, different in each process."""
+        return f"127.{64 + os.getpid() % 128}"
+
+    def service_address(self, number: int) -> Endpoint:
+        """Return the address of a route."""
+        return f"198.18.0.{number}", 443
+
+    def entry_for(self, source: Endpoint, destination: Endpoint) -> Endpoint:
+        """Return the entry to which the fabric sends a flow's packets now."""
+        alive = [entry for entry in self.entries if entry.ready] or self.entries
+        chosen = alive[hash((source, destination)) % len(alive)]
+        return chosen.address, DATAGRAM_PORT
+
+    def caller(self, number: int) -> CallerSocket:
+        """Return the socket of a caller."""
+        address = (f"{self.network}.9.{number}", DATAGRAM_PORT)
+        return CallerSocket(address, self.entry_for)
+
+    async def publish_routes(self, services: dict[int, str]) -> int:
+        """Publish a configuration with a route for each service.
+
+        Args:
+            services: Names of services by the number of their route's address.
+
+        Returns:
+            The version.
+        """
+        self._version += 3
+        routes = [
+            {
+                "name": f"r-{number}",
+                "host": self.service_address(number)[0],
+                "prefix": f"/{self.service_address(number)[1]}/",
+                "kind": "unsafe",
+                "timeout-ms": 1200,
+                "goal-ms": 200,
+                "priority": 1,
+                "service": service,
+                "attempts": 2,
+            }
+            for number, service in services.items()
+        ]
+        limits = {"idle-timeout-ms": 15_000}
+        document = {"version": self._version, "routes": routes, "limits": limits}
+        await self.store.put("op/config", document | {"services": []})
+        return self._version
+
+    async def add_entry(self) -> Machine:
+        """Start an entry."""
+        number = self._numbers()
+        address = f"{self.network}.0.{10 + number}"
+        machine = Machine(f"entry-{number}", "entry", address)
+        await self.start(machine)
+        self.entries.append(machine)
+        return machine
+
+    async def add_host(self, service: str, work: float = 0.01) -> Machine:
+        """Start a backend server and its agent, and list the backend server."""
+        number = self._numbers()
+        address = f"{self.network}.1.{10 + number}"
+        machine = Machine(f"{service}-{number}", "agent", address, service)
+        machine.server = PacketServer(
+            service,
+            (address, APP_PORT),
+            (address, OUTBOUND_PORT),
+            work,
+            lambda *run: self.runs.append(run),
+        )
+        machine.server_name = f"i-{number}"
+        await machine.server.start()
+        await self.start(machine)
+        self.agents.append(machine)
+        await self.list_server(machine, "ready")
+        return machine
+
+    async def list_server(self, machine: Machine, state: str | None) -> None:
+        """Write the entry of a backend server, or remove it if the state is None."""
+        entry = {
+            "service": machine.service,
+            "addr": f"{machine.address}:{APP_PORT}",
+            "zone": "hall-a",
+            "version": "v1",
+            "concurrency": 2,
+            "state": state,
+            "warmup-left-ms": 0,
+            "seq": 1,
+            "born": 1_700_000_000_000,
+        }
+        key = f"servers/{machine.server_name}"
+        await self.store.put(key, entry if state else None)
+
+    async def start(self, machine: Machine) -> None:
+        """Start the product's process on a machine."""
+        settings = self.directory / f"{machine.name}.json"
+        settings.write_bytes(msgspec.json.encode(self._settings(machine)))
+        path = self.directory / f"{machine.name}.log"
+        log = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
+        try:
+            machine.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(PROGRAM),
+                machine.role,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "BALSAMSPOOL_CONFIG": str(settings)},
+            )
+        finally:
+            os.close(log)
+
+    async def stop(self, machine: Machine, number: int = SIGTERM) -> None:
+        """End the product's process on a machine."""
+        process = machine.process
+        if process is None or process.returncode is not None:
+            return
+        process.send_signal(number)
+        try:
+            await asyncio.wait_for(process.wait(), STOP_SECONDS)
+        except TimeoutError:
+            process.send_signal(SIGKILL)
+            await process.wait()
+
+    async def wait_ready(self, *machines: Machine) -> None:
+        """Wait until processes answer their readiness probe with 200.
+
+        Raises:
+            TimeoutError: If one of them does not.
+        """
+        async with asyncio.timeout(START_SECONDS), ClientSession() as session:
+            for machine in machines:
+                await self._wait_answer(session, machine)
+                machine.ready = True
+
+    async def probe_entries(self) -> None:
+        """Take entries into and out of rotation, as the fabric does."""
+        async with ClientSession() as session:
+            while True:
+                for entry in self.entries:
+                    answered = await self._probe(session, entry)
+                    entry.misses = 0 if answered else entry.misses + 1
+                    entry.ready = entry.misses < MISSED_PROBES
+                await asyncio.sleep(PROBE_SECONDS)
+
+    async def _wait_answer(self, session: ClientSession, machine: Machine) -> None:
+        while True:
+            if await self._probe(session, machine):
+                return
+            await asyncio.sleep(0.02)
+
+    async def _probe(self, session: ClientSession, machine: Machine) -> bool:
+        url = f"http://{machine.address}:{READY_PORT}{READY_PATH}"
+        try:
+            async with session.get(url, timeout=ClientTimeout(total=0.4)) as answer:
+                return answer.status == 200
+        except (ClientError, TimeoutError, OSError):
+            return False
+
+    def _settings(self, machine: Machine) -> dict[str, object]:
+        sections: dict[str, object] = {
+            "process": {
+                "instance": machine.name,
+                "failure_domain": "hall-a",
+                "address": machine.address,
+                "data_port": INTERNAL_PORTS[0],
+                "peer_port": INTERNAL_PORTS[1],
+                "admin_port": ADMIN_PORT,
+            },
+            "admin": {
+                "ready_address": f"{machine.address}:{READY_PORT}",
+                "ready_path": READY_PATH,
+            },
+        }
+        datagrams = f"{machine.address}:{DATAGRAM_PORT}"
+        if machine.role == "entry":
+            sections["catalog-source"] = {"address": f"{self.network}.0.1:{STORE_PORT}"}
+            sections["datagram-entry"] = {"address": datagrams}
+        else:
+            sections["datagram-agent"] = {
+                "address": datagrams,
+                "service": machine.service,
+                "backend": f"{machine.address}:{APP_PORT}",
+                "outbound": f"{machine.address}:{OUTBOUND_PORT}",
+            }
+        return sections
+
+
+@asynccontextmanager
+async def run_packet_fleet(
+    directory: Path, services: dict[int, str], hosts: int, entries: int
+) -> AsyncIterator[PacketFleet]:
+    """Run a fleet until the block ends; stop all its processes.
+
+    Args:
+        directory: Directory for settings and logs.
+        services: Names of services by the number of their route's address.
+        hosts: Hosts of each service.
+        entries: Number of entries.
+    """
+    fleet = PacketFleet(directory)
+    runner = web.AppRunner(fleet.store.application(), access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, f"{fleet.network}.0.1", STORE_PORT).start()
+    await fleet.publish_routes(services)
+    probes: asyncio.Task[None] | None = None
+    try:
+        for service in services.values():
+            for _ in range(hosts):
+                await fleet.add_host(service)
+        for _ in range(entries):
+            await fleet.add_entry()
+        await fleet.wait_ready(*fleet.agents, *fleet.entries)
+        probes = asyncio.create_task(fleet.probe_entries())
+        yield fleet
+    finally:
+        if probes is not None:
+            probes.cancel()
+        machines = [*fleet.entries, *fleet.agents]
+        await asyncio.gather(*(fleet.stop(machine) for machine in machines))
+        for agent in fleet.agents:
+            if agent.server is not None:
+                agent.server.close()
+        await runner.cleanup()
