--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -11,6 +11,7 @@
 from balsamspool.commands.status import status
 from balsamspool.commands.wait import wait
 from balsamspool.plugins.configuration.digest import text_digest
+from demo.opaque_flows import run_opaque_flows
 from demo.process_fleet import ProcessFleet
 from demo.workload import Callers
 from standins.fleet import Host, ServicePlan
@@ -171,6 +172,8 @@
     for user in (KLOOFRAND, KITAKYUSHU):
         with tempfile.TemporaryDirectory(prefix="balsamspool-demo-") as folder:
             problems += await run_user(user, Path(folder))
+    with tempfile.TemporaryDirectory(prefix="balsamspool-demo-") as folder:
+        problems += await run_opaque_flows(Path(folder))
     for problem in problems[:20]:
         print_line(f"wrong: {problem}")
     print_line(f"\n{'failed' if problems else 'passed'}: {len(problems)} wrong results")
