Hold packets until the first catalog and repeat lost searches

Entries were back at 34.96 s, their catalog and the agents up to 0.1 s later; 84 packets of open flows met an entry without routes or an agent that was not there and were lost. The next retransmission of their callers came 0.4 to 1.6 s later; 73 requests failed.

Change: packets wait for the first catalog (1,024 at most), and a search that neither found a host nor came back is repeated after 0.1, 0.25 and 0.5 s.

Ruled out: a later readiness; the fabric uses all entries of a failure domain when too few are ready.

--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -69,6 +69,11 @@
 MAX_ALTERNATIVES = 12
 # Flows that wait for another reading of the catalog.
 MAX_MISSING = 4_096
+# Packets that wait for the first catalog.
+MAX_HELD = 1_024
+# An agent that just started may have missed a search, and callers wait ever longer
+# between their own retransmissions.
+SEARCH_RETRY_SECONDS = (0.1, 0.15, 0.25)
 # A stopping entry goes on while callers send packets, at most for so long. The fabric
 # takes it out of rotation after two missed probes.
 LINGER_SECONDS = 2.5
@@ -134,6 +139,8 @@
         self._gone: set[str] = set()
         # Packets of flows that wait for another reading of the catalog.
         self._missing: dict[bytes, Packet] = {}
+        # Packets that wait for the first catalog.
+        self._held: list[Packet] = []
         self._catalog.view.subscribe(self._on_catalog)
         self._catalog.refresher.subscribe(self._search_missing)
         counters = kernel.counters
@@ -145,6 +152,7 @@
         self._forwarded = counters.counter(packets, text, "forwarded")
         self._placed = counters.counter(packets, text, "placed")
         self._searched = counters.counter(packets, text, "searched")
+        self._retried = counters.counter(packets, text, "search-retried")
         self._came_back = counters.counter(packets, text, "returned-by-agent")
         self._unknown = counters.counter(packets, text, "unknown-flow")
         self._rejected = counters.counter(packets, text, "rejected")
@@ -187,6 +195,9 @@
         listed = {server.address for server in view.servers}
         self._gone = {server.address for server in view.gone} - listed
         self._servers_changed.set()
+        if self._held and view.table is not None:
+            # The other records of the same reading are taken over first.
+            asyncio.get_running_loop().call_soon(self._release)
 
     def _on_caller(self, data: bytes, sender: Address) -> None:
         packet = self._codec.decode(data)
@@ -194,6 +205,25 @@
             self._malformed.value += 1
             return
         self._last_packet = now()
+        if self._catalog.view.table is None:
+            self._hold(packet)
+        else:
+            self._handle(packet)
+
+    def _hold(self, packet: Packet) -> None:
+        """Keep a packet until the first catalog, which a caller would send too late."""
+        if len(self._held) < MAX_HELD:
+            self._held.append(packet)
+        else:
+            self._ignored.value += 1
+
+    def _release(self) -> None:
+        """Handle the packets that waited for the first catalog."""
+        held, self._held = self._held, []
+        for packet in held:
+            self._handle(packet)
+
+    def _handle(self, packet: Packet) -> None:
         if packet.opens:
             self._on_opening(packet)
             return
@@ -278,8 +308,24 @@
         self._searched.value += 1
         self._flows.put(key, flow)
         self._send(packet, number, hosts, unconfirmed=True)
+        self._schedule_retry(packet, flow, 0)
         FLOW_SEARCHED.log(_logger, flow=flow_id(key), hosts=[s.name for s in found[:4]])
 
+    def _schedule_retry(self, packet: Packet, flow: EntryFlow, retries: int) -> None:
+        if retries < len(SEARCH_RETRY_SECONDS):
+            delay = SEARCH_RETRY_SECONDS[retries]
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, self._retry, packet, flow, retries + 1)
+
+    def _retry(self, packet: Packet, flow: EntryFlow, retries: int) -> None:
+        """Send a packet again whose search ended neither at a host nor here."""
+        known = self._flows.get(packet.flow_from_caller)
+        if known is not flow or flow.confirmed or flow.missing_since is not None:
+            return
+        self._retried.value += 1
+        self._send(packet, flow.service, flow.hosts, unconfirmed=True)
+        self._schedule_retry(packet, flow, retries)
+
     def _is_gone(self, host: bytes) -> bool:
         """Return whether the host was removed from the catalog and is silent."""
         address = socket.inet_ntoa(host)
--- a/tests/test_datagram_entry.py
+++ b/tests/test_datagram_entry.py
@@ -165,6 +165,44 @@
         message, address = self.forwarded()
         self.assertEqual((address, message.alternatives), ("10.0.0.4", ()))
 
+    async def test_a_search_that_is_lost_is_tried_again(self):
+        """Guards against callers that wait because an agent had not started yet."""
+        self.receive(DATA)
+        self.forwarded()
+        await asyncio.sleep(0.12)
+        message, _ = self.forwarded()
+        self.assertEqual(bytes(message.payload), DATA)
+        self.peers.receive(encode_small(FlowLocated(KEY)), ("10.0.0.4", 7720))
+        await asyncio.sleep(1)
+        self.assertEqual(self.peers.take_forwards(), [])
+
+    async def test_a_search_is_tried_again_only_a_few_times(self):
+        """Guards against packets that circle for ever."""
+        self.receive(DATA)
+        await asyncio.sleep(3)
+        self.assertEqual(len(self.peers.take_forwards()), 4)
+
+    async def test_packets_wait_for_the_first_catalog(self):
+        """Guards against packets that are lost while an entry starts (inc-6274)."""
+        source = FakeSource()
+        source.failure = ResultError(CATALOG_UNAVAILABLE, "503")
+        self.kernel.known = [source]
+        catalog = CatalogPlugin(self.kernel)
+        self.kernel.known.append(catalog)
+        entry = DatagramEntryPlugin(self.kernel)
+        await catalog.start()
+        await entry.start()
+        callers = FakeSocket.opened["10.0.1.1", 8172]
+        peers = FakeSocket.opened["10.0.1.1", 7720]
+        callers.receive(packet(SYN), CALLER)
+        callers.receive(packet(ACK, b"x", source=("100.64.0.9", 5)), CALLER)
+        await asyncio.sleep(0.3)
+        self.assertEqual(peers.take_forwards(), [])
+        source.records = self.source.records
+        source.failure = None
+        await asyncio.sleep(0.3)
+        self.assertGreaterEqual(len(peers.take_forwards()), 2)
+
     async def test_a_flow_that_no_host_holds_is_reset_after_another_reading(self):
         """Guards against callers that wait for hosts that lost power (trouble-1)."""
         self.receive(DATA)
