Split the datagram entry, notice changed settings, measure packets and flows

Change: flow, forwarder and search are modules of their own; the settings file is looked at every 2 s; a reset confirms nothing (the test failed before); benchmarks.opaque_flows.

--- a/balsamspool/datagram/packet.py
+++ b/balsamspool/datagram/packet.py
@@ -98,6 +98,11 @@
     return int.from_bytes(endpoint[4:6], "big")
 
 
+def service_endpoint(packet: Packet) -> tuple[str, int]:
+    """Return address and port of the route to which a caller sent a packet."""
+    return address_of(packet.destination), port_of(packet.destination)
+
+
 def flow_id(key: bytes) -> str:
     """Return a flow key in the form that logs use."""
     caller, service = key[:6], key[6:]
--- a/balsamspool/kernel/lifecycle.py
+++ b/balsamspool/kernel/lifecycle.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from enum import Enum
 from typing import TYPE_CHECKING, Any, TypeVar, cast
 
@@ -25,6 +25,7 @@
 from balsamspool.kernel.keyring import KeyRing
 from balsamspool.kernel.registry import Plugin, plugins_of
 from balsamspool.kernel.settings import Settings
+from balsamspool.kernel.settings_file import SettingsFile
 
 if TYPE_CHECKING:
     from prometheus_client import CollectorRegistry
@@ -36,6 +37,8 @@
 # A process that did not run for this long may hold an old view of the fleet.
 PAUSE_LIMIT_SECONDS = 1.0
 PAUSE_CHECK_SECONDS = 0.25
+# Nothing that changes without a signal is urgent.
+SETTINGS_CHECK_SECONDS = 2.0
 
 
 class ProcessState(Enum):
@@ -53,18 +56,18 @@
     Args:
         role: Role of the process.
         settings: Checked settings of the process.
-        read_settings: Reads the settings again after a change, None if they are not
-            read again.
+        settings_file: Where the settings are read again after a change, None if they
+            are not read again.
     """
 
     def __init__(
         self,
         role: Role,
         settings: Settings,
-        read_settings: Callable[[], Settings] | None = None,
+        settings_file: SettingsFile | None = None,
     ) -> None:
         self._settings = settings
-        self._read_settings = read_settings
+        self._settings_file = settings_file
         self._identity = Identity.from_settings(role, settings.process)
         self._keyring = KeyRing(settings.process.shared_keys)
         self._metrics: CollectorRegistry | None = None
@@ -169,10 +172,10 @@
 
         Settings that cannot be read or are not valid leave those in force.
         """
-        if self._read_settings is None:
+        if self._settings_file is None:
             return
         try:
-            settings = self._read_settings()
+            settings = self._settings_file.read()
         except ResultError as error:
             SETTINGS_REFUSED.log(_logger, error=str(error))
             return
@@ -210,6 +213,8 @@
         if self._state is ProcessState.STARTING:
             self._state = ProcessState.ACCEPTING
         self.spawn(self._watch_pauses(), "pause watch")
+        if self._settings_file is not None:
+            self.spawn(self._watch_settings(self._settings_file), "settings watch")
         PROCESS_STARTED.log(_logger, role=self._identity.role.value)
 
     async def drain(self) -> None:
@@ -239,6 +244,13 @@
         if not self._stop_requested.is_set():
             self.request_stop()
 
+    async def _watch_settings(self, settings_file: SettingsFile) -> None:
+        """Notice changes of the settings file that no signal announces."""
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_SECONDS)
+            if settings_file.changed():
+                self.reload()
+
     async def _watch_pauses(self) -> None:
         last, suspended = now(), suspended_seconds()
         while True:
--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -266,7 +266,8 @@
             if seconds is not None:
                 self._answer_time.observe(seconds)
         flow.server_ended = flow.server_ended or packet.ends or packet.resets
-        if packet.accepts:
+        if packet.accepts or packet.resets:
+            # A backend server also resets a flow that opened at another host.
             return
         flow.held = True
         if flow.unconfirmed:
--- /dev/null
+++ b/balsamspool/plugins/datagram_entry/flow.py
@@ -0,0 +1,26 @@
+"""What an entry knows of a flow."""
+
+from msgspec import Struct
+
+
+class EntryFlow(Struct):
+    """Where a flow is, as far as the entry knows.
+
+    Attributes:
+        service: Number of the service to which it was opened.
+        hosts: Addresses of the agents that may hold it, the likeliest first, 4 octets
+            each.
+        confirmed: Whether the first of them said that it holds the flow.
+        searched: Event loop time in seconds at which the last search for it began,
+            None if none did.
+        exhaustive: Whether that search asks every listed host.
+        missing_since: Event loop time in seconds at which the first search ended
+            without a host, None if none did.
+    """
+
+    service: int
+    hosts: tuple[bytes, ...]
+    confirmed: bool = False
+    searched: float | None = None
+    exhaustive: bool = False
+    missing_since: float | None = None
--- /dev/null
+++ b/balsamspool/plugins/datagram_entry/search.py
@@ -0,0 +1,225 @@
+"""Finds the hosts of flows that an entry does not know, and resets lost flows."""
+
+import asyncio
+import logging
+import socket
+
+from balsamspool.datagram._codec import service_number
+from balsamspool.datagram.events import (
+    FLOW_RESET,
+    FLOW_SEARCHED,
+    FLOW_UNKNOWN,
+)
+from balsamspool.datagram.messages import ANY_SERVICE, PacketReturned
+from balsamspool.datagram.packet import (
+    Packet,
+    PacketCodec,
+    flow_id,
+    service_endpoint,
+)
+from balsamspool.kernel.clock import now
+from balsamspool.kernel.counters import CounterSet
+from balsamspool.kernel.recent import Recent
+from balsamspool.placement.load import LoadBoard
+from balsamspool.placement.lookup import order_lookup
+from balsamspool.plugins.catalog import BackendServer, CatalogPlugin
+from balsamspool.plugins.datagram_entry.flow import EntryFlow
+from balsamspool.plugins.datagram_entry.forwarder import (
+    PACKETS,
+    PACKETS_HELP,
+    Forwarder,
+)
+
+_logger = logging.getLogger(__name__)
+
+# Flows that wait for another reading of the catalog.
+MAX_MISSING = 4_096
+# An agent that just started may have missed a search, and callers wait ever longer
+# between their own retransmissions.
+SEARCH_RETRY_SECONDS = (0.1, 0.15, 0.25)
+
+
+class FlowSearch:
+    """Searches flows along the hosts that may hold them.
+
+    Args:
+        catalog: Published routes and backend servers.
+        board: Latest load of each host.
+        flows: Flows that the entry knows.
+        codec: Layout of packets.
+        forwarder: Sends packets.
+        counters: Where packets are counted.
+    """
+
+    __slots__ = (
+        "_board",
+        "_came_back",
+        "_catalog",
+        "_codec",
+        "_flows",
+        "_forwarder",
+        "_malformed",
+        "_missing",
+        "_resets",
+        "_retried",
+        "_searched",
+        "_unknown",
+    )
+
+    def __init__(
+        self,
+        catalog: CatalogPlugin,
+        board: LoadBoard,
+        flows: Recent[EntryFlow],
+        codec: PacketCodec,
+        forwarder: Forwarder,
+        counters: CounterSet,
+    ) -> None:
+        self._catalog = catalog
+        self._board = board
+        self._flows = flows
+        self._codec = codec
+        self._forwarder = forwarder
+        # Packets of flows that wait for another reading of the catalog.
+        self._missing: dict[bytes, Packet] = {}
+        self._searched = counters.counter(PACKETS, PACKETS_HELP, "searched")
+        self._retried = counters.counter(PACKETS, PACKETS_HELP, "search-retried")
+        self._came_back = counters.counter(PACKETS, PACKETS_HELP, "returned-by-agent")
+        self._unknown = counters.counter(PACKETS, PACKETS_HELP, "unknown-flow")
+        self._resets = counters.counter(PACKETS, PACKETS_HELP, "reset")
+        self._malformed = counters.counter(PACKETS, PACKETS_HELP, "returned-malformed")
+        catalog.refresher.subscribe(self._search_missing)
+
+    def search(self, packet: Packet, missing_since: float | None = None) -> None:
+        """Send a packet of an unknown flow along the hosts that may hold it."""
+        key = packet.flow_from_caller
+        view = self._catalog.view
+        services = view.services_at(*service_endpoint(packet))
+        listed: list[BackendServer] = []
+        departed: list[BackendServer] = []
+        for service in services:
+            listed.extend(view.listed(service))
+            departed.extend(view.departed(service))
+        found = order_lookup(key, listed, departed, self._board)
+        hosts = tuple(dict.fromkeys(socket.inet_aton(s.address) for s in found))
+        if not hosts:
+            self._unknown.value += 1
+            FLOW_UNKNOWN.log(_logger, flow=flow_id(key), services=list(services))
+            return
+        number = service_number(services[0]) if len(services) == 1 else ANY_SERVICE
+        flow = EntryFlow(
+            number,
+            hosts,
+            searched=now(),
+            exhaustive=len(found) >= len(listed),
+            missing_since=missing_since,
+        )
+        self._searched.value += 1
+        self._flows.put(key, flow)
+        self._forwarder.forward(packet, number, hosts, unconfirmed=True)
+        self._schedule_retry(packet, flow, 0)
+        FLOW_SEARCHED.log(_logger, flow=flow_id(key), hosts=[s.name for s in found[:4]])
+
+    def on_returned(self, returned: PacketReturned, agent: str) -> None:
+        """Decide on a packet whose flow is at none of the hosts that were asked."""
+        packet = self._codec.decode(bytes(returned.payload))
+        if packet is None:
+            self._malformed.value += 1
+            return
+        self._came_back.value += 1
+        key = packet.flow_from_caller
+        flow = self._flows.get(key)
+        if flow is not None and flow.confirmed:
+            self._on_returned_confirmed(packet, flow, returned, agent)
+        elif (
+            flow is None
+            or returned.skipped
+            or flow.searched is None
+            or not flow.exhaustive
+        ):
+            self._drop_unknown(packet, returned.hops, "not-all-asked")
+        elif self._is_verified(flow):
+            if self._catalog.complete:
+                self.reset_lost(packet, "held-nowhere")
+            else:
+                self._verify(packet, flow)
+        else:
+            self._verify(packet, flow)
+
+    def reset_lost(self, packet: Packet, reason: str) -> None:
+        """Reset a flow whose host is known to hold it no longer."""
+        key = packet.flow_from_caller
+        self._flows.discard(key)
+        self._missing.pop(key, None)
+        if packet.resets:
+            return
+        self._resets.value += 1
+        self._forwarder.reset(packet)
+        FLOW_RESET.log(
+            _logger,
+            flow=flow_id(key),
+            reason=reason,
+            catalog_age=self._catalog.age,
+            catalog_version=self._catalog.view.version,
+        )
+
+    def _schedule_retry(self, packet: Packet, flow: EntryFlow, retries: int) -> None:
+        if retries < len(SEARCH_RETRY_SECONDS):
+            delay = SEARCH_RETRY_SECONDS[retries]
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, self._retry, packet, flow, retries + 1)
+
+    def _retry(self, packet: Packet, flow: EntryFlow, retries: int) -> None:
+        """Send a packet again whose search ended neither at a host nor here."""
+        known = self._flows.get(packet.flow_from_caller)
+        if known is not flow or flow.confirmed or flow.missing_since is not None:
+            return
+        self._retried.value += 1
+        self._forwarder.forward(packet, flow.service, flow.hosts, unconfirmed=True)
+        self._schedule_retry(packet, flow, retries)
+
+    def _on_returned_confirmed(
+        self, packet: Packet, flow: EntryFlow, returned: PacketReturned, agent: str
+    ) -> None:
+        """Decide on a packet of a flow that a host has confirmed."""
+        direct = agent == socket.inet_ntoa(flow.hosts[0]) and returned.hops == 1
+        if not direct:
+            # It was sent before the host was known.
+            self._forwarder.forward(packet, flow.service, flow.hosts, unconfirmed=False)
+        elif returned.skipped:
+            self._drop_unknown(packet, returned.hops, "not-all-asked")
+        else:
+            self.reset_lost(packet, "not-held")
+
+    def _is_verified(self, flow: EntryFlow) -> bool:
+        """Return whether the list was read between the loss and the last search."""
+        refresher = self._catalog.refresher
+        missing, searched = flow.missing_since, flow.searched
+        if missing is None or searched is None:
+            return False
+        return missing <= refresher.started and refresher.finished <= searched
+
+    def _verify(self, packet: Packet, flow: EntryFlow) -> None:
+        """Read the catalog again, then search once more for the flow."""
+        if flow.missing_since is None:
+            flow.missing_since = now()
+        if len(self._missing) < MAX_MISSING:
+            self._missing[packet.flow_from_caller] = packet
+        self._catalog.refresher.request()
+
+    def _search_missing(self) -> None:
+        """Search again for the flows that were missing before the catalog was read."""
+        missing, self._missing = self._missing, {}
+        for key, packet in missing.items():
+            flow = self._flows.get(key)
+            if flow is not None and not flow.confirmed:
+                self.search(packet, flow.missing_since)
+
+    def _drop_unknown(self, packet: Packet, hops: int, reason: str) -> None:
+        key = packet.flow_from_caller
+        flow = self._flows.get(key)
+        # The next packet begins another search, unless a host is known.
+        if flow is None or not flow.confirmed:
+            self._flows.discard(key)
+        self._unknown.value += 1
+        FLOW_UNKNOWN.log(_logger, flow=flow_id(key), hops=hops, reason=reason)
--- a/balsamspool/programs/_runner.py
+++ b/balsamspool/programs/_runner.py
@@ -27,6 +27,7 @@
     Settings,
     read_settings,
 )
+from balsamspool.kernel.settings_file import SettingsFile  # noqa: E402
 
 EXIT_INVALID = 2
 EXIT_FAILED = 1
@@ -98,11 +99,9 @@
 
 
 async def _serve(program: Program, path: str, settings: Settings) -> int:
-    def read_again() -> Settings:
-        return load_settings(program, path)
-
+    settings_file = SettingsFile(path, lambda found: load_settings(program, found))
     try:
-        return await Kernel(program.role, settings, read_again).run()
+        return await Kernel(program.role, settings, settings_file).run()
     except (ResultError, OSError) as error:
         _logger.exception("%d %s", START_FAILED.number, error)
         return EXIT_FAILED
--- /dev/null
+++ b/benchmarks/opaque_flows.py
@@ -0,0 +1,154 @@
+"""Processor time for each packet and memory for each opaque flow, in entry and agent.
+
+Decisions, tables and codecs are the real ones; a few fakes take the place of sockets.
+"""
+
+import asyncio
+import gc
+import logging
+import resource
+from time import process_time
+from unittest import mock
+
+from fire import Fire
+
+from balsamspool.commands.output import print_table
+from balsamspool.datagram._codec import encode_small
+from balsamspool.datagram.messages import FlowLocated
+from balsamspool.datagram.settings import DatagramAgentSettings, DatagramSettings
+from balsamspool.kernel.identity import Role
+from balsamspool.plugins.catalog import CatalogPlugin
+from balsamspool.plugins.catalog.plugin import CatalogSettings
+from balsamspool.plugins.datagram_agent import DatagramAgentPlugin
+from balsamspool.plugins.datagram_agent import plugin as agent_plugin
+from balsamspool.plugins.datagram_entry import DatagramEntryPlugin
+from balsamspool.plugins.datagram_entry import plugin as entry_plugin
+from tests.datagram_fakes import (
+    ACK,
+    CALLER,
+    CODEC,
+    SYN,
+    FakeKernel,
+    FakeSocket,
+    FakeSource,
+    answer,
+    packet,
+    published,
+    routes,
+    server,
+)
+
+DATA = b"x" * 900
+
+
+def _caller(number: int) -> tuple[str, int]:
+    return f"100.64.{number >> 14 & 255}.{number >> 6 & 255}", 1_024 + number % 60_000
+
+
+def _megabytes() -> float:
+    gc.collect()
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+
+
+async def _entry(flows: int, hosts: int) -> list[tuple[str, str, str]]:
+    sections = {
+        "datagram-entry": DatagramSettings(address="10.0.1.1:8172"),
+        "catalog": CatalogSettings(),
+    }
+    kernel = FakeKernel(Role.DATAGRAM_ENTRY, "10.0.1.1", sections)
+    source = FakeSource()
+    servers = [server(n % 250 + 1, name=f"i-{n}") for n in range(hosts)]
+    source.records = [routes(1), *published(2, *servers)]
+    kernel.known.append(source)
+    kernel.known.append(CatalogPlugin(kernel))
+    entry = DatagramEntryPlugin(kernel)
+    await kernel.known[-1].start()
+    await entry.start()
+    await asyncio.sleep(0.1)
+    peers = FakeSocket.opened["10.0.1.1", 7720]
+    callers = FakeSocket.opened["10.0.1.1", 8172]
+    before, started = _megabytes(), process_time()
+    for number in range(flows):
+        callers.receive(packet(SYN, source=_caller(number)), CALLER)
+        peers.sent.clear()
+    opening = process_time() - started
+    memory = _megabytes() - before
+    for number in range(flows):
+        key = CODEC.decode(packet(SYN, source=_caller(number))).flow_from_caller
+        peers.receive(encode_small(FlowLocated(key)), ("10.0.0.1", 7720))
+    datagrams = [packet(ACK, DATA, source=_caller(n)) for n in range(flows)]
+    started = process_time()
+    for datagram in datagrams:
+        callers.receive(datagram, CALLER)
+        peers.sent.clear()
+    known = process_time() - started
+    await kernel.stop()
+    return [
+        ("entry, new flow", f"{opening / flows * 1e6:.1f} us", f"{hosts} hosts"),
+        ("entry, known flow", f"{known / flows * 1e6:.1f} us", "a packet"),
+        ("entry, memory", f"{memory / flows * 1e6:.0f} B", "a flow"),
+    ]
+
+
+async def _agent(flows: int) -> list[tuple[str, str, str]]:
+    settings = DatagramAgentSettings(
+        address="10.0.0.1:8172",
+        service="portal",
+        backend="10.0.0.1:8165",
+        outbound="10.0.0.1:8162",
+    )
+    kernel = FakeKernel(Role.DATAGRAM_AGENT, "10.0.0.1", {"datagram-agent": settings})
+    agent = DatagramAgentPlugin(kernel)
+    await agent.start()
+    backend = FakeSocket.opened["10.0.0.1", 8162]
+    peers = FakeSocket.opened["10.0.0.1", 7720]
+    forwards = [_forwarded(packet(ACK, DATA, source=_caller(n))) for n in range(flows)]
+    before, started = _megabytes(), process_time()
+    for forward in forwards:
+        peers.receive(forward, ("10.0.1.1", 7720))
+        backend.sent.clear()
+    inward = process_time() - started
+    memory = _megabytes() - before
+    answers = [answer(ACK, DATA, caller=_caller(n)) for n in range(flows)]
+    started = process_time()
+    for datagram in answers:
+        backend.receive(datagram, ("10.0.0.1", 8165))
+        peers.sent.clear()
+    outward = process_time() - started
+    await kernel.stop()
+    return [
+        ("agent, inward", f"{inward / flows * 1e6:.1f} us", "a packet"),
+        ("agent, outward", f"{outward / flows * 1e6:.1f} us", "a packet"),
+        ("agent, memory", f"{memory / flows * 1e6:.0f} B", "a flow"),
+    ]
+
+
+def _forwarded(data: bytes) -> bytes:
+    from balsamspool.datagram._codec import forward_head, service_number
+    from balsamspool.datagram.messages import Forward
+
+    message = Forward(service_number("portal"), bytes(4), 0, False, False, (), data)
+    return forward_head(message) + data
+
+
+async def _run(flows: int, hosts: int) -> None:
+    logging.disable(logging.CRITICAL)
+    entry_sockets = mock.patch.object(entry_plugin, "BatchSocket", FakeSocket)
+    agent_sockets = mock.patch.object(agent_plugin, "BatchSocket", FakeSocket)
+    with entry_sockets, agent_sockets:
+        rows = await _entry(flows, hosts) + await _agent(flows)
+    print_table(("path", "cost", "for"), rows)
+
+
+def run(flows: int = 60_000, hosts: int = 7) -> None:
+    """Measure and print a table.
+
+    Args:
+        flows: Number of flows.
+        hosts: Hosts of the service.
+    """
+    asyncio.run(_run(flows, hosts))
+
+
+if __name__ == "__main__":
+    Fire(run)
--- a/tests/test_datagram_agent.py
+++ b/tests/test_datagram_agent.py
@@ -107,6 +107,15 @@
         key = CODEC.decode(packet(ACK)).flow_from_caller
         self.assertEqual(told, [FlowLocated(key)])
 
+    async def test_a_reset_does_not_show_that_the_flow_is_held(self):
+        """Guards against an entry that moves a flow to a host that gave it up."""
+        self.forward(packet(SYN))
+        self.reply(answer(SYN | ACK))
+        self.peers.take()
+        self.reply(answer(RST))
+        told = [m for m, a in self.peers.take_messages() if a == ENTRY]
+        self.assertEqual(told, [])
+
     async def test_a_refused_opening_goes_to_the_next_host_at_once(self):
         """Guards against a caller that waits for its next copy."""
         self.forward(packet(SYN))
--- a/tests/test_packet_fleet.py
+++ b/tests/test_packet_fleet.py
@@ -1,6 +1,8 @@
 """Entries and agents of opaque flows as processes, between the platform's stand-ins."""
 
 import asyncio
+import json
+import os
 import resource
 import subprocess
 import sys
@@ -153,6 +155,23 @@
         with self.assertRaisesRegex(FlowBroken, "reset"):
             await self.open_flow(77)
 
+    async def test_changed_settings_are_taken_over_without_a_signal(self):
+        """Guards against settings that hold only after a restart."""
+        entry = self.fleet.entries[1]
+        path = self.fleet.directory / f"{entry.name}.json"
+        settings = json.loads(path.read_text())
+        settings["catalog"]["peers"] = []
+        path.write_text(json.dumps(settings))
+        log = self.fleet.directory / f"{entry.name}.log"
+        async with asyncio.timeout(6):
+            while "settings-reloaded" not in log.read_text():
+                await asyncio.sleep(0.1)
+        path.write_text("not JSON")
+        async with asyncio.timeout(6):
+            while "settings-refused" not in log.read_text():
+                await asyncio.sleep(0.1)
+        await self.ask(await self.open_flow())
+
     async def test_metrics_and_status_are_served(self):
         """Guards against processes that cannot be looked into."""
         await self.ask(await self.open_flow())
@@ -174,6 +193,7 @@
             context = run_packet_fleet(Path(directory), SERVICES, hosts=1, entries=1)
             async with context as fleet:
                 for machine in (fleet.entries[0], fleet.agents[0]):
+                    self.assertEqual(_rings(machine.process.pid), [])
                     megabytes = _resident_megabytes(machine.process.pid)
                     seconds = min(_start_seconds(fleet, machine) for _ in range(5))
                     sys.stderr.write(
@@ -183,6 +203,12 @@
                     self.assertLess(megabytes, MAX_MEGABYTES)
 
 
+def _rings(pid):
+    """Return descriptors of a kind that the platform refuses."""
+    links = [os.readlink(path) for path in Path(f"/proc/{pid}/fd").iterdir()]
+    return [link for link in links if "io_uring" in link]
+
+
 def _resident_megabytes(pid):
     lines = Path(f"/proc/{pid}/status").read_text().splitlines()
     resident = next(line for line in lines if line.startswith("VmRSS"))
