Give a host that a text drained for a while new flows again

Cause: a drained agent says that it leaves. Entries ignored every later signal of the same process and kept that word for ever, so after the end of a drain the host got no new flows.

Change: the end of a drain drops what the host said before, and a host that a text has drained may accept again without a new process, after the time for reordered datagrams.

Also: the lock check covers deploy/requirements.txt.

--- a/balsamspool/plugins/membership/signals.py
+++ b/balsamspool/plugins/membership/signals.py
@@ -57,7 +57,12 @@
         self._signals: dict[Endpoint, _Noted] = {}
 
     def note(
-        self, address: str, data_port: int, signal: Signal, incarnation: bytes = b""
+        self,
+        address: str,
+        data_port: int,
+        signal: Signal,
+        incarnation: bytes = b"",
+        may_return: bool = False,
     ) -> bool:
         """Record a signal of the instance at an address.
 
@@ -66,13 +71,15 @@
             data_port: UDP port of the instance.
             signal: What it said.
             incarnation: Its incarnation, empty if the message did not carry one.
+            may_return: Whether the process may accept again after it was leaving,
+                because the configuration text drained it for a while.
 
         Returns:
             Whether state or load step differ from what was known until now.
         """
         endpoint, time = (address, data_port), now()
         before = self._signals.get(endpoint)
-        if before is not None and _outdated(before, signal, incarnation):
+        if before is not None and _outdated(before, signal, incarnation, may_return):
             return False
         # Moved to the end, so that the first entry is the one not heard of for longest.
         self._signals.pop(endpoint, None)
@@ -110,11 +117,16 @@
         self._signals.pop((address, data_port), None)
 
 
-def _outdated(before: _Noted, signal: Signal, incarnation: bytes) -> bool:
+def _outdated(
+    before: _Noted, signal: Signal, incarnation: bytes, may_return: bool
+) -> bool:
     left = before.signal.state is SignalState.LEAVING
     if not left or signal.state is SignalState.LEAVING:
         return False
     if incarnation and before.incarnation:
-        return incarnation == before.incarnation
+        if incarnation != before.incarnation:
+            return False
+        if not may_return:
+            return True
     # Without an incarnation only time tells a late datagram from a new process.
     return now() - before.at <= REORDER_SECONDS
--- a/balsamspool/plugins/membership/view.py
+++ b/balsamspool/plugins/membership/view.py
@@ -23,7 +23,15 @@
     leaving, is still reached by flows whose token names it.
     """
 
-    __slots__ = ("_board", "_draining", "_gone", "_instances", "_listed", "_versions")
+    __slots__ = (
+        "_board",
+        "_drained",
+        "_draining",
+        "_gone",
+        "_instances",
+        "_listed",
+        "_versions",
+    )
 
     def __init__(self) -> None:
         self._board = SignalBoard()
@@ -33,6 +41,8 @@
         # record is live again, the list speaks of a new process.
         self._gone: set[tuple[str, int]] = set()
         self._draining: frozenset[str] = frozenset()
+        # Instances that a text has drained; they may return without a new process.
+        self._drained: set[str] = set()
         self._versions: dict[str, int] = {}
 
     @property
@@ -42,7 +52,15 @@
 
     def drain(self, hosts: Collection[str]) -> None:
         """Set the instances that the configuration text takes out of use."""
+        ended = self._draining - frozenset(hosts)
         self._draining = frozenset(hosts)
+        self._drained |= self._draining
+        for name in ended:
+            instance = self._instances.get(name)
+            if instance is not None:
+                # Its last word was that it leaves, and without new flows it would get
+                # none that could carry another one.
+                self._board.forget(*instance.endpoint)
 
     def replace(self, instances: dict[str, Instance]) -> None:
         """Take over a newer list.
@@ -70,16 +88,18 @@
         # A signal that is no longer held needs no mark.
         self._gone = {endpoint for endpoint in self._gone if self._has_left(endpoint)}
         self._instances = instances
+        self._drained &= instances.keys() | self._draining
         self._listed = after
 
     def note(
         self, address: str, data_port: int, signal: Signal, incarnation: bytes = b""
     ) -> None:
         """Record what the instance at an address said of itself."""
-        if self._board.note(address, data_port, signal, incarnation):
-            listed = self._listed.get((address, data_port))
-            if listed is not None and listed.service is not None:
-                self._versions[listed.service] = self.version(listed.service) + 1
+        listed = self._listed.get((address, data_port))
+        drained = listed is not None and listed.instance in self._drained
+        changed = self._board.note(address, data_port, signal, incarnation, drained)
+        if changed and listed is not None and listed.service is not None:
+            self._versions[listed.service] = self.version(listed.service) + 1
 
     def version(self, service: str) -> int:
         """Return a counter of the changes that direct signals made to a service.
--- a/scripts/check_lock.py
+++ b/scripts/check_lock.py
@@ -26,6 +26,10 @@
             found.append(f"{requirement.name} is not locked")
         elif not requirement.specifier.contains(pin):
             found.append(f"{requirement} does not admit the locked version {pin}")
+    deployed = (ROOT / "deploy" / "requirements.txt").read_text()
+    for name, pin in PIN.findall(deployed):
+        if pins.get(canonicalize_name(name)) != pin:
+            found.append(f"deploy/requirements.txt: {name} {pin} is not the locked one")
     for name, pin in pins.items():
         try:
             installed = version(name)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -138,6 +138,26 @@
         self.view.note(*HOST, ACCEPTING, b"two")
         self.assertEqual(self.hosts(), ["portal-1"])
 
+    async def test_a_host_that_a_text_drained_for_a_while_gets_work_again(self):
+        """Guards against a service without hosts after the end of a drain (seed 6)."""
+        self.publish(record(1))
+        self.view.drain(["portal-1"])
+        self.view.note(*HOST, LEAVING, b"one")
+        self.view.drain([])
+        self.assertEqual(self.hosts(), ["portal-1"])
+
+    async def test_a_drained_host_that_hears_later_of_its_return_gets_work_again(self):
+        """Guards against a host that stays out because its last word came late."""
+        self.publish(record(1))
+        self.view.drain(["portal-1"])
+        self.view.note(*HOST, LEAVING, b"one")
+        self.view.drain([])
+        self.view.note(*HOST, LEAVING, b"one")
+        self.assertEqual(self.hosts(), [])
+        self.advance(4)
+        self.view.note(*HOST, ACCEPTING, b"one")
+        self.assertEqual(self.hosts(), ["portal-1"])
+
     async def test_late_datagram_without_incarnation(self):
         """Guards against reordering where the message names no incarnation."""
         self.publish(record(1))
