Ask each host on its own if a search is lost

A search asks one host after the other; the next one after side-tobata-4 neither answered nor gave the packet back, and the order was kept for every retransmission, so all of them ended there. Hosts that were removed and dark also ended searches for lost flows.

Change: after 0.1 s without a result each host is asked on its own, and further packets of the flow as well; the flow counts as held nowhere only when all of them gave it back. After 0.55 s the order is made anew. Removed hosts are asked only while their agents report.

--- a/balsamspool/plugins/datagram_entry/flow.py
+++ b/balsamspool/plugins/datagram_entry/flow.py
@@ -14,6 +14,8 @@
         searched: Event loop time in seconds at which the last search for it began,
             None if none did.
         exhaustive: Whether that search asks every listed host.
+        returned_by: Agents that gave the packet back after each host was asked on its
+            own, None while hosts are asked one after the other.
         missing_since: Event loop time in seconds at which the first search ended
             without a host, None if none did.
     """
@@ -23,4 +25,5 @@
     confirmed: bool = False
     searched: float | None = None
     exhaustive: bool = False
+    returned_by: set[str] | None = None
     missing_since: float | None = None
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -205,10 +205,10 @@
             self._search.search(packet)
         elif flow.confirmed and self._is_gone(flow.hosts[0]):
             self._search.reset_lost(packet, "host-gone")
+        elif flow.confirmed:
+            self._forwarder.forward(packet, flow.service, flow.hosts, unconfirmed=False)
         else:
-            self._forwarder.forward(
-                packet, flow.service, flow.hosts, not flow.confirmed
-            )
+            self._search.continue_search(packet, flow)
 
     def _on_opening(self, packet: Packet) -> None:
         key = packet.flow_from_caller
--- a/balsamspool/plugins/datagram_entry/search.py
+++ b/balsamspool/plugins/datagram_entry/search.py
@@ -37,6 +37,8 @@
 # An agent that just started may have missed a search, and callers wait ever longer
 # between their own retransmissions.
 SEARCH_RETRY_SECONDS = (0.1, 0.15, 0.25)
+# After the last of these retries.
+SEARCH_AGAIN_SECONDS = 0.55
 
 
 class FlowSearch:
@@ -99,7 +101,7 @@
         departed: list[BackendServer] = []
         for service in services:
             listed.extend(view.listed(service))
-            departed.extend(view.departed(service))
+            departed.extend(s for s in view.departed(service) if self._reports(s))
         found = order_lookup(key, listed, departed, self._board)
         hosts = tuple(dict.fromkeys(socket.inet_aton(s.address) for s in found))
         if not hosts:
@@ -120,6 +122,21 @@
         self._schedule_retry(packet, flow, 0)
         FLOW_SEARCHED.log(_logger, flow=flow_id(key), hosts=[s.name for s in found[:4]])
 
+    def continue_search(self, packet: Packet, flow: EntryFlow) -> None:
+        """Send a further packet of a flow whose host is not confirmed."""
+        if flow.searched is not None and now() - flow.searched > SEARCH_AGAIN_SECONDS:
+            # Other hosts may be listed or silent by now.
+            self.search(packet, flow.missing_since)
+        elif flow.returned_by is not None:
+            self.ask_each(packet, flow)
+        else:
+            self._forwarder.forward(packet, flow.service, flow.hosts, unconfirmed=True)
+
+    def ask_each(self, packet: Packet, flow: EntryFlow) -> None:
+        """Send a packet to each host that may hold its flow."""
+        for host in flow.hosts:
+            self._forwarder.forward(packet, flow.service, (host,), unconfirmed=True)
+
     def on_returned(self, returned: PacketReturned, agent: str) -> None:
         """Decide on a packet whose flow is at none of the hosts that were asked."""
         packet = self._codec.decode(bytes(returned.payload))
@@ -131,6 +148,8 @@
         flow = self._flows.get(key)
         if flow is not None and flow.confirmed:
             self._on_returned_confirmed(packet, flow, returned, agent)
+        elif flow is not None and self._waits_for_others(flow, returned, agent):
+            return
         elif (
             flow is None
             or returned.skipped
@@ -163,6 +182,11 @@
             catalog_version=self._catalog.view.version,
         )
 
+    def _reports(self, server: BackendServer) -> bool:
+        """Return whether the agent of a removed backend server still reports."""
+        load = self._board.load(server.address)
+        return load is not None and not self._board.silent(server.address)
+
     def _schedule_retry(self, packet: Packet, flow: EntryFlow, retries: int) -> None:
         if retries < len(SEARCH_RETRY_SECONDS):
             delay = SEARCH_RETRY_SECONDS[retries]
@@ -170,12 +194,17 @@
             loop.call_later(delay, self._retry, packet, flow, retries + 1)
 
     def _retry(self, packet: Packet, flow: EntryFlow, retries: int) -> None:
-        """Send a packet again whose search ended neither at a host nor here."""
+        """Ask each host on its own if the search ended neither at a host nor here.
+
+        A host that does not answer, or an agent that has just started, ends a search
+        that asks one after the other, and the next one would end there too.
+        """
         known = self._flows.get(packet.flow_from_caller)
         if known is not flow or flow.confirmed or flow.missing_since is not None:
             return
         self._retried.value += 1
-        self._forwarder.forward(packet, flow.service, flow.hosts, unconfirmed=True)
+        flow.returned_by = set()
+        self.ask_each(packet, flow)
         self._schedule_retry(packet, flow, retries)
 
     def _on_returned_confirmed(
@@ -215,6 +244,16 @@
             if flow is not None and not flow.confirmed:
                 self.search(packet, flow.missing_since)
 
+    def _waits_for_others(
+        self, flow: EntryFlow, returned: PacketReturned, agent: str
+    ) -> bool:
+        """Return whether hosts that were asked on their own have not answered yet."""
+        if flow.returned_by is None:
+            return False
+        if not returned.skipped:
+            flow.returned_by.add(agent)
+        return len(flow.returned_by) < len(flow.hosts)
+
     def _drop_unknown(self, packet: Packet, hops: int, reason: str) -> None:
         key = packet.flow_from_caller
         flow = self._flows.get(key)
--- a/tests/test_datagram_entry.py
+++ b/tests/test_datagram_entry.py
@@ -165,22 +165,62 @@
         message, address = self.forwarded()
         self.assertEqual((address, message.alternatives), ("10.0.0.4", ()))
 
-    async def test_a_search_that_is_lost_is_tried_again(self):
-        """Guards against callers that wait because an agent had not started yet."""
+    async def test_a_search_that_is_lost_asks_each_host_on_its_own(self):
+        """Guards against a dark host that ends every search (hunt-d105-7, FLOW)."""
         self.receive(DATA)
         self.forwarded()
         await asyncio.sleep(0.12)
-        message, _ = self.forwarded()
-        self.assertEqual(bytes(message.payload), DATA)
+        asked = self.peers.take_forwards()
+        self.assertEqual({address for _, address in asked}, self.reporting)
+        for message, _ in asked:
+            self.assertEqual(bytes(message.payload), DATA)
+            self.assertEqual(message.alternatives, ())
         self.peers.receive(encode_small(FlowLocated(KEY)), ("10.0.0.4", 7720))
         await asyncio.sleep(1)
         self.assertEqual(self.peers.take_forwards(), [])
 
+    async def test_a_further_packet_also_reaches_each_host(self):
+        """Guards against retransmissions that all end at the same dark host."""
+        self.receive(DATA)
+        await asyncio.sleep(0.2)
+        self.peers.take()
+        self.receive(DATA)
+        asked = {address for _, address in self.peers.take_forwards()}
+        self.assertEqual(asked, self.reporting)
+
     async def test_a_search_is_tried_again_only_a_few_times(self):
         """Guards against packets that circle for ever."""
         self.receive(DATA)
         await asyncio.sleep(3)
-        self.assertEqual(len(self.peers.take_forwards()), 4)
+        self.assertEqual(len(self.peers.take_forwards()), 1 + 3 * len(self.servers))
+
+    async def test_hosts_asked_on_their_own_have_to_answer_all(self):
+        """Guards against a reset of a flow whose host has not answered yet."""
+        self.receive(DATA)
+        await asyncio.sleep(0.12)
+        reads = self.source.reads
+        for address in sorted(self.reporting)[:-1]:
+            self.give_back(DATA, address, 1)
+            self.give_back(DATA, address, 1)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.source.reads, reads)
+        self.give_back(DATA, sorted(self.reporting)[-1], 1)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.source.reads, reads + 1)
+        self.peers.take()
+        self.give_back(DATA, "10.0.0.5", 5)
+        self.assertEqual(len(self.resets()), 1)
+
+    async def test_a_removed_host_that_is_silent_is_not_asked(self):
+        """Guards against a search that ends at a host that is gone."""
+        self.reporting.discard("10.0.0.5")
+        gone = server(5, state=BackendState.DRAINING)
+        self.source.publish(ServerPublished(50, gone), ServerRemoved(51, "i-5"))
+        await asyncio.sleep(1)
+        self.peers.take()
+        self.receive(DATA)
+        message, _ = self.forwarded()
+        self.assertEqual(1 + len(message.alternatives), 4)
 
     async def test_packets_wait_for_the_first_catalog(self):
         """Guards against packets that are lost while an entry starts (inc-6274)."""
