--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -18,6 +18,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 MODULE_SECONDS = 900
+# Lines of a test that begin so are printed although it passed.
+FIGURE = "figure: "
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +110,10 @@
                 f"{verdict:6} {result.seconds:7.1f} s {result.tests:4} {result.module}"
             )
             sys.stdout.write(line + "\n")
+        for result in results:
+            for line in result.output.splitlines():
+                if line.startswith(FIGURE):
+                    sys.stdout.write(f"{line}\n")
         for result in results:
             if result.failed:
                 sys.stdout.write(f"\n--- {result.module}\n{result.output[-12000:]}\n")
--- a/tests/test_packet_fleet.py
+++ b/tests/test_packet_fleet.py
@@ -196,9 +196,8 @@
                     self.assertEqual(_rings(machine.process.pid), [])
                     megabytes = _resident_megabytes(machine.process.pid)
                     seconds = min(_start_seconds(fleet, machine) for _ in range(5))
-                    sys.stderr.write(
-                        f"{machine.role}: {seconds:.3f} CPU s, {megabytes:.1f} MB\n"
-                    )
+                    cost = f"{seconds:.3f} CPU s, {megabytes:.1f} MB"
+                    sys.stderr.write(f"\nfigure: start of {machine.role}: {cost}\n")
                     self.assertLess(seconds, MAX_START_SECONDS)
                     self.assertLess(megabytes, MAX_MEGABYTES)
 
