Open datagram sockets through a plug-in

Cause: the datagram plug-ins created their sockets themselves, so an emulated network could only be put beneath them by patching, and each closed what it might have opened by hasattr.

Change: the plug-in datagram-sockets opens and closes them. Tests and the benchmark put recording sockets in its place.

--- a/balsamspool/datagram/sockets.py
+++ b/balsamspool/datagram/sockets.py
@@ -4,8 +4,14 @@
 import logging
 import socket
 from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING
 
 from balsamspool.datagram.events import SEND_FAILED
+from balsamspool.kernel.identity import Role
+from balsamspool.kernel.registry import Plugin, register
+
+if TYPE_CHECKING:
+    from balsamspool.kernel.lifecycle import Kernel
 
 _logger = logging.getLogger(__name__)
 
@@ -89,3 +95,37 @@
                 # An earlier datagram met a closed port.
                 continue
             self._on_datagram(data, sender)
+
+
+@register("datagram-sockets", roles=[Role.DATAGRAM_ENTRY, Role.DATAGRAM_AGENT])
+class DatagramSockets(Plugin):
+    """Opens the sockets of the datagram plug-ins, and closes them at the end.
+
+    The emulator puts another plug-in in its place.
+
+    Args:
+        kernel: Kernel that runs the plug-in.
+    """
+
+    def __init__(self, kernel: "Kernel") -> None:
+        super().__init__(kernel)
+        self._opened: list[BatchSocket] = []
+
+    def open(self, address: Address, on_datagram: OnDatagram) -> BatchSocket:
+        """Return a bound socket that does not read yet.
+
+        Args:
+            address: Address and port to bind.
+            on_datagram: Called with each datagram and its sender.
+
+        Raises:
+            OSError: If the address cannot be bound.
+        """
+        opened = BatchSocket(address, on_datagram)
+        self._opened.append(opened)
+        return opened
+
+    async def stop(self) -> None:
+        """Close all sockets."""
+        while self._opened:
+            self._opened.pop().close()
--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -33,7 +33,7 @@
 from balsamspool.datagram.settings import (
     DatagramAgentSettings,
 )
-from balsamspool.datagram.sockets import Address, BatchSocket
+from balsamspool.datagram.sockets import Address, BatchSocket, DatagramSockets
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.identity import Role
 from balsamspool.kernel.lifecycle import Kernel
@@ -60,7 +60,9 @@
 
 
 @register(
-    "datagram-agent", roles=[Role.DATAGRAM_AGENT], requires=["packet-codec", "admin"]
+    "datagram-agent",
+    roles=[Role.DATAGRAM_AGENT],
+    requires=["packet-codec", "datagram-sockets", "admin"],
 )
 class DatagramAgentPlugin(Plugin):
     """Admits flows to the backend server of its instance.
@@ -110,8 +112,9 @@
         self._meter = WorkMeter(now())
         self._flows = FlowTable(self._meter)
         self._liveness = ServerLiveness()
-        self._peer_socket = BatchSocket(self._address, self._on_peer)
-        self._server_socket = BatchSocket(self._outbound_address, self._on_server)
+        sockets = self._kernel.plugin(DatagramSockets)
+        self._peer_socket = sockets.open(self._address, self._on_peer)
+        self._server_socket = sockets.open(self._outbound_address, self._on_server)
         self._reporter = LoadReporter(
             self._kernel, self._peer_socket, self._meter, self._flows, self._liveness
         )
@@ -127,12 +130,6 @@
                 return
             await asyncio.sleep(QUIET_SECONDS / 4)
 
-    async def stop(self) -> None:
-        """Close the sockets."""
-        for opened in ("_peer_socket", "_server_socket"):
-            if hasattr(self, opened):
-                getattr(self, opened).close()
-
     def status(self) -> dict[str, object]:
         """Return the load of the backend server."""
         return {
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -35,7 +35,7 @@
 from balsamspool.datagram.settings import (
     DatagramSettings,
 )
-from balsamspool.datagram.sockets import Address, BatchSocket
+from balsamspool.datagram.sockets import Address, BatchSocket, DatagramSockets
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.identity import Role
 from balsamspool.kernel.lifecycle import Kernel
@@ -77,7 +77,7 @@
 @register(
     "datagram-entry",
     roles=[Role.DATAGRAM_ENTRY],
-    requires=["packet-codec", "catalog", "admin"],
+    requires=["packet-codec", "datagram-sockets", "catalog", "admin"],
 )
 class DatagramEntryPlugin(Plugin):
     """Chooses a host for each flow and forwards its packets there.
@@ -118,8 +118,9 @@
 
     async def start(self) -> None:
         """Open the sockets and begin to forward."""
-        self._peer_socket = BatchSocket(self._peer_address, self._on_peer)
-        self._caller_socket = BatchSocket(self._caller_address, self._on_caller)
+        sockets = self._kernel.plugin(DatagramSockets)
+        self._peer_socket = sockets.open(self._peer_address, self._on_peer)
+        self._caller_socket = sockets.open(self._caller_address, self._on_caller)
         self._forwarder = Forwarder(
             self._peer_socket,
             self._caller_socket,
@@ -149,12 +150,6 @@
                 return
             await asyncio.sleep(QUIET_SECONDS / 4)
 
-    async def stop(self) -> None:
-        """Close the sockets."""
-        for opened in ("_peer_socket", "_caller_socket"):
-            if hasattr(self, opened):
-                getattr(self, opened).close()
-
     def status(self) -> dict[str, object]:
         """Return the number of known flows and the avoided hosts."""
         servers = self._catalog.view.servers
--- a/benchmarks/opaque_flows.py
+++ b/benchmarks/opaque_flows.py
@@ -8,7 +8,6 @@
 import logging
 import resource
 from time import process_time
-from unittest import mock
 
 from fire import Fire
 
@@ -20,9 +19,7 @@
 from balsamspool.plugins.catalog import CatalogPlugin
 from balsamspool.plugins.catalog.plugin import CatalogSettings
 from balsamspool.plugins.datagram_agent import DatagramAgentPlugin
-from balsamspool.plugins.datagram_agent import plugin as agent_plugin
 from balsamspool.plugins.datagram_entry import DatagramEntryPlugin
-from balsamspool.plugins.datagram_entry import plugin as entry_plugin
 from tests.datagram_fakes import (
     ACK,
     CALLER,
@@ -133,10 +130,7 @@
 
 async def _run(flows: int, hosts: int) -> None:
     logging.disable(logging.CRITICAL)
-    entry_sockets = mock.patch.object(entry_plugin, "BatchSocket", FakeSocket)
-    agent_sockets = mock.patch.object(agent_plugin, "BatchSocket", FakeSocket)
-    with entry_sockets, agent_sockets:
-        rows = await _entry(flows, hosts) + await _agent(flows)
+    rows = await _entry(flows, hosts) + await _agent(flows)
     print_table(("path", "cost", "for"), rows)
 
 
--- a/tests/datagram_fakes.py
+++ b/tests/datagram_fakes.py
@@ -15,7 +15,7 @@
 
 from balsamspool.datagram._codec import decode  # noqa: E402
 from balsamspool.datagram.messages import Forward  # noqa: E402
-from balsamspool.datagram.packet import PacketCodec  # noqa: E402
+from balsamspool.datagram.sockets import DatagramSockets  # noqa: E402
 from balsamspool.kernel.counters import CounterSet  # noqa: E402
 from balsamspool.kernel.identity import Identity, Role  # noqa: E402
 from balsamspool.kernel.lifecycle import ProcessState  # noqa: E402
@@ -128,6 +128,13 @@
         ]
 
 
+class FakeSockets(DatagramSockets):
+    """Opens recording sockets."""
+
+    def open(self, address, on_datagram):
+        return FakeSocket(address, on_datagram)
+
+
 class FakeSource(CatalogSource):
     """A catalog source that a test fills; an exception in `failure` is raised."""
 
@@ -177,12 +184,10 @@
         self.counters = CounterSet()
         self.state = ProcessState.ACCEPTING
         self.pauses = 0
-        self.known = [CODEC]
+        self.known = [CODEC, FakeSockets(self)]
         self.tasks = []
 
     def plugin(self, plugin_type):
-        if plugin_type is PacketCodec:
-            return CODEC
         return next(p for p in self.known if isinstance(p, plugin_type))
 
     def spawn(self, work, name):
--- a/tests/test_datagram_agent.py
+++ b/tests/test_datagram_agent.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-from unittest import mock
 
 from balsamspool.datagram._codec import encode_small, forward_head, service_number
 from balsamspool.datagram.messages import (
@@ -44,9 +43,6 @@
 
 class AgentTest(PausedClockTestCase):
     async def asyncSetUp(self):
-        patched = mock.patch.object(plugin, "BatchSocket", FakeSocket)
-        patched.start()
-        self.addCleanup(patched.stop)
         sections = {"datagram-agent": SETTINGS}
         self.kernel = FakeKernel(Role.DATAGRAM_AGENT, "10.0.0.1", sections)
         self.agent = DatagramAgentPlugin(self.kernel)
--- a/tests/test_datagram_entry.py
+++ b/tests/test_datagram_entry.py
@@ -1,7 +1,6 @@
 """Entry of opaque flows: where packets go, and when a flow is reset."""
 
 import asyncio
-from unittest import mock
 
 from balsamspool.datagram._codec import encode_small, returned_head
 from balsamspool.datagram.messages import FlowEnded, FlowLocated, Report, Subscribe
@@ -17,7 +16,7 @@
     ServerRemoved,
 )
 from balsamspool.plugins.catalog.plugin import CatalogSettings
-from balsamspool.plugins.datagram_entry import DatagramEntryPlugin, plugin
+from balsamspool.plugins.datagram_entry import DatagramEntryPlugin
 from tests._clock import PausedClockTestCase
 from tests.datagram_fakes import (
     ACK,
@@ -27,6 +26,7 @@
     SYN,
     FakeKernel,
     FakeSocket,
+    FakeSockets,
     FakeSource,
     packet,
     published,
@@ -42,9 +42,6 @@
 
 class EntryTest(PausedClockTestCase):
     async def asyncSetUp(self):
-        patched = mock.patch.object(plugin, "BatchSocket", FakeSocket)
-        patched.start()
-        self.addCleanup(patched.stop)
         sections = {
             "datagram-entry": DatagramSettings(address="10.0.1.1:8172"),
             "catalog": CatalogSettings(),
@@ -226,7 +223,7 @@
         """Guards against packets that are lost while an entry starts (inc-6274)."""
         source = FakeSource()
         source.failure = ResultError(CATALOG_UNAVAILABLE, "503")
-        self.kernel.known = [source]
+        self.kernel.known = [CODEC, FakeSockets(self.kernel), source]
         catalog = CatalogPlugin(self.kernel)
         self.kernel.known.append(catalog)
         entry = DatagramEntryPlugin(self.kernel)
