Emulate fleets of the front end for opaque flows, and check its promises

Cause: the front end for opaque flows had no model checking.

Change: emulator/ runs the real entry and agent plug-ins on an emulated network with a paused clock, with catalog service, backend servers, callers, drawn troubles and checks that read only what callers and backend servers saw. `python -m emulator check` plays seeds, `python -m emulator load` prints what callers got.

Each check was seen to fail on a planted fault (tests.test_emulator).

--- /dev/null
+++ b/emulator/__main__.py
@@ -0,0 +1,134 @@
+"""Command line of the emulator: ``python -m emulator check`` and ``load``."""
+
+import logging
+import sys
+from time import perf_counter
+
+from fire import Fire
+
+from balsamspool.commands.output import print_table
+from emulator.experiment import (
+    Trial,
+    Workload,
+    grown_workload,
+    run_trial,
+    small_workload,
+)
+
+# Demand of runs that look for broken promises: callers wait little, so what fails is
+# not for lack of capacity.
+CHECK_SCALE = 0.3
+CHECK_SECONDS = 30.0
+CHECK_TROUBLES = 8
+
+
+class Commands:
+    """Emulates fleets of the front end for opaque flows."""
+
+    def check(
+        self,
+        first: int = 1,
+        seeds: int = 20,
+        troubles: int = CHECK_TROUBLES,
+        seconds: float = CHECK_SECONDS,
+        log: bool = False,
+    ) -> None:
+        """Run seeds with drawn troubles and print each broken promise.
+
+        Args:
+            first: First seed.
+            seeds: Number of seeds.
+            troubles: Troubles in each run.
+            seconds: Length of each run; the last 12 are without new troubles.
+            log: Print the log lines of all processes.
+        """
+        _set_logging(log)
+        failed = 0
+        for seed in range(first, first + seeds):
+            trial = run_trial(small_workload(seconds, CHECK_SCALE), seed, troubles)
+            failed += bool(trial.violations)
+            for violation in trial.violations[:5]:
+                sys.stdout.write(
+                    f"seed {seed}: {violation.promise} at {violation.time:.3f} s: "
+                    f"{violation.detail}\n"
+                )
+        sys.stdout.write(f"{seeds - failed} passed, {failed} failed\n")
+        sys.exit(1 if failed else 0)
+
+    def load(
+        self,
+        fleet: str = "small",
+        scale: float | None = None,
+        seconds: float = 34.0,
+        seeds: int = 1,
+        troubles: int = 0,
+    ) -> None:
+        """Run a fleet under load and print what callers got.
+
+        Args:
+            fleet: ``small`` (11 backend servers) or ``grown`` (54).
+            scale: Times the demand of the small fleet.
+            seconds: Length of each run.
+            seeds: Number of runs, from seed 1 on.
+            troubles: Troubles in each run.
+        """
+        _set_logging(False)
+        rows = []
+        for seed in range(1, seeds + 1):
+            started = perf_counter()
+            trial = run_trial(_workload(fleet, scale, seconds), seed, troubles)
+            rows.append(_row(seed, trial, perf_counter() - started))
+        print_table(_HEADER, rows)
+
+
+_HEADER = (
+    "seed",
+    "worth",
+    "in time",
+    "late",
+    "mean wait ms",
+    "p99 wait ms",
+    "imbalance",
+    "MB across",
+    "calls",
+    "broken promises",
+    "seconds",
+)
+
+
+def _row(seed: int, trial: Trial, seconds: float) -> tuple[str, ...]:
+    summary = trial.summary
+    return (
+        str(seed),
+        f"{summary.worth:.3f}",
+        f"{summary.in_time:.3f}",
+        f"{summary.late:.3f}",
+        f"{1000 * summary.mean_wait:.1f}",
+        f"{1000 * summary.worst_wait:.0f}",
+        f"{summary.imbalance:.2f}",
+        f"{summary.bytes_across / 1e6:.2f}",
+        str(summary.calls),
+        str(len(trial.violations)),
+        f"{seconds:.0f}",
+    )
+
+
+def _workload(fleet: str, scale: float | None, seconds: float) -> Workload:
+    match fleet:
+        case "small":
+            return small_workload(seconds, scale or 1.0)
+        case "grown":
+            return grown_workload(seconds, scale or 4.5)
+        case _:
+            raise ValueError(f"fleet {fleet!r} is neither small nor grown")
+
+
+def _set_logging(shown: bool) -> None:
+    if not shown:
+        logging.disable(logging.CRITICAL)
+        return
+    logging.basicConfig(level=logging.INFO, stream=sys.stdout)
+
+
+if __name__ == "__main__":
+    Fire(Commands)
--- /dev/null
+++ b/emulator/caller.py
@@ -0,0 +1,337 @@
+"""Emulated callers: they open flows, send requests, repeat and retry."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable
+from enum import Enum
+
+from msgspec import Struct
+
+from balsamspool.datagram.sockets import Address
+from balsamspool.kernel.clock import now
+from emulator.backend_server import opening_data
+from emulator.exchange import Request, decode_reply
+from emulator.exchange import encode as encode_message
+from emulator.history import History, Outcome, Result, SystemReset
+from emulator.network import EmulatedSocket, Network
+from emulator.segment import (
+    Flag,
+    Segment,
+    decode,
+    encode,
+    endpoint,
+    is_system_reset,
+)
+
+CALLER_PORT = 8172
+# Copies of an opening follow after these seconds; then the attempt ends.
+COPY_SECONDS = (0.2, 0.4, 0.8)
+RETRANSMIT_SECONDS = 0.2
+MAX_RETRANSMIT_SECONDS = 1.6
+# A repeat of a request uses the same answers, so a segment in two is acknowledged.
+SEGMENTS_FOR_ACKNOWLEDGEMENT = 2
+
+
+class Habit(Enum):
+    """How a caller uses flows."""
+
+    KEPT = "kept"
+    FRESH = "fresh"
+
+
+class RequestKind(Struct, frozen=True):
+    """A kind of request.
+
+    Attributes:
+        name: Its name.
+        route: Endpoint of its route.
+        habit: Whether a flow is kept for further requests.
+        idempotent: Whether it may be run more than once.
+        work: Mean work in seconds.
+        long_share: Share of requests with seven times as much work.
+        size: Octets of an answer.
+        goal: Latency objective in seconds.
+        deadline: Time in seconds after which the caller gives up.
+        retries: Attempts after the first one.
+        worth: Value of an answer in time.
+        late_worth: Value of a late answer.
+    """
+
+    name: str
+    route: bytes
+    habit: Habit
+    idempotent: bool
+    work: float
+    size: int
+    goal: float
+    deadline: float
+    retries: int = 2
+    long_share: float = 0.03
+    worth: float = 1.0
+    late_worth: float = 0.3
+
+
+class FlowFailed(Exception):
+    """An attempt ended without an answer.
+
+    Args:
+        result: How it ended.
+    """
+
+    def __init__(self, result: Result) -> None:
+        super().__init__(result.value)
+        self.result = result
+
+
+Fabric = Callable[[bytes], str]
+
+
+class CallerHost:
+    """Address from which callers open flows.
+
+    Args:
+        address: IPv4 address.
+        network: The network.
+        fabric: Returns the entry for the key of a flow.
+        history: What is seen is recorded here.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        network: Network,
+        fabric: Fabric,
+        history: History,
+        rng: random.Random,
+    ) -> None:
+        self._address = address
+        self._fabric = fabric
+        self._history = history
+        self._rng = rng
+        self._flows: dict[bytes, CallerFlow] = {}
+        self._ports = itertools.count(1_025)
+        self._socket = EmulatedSocket(network, (address, CALLER_PORT), self._receive)
+        self._socket.start()
+
+    def open_flow(self, route: bytes) -> "CallerFlow":
+        """Return a flow to a route that is not open yet."""
+        port = 1_025 + next(self._ports) % 64_000
+        flow = CallerFlow(self, endpoint((self._address, port)), route)
+        self._flows[flow.key] = flow
+        return flow
+
+    def forget(self, flow: "CallerFlow") -> None:
+        """Take no more packets of a flow."""
+        self._flows.pop(flow.key, None)
+
+    def send(self, segment: Segment) -> None:
+        """Send a segment to the entry that the fabric chooses now."""
+        key = segment.source + segment.destination
+        entry = self._fabric(key)
+        self._history.sent_via[key].append((now(), entry))
+        self._socket.send((encode(segment),), (entry, CALLER_PORT))
+
+    def note_reset(self, flow: "CallerFlow", sender: str) -> None:
+        """Record a reset of the system's own."""
+        self._history.resets.append(SystemReset(flow.key, sender, now()))
+
+    def number(self) -> int:
+        """Return a number for a flow."""
+        return self._rng.getrandbits(31) + 1
+
+    def _receive(self, data: bytes, sender: Address) -> None:
+        segment = decode(data)
+        flow = self._flows.get(segment.destination + segment.source)
+        if flow is None:
+            return
+        if is_system_reset(data):
+            self.note_reset(flow, sender[0])
+        elif not segment.genuine:
+            self._history.forged.append(f"caller: {segment.flags!r}")
+            return
+        flow.received.put_nowait(segment)
+
+
+class CallerFlow:
+    """One flow of a caller.
+
+    Args:
+        host: Address from which it is opened.
+        source: Its own endpoint.
+        route: Endpoint of the route.
+    """
+
+    def __init__(self, host: CallerHost, source: bytes, route: bytes) -> None:
+        self.key = source + route
+        self.received: asyncio.Queue[Segment] = asyncio.Queue()
+        self.usable = False
+        self._opened = False
+        self._host = host
+        self._source = source
+        self._route = route
+        self._acknowledged = 0
+
+    async def open(self) -> None:
+        """Open the flow.
+
+        Raises:
+            FlowFailed: If no backend server accepted it in time.
+        """
+        for attempt, seconds in enumerate(COPY_SECONDS):
+            sent = opening_data(now())
+            self._send(Segment(Flag.OPENS, self._source, self._route, attempt, sent))
+            accepted = await self._next(seconds, Flag.ACCEPTS)
+            if accepted is not None:
+                self._acknowledged = accepted.sequence
+                self.usable = self._opened = True
+                self._acknowledge()
+                return
+        raise FlowFailed(Result.NOT_OPENED)
+
+    async def request(self, request: Request, seconds: float) -> None:
+        """Send a request and wait for its whole answer.
+
+        Raises:
+            FlowFailed: If there is no answer in time, or another one than success.
+        """
+        end = now() + seconds
+        data = encode_message(request)
+        pause = RETRANSMIT_SECONDS
+        parts: set[int] = set()
+        while now() < end:
+            self._send(self._segment(Flag(0), data))
+            if await self._collect(request.number, parts, min(pause, end - now())):
+                return
+            pause = min(2 * pause, MAX_RETRANSMIT_SECONDS)
+        raise FlowFailed(Result.UNANSWERED)
+
+    def close(self) -> None:
+        """End the flow."""
+        if self._opened:
+            self._send(self._segment(Flag.ENDS, b""))
+        self._host.forget(self)
+
+    async def _collect(self, number: int, parts: set[int], seconds: float) -> bool:
+        """Return whether the answer became whole within some seconds."""
+        end = now() + seconds
+        while (segment := await self._next(end - now(), Flag(0))) is not None:
+            if segment.flags & Flag.ENDS:
+                self.usable = False
+                continue
+            if not segment.data:
+                continue
+            reply = decode_reply(segment.data)
+            if reply.number != number:
+                continue
+            if not reply.executed:
+                raise FlowFailed(Result.REFUSED)
+            if not reply.succeeded:
+                raise FlowFailed(Result.FAILED)
+            parts.add(reply.part)
+            if len(parts) % SEGMENTS_FOR_ACKNOWLEDGEMENT == 0:
+                self._acknowledge()
+            if len(parts) == reply.parts:
+                return True
+        return False
+
+    async def _next(self, seconds: float, flags: Flag) -> Segment | None:
+        """Return the next segment with some flags, or None when time is up."""
+        try:
+            async with asyncio.timeout(seconds):
+                while True:
+                    segment = await self.received.get()
+                    if segment.flags & Flag.RESETS:
+                        self.usable = self._opened = False
+                        raise FlowFailed(Result.RESET)
+                    if segment.flags & flags or not flags:
+                        return segment
+        except TimeoutError:
+            return None
+
+    def _acknowledge(self) -> None:
+        self._send(self._segment(Flag(0), b""))
+
+    def _segment(self, flags: Flag, data: bytes) -> Segment:
+        return Segment(
+            flags,
+            self._source,
+            self._route,
+            acknowledged=self._acknowledged,
+            data=data,
+        )
+
+    def _send(self, segment: Segment) -> None:
+        self._host.send(segment)
+
+
+class Caller:
+    """Sends requests of one kind and records how they end.
+
+    Args:
+        host: Address from which flows are opened.
+        kind: Kind of its requests.
+        numbers: Source of the numbers of attempts.
+        history: What is seen is recorded here.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        host: CallerHost,
+        kind: RequestKind,
+        numbers: "itertools.count[int]",
+        history: History,
+        rng: random.Random,
+    ) -> None:
+        self._host = host
+        self._kind = kind
+        self._numbers = numbers
+        self._history = history
+        self._rng = rng
+        self._flow: CallerFlow | None = None
+
+    async def request(self) -> None:
+        """Send one request, with retries where they are allowed."""
+        kind = self._kind
+        started = now()
+        work = kind.work * self._rng.lognormvariate(-0.11, 0.47)
+        if self._rng.random() < kind.long_share:
+            work *= 7
+        result = Result.UNANSWERED
+        attempts = 0
+        while attempts <= kind.retries and now() - started < kind.deadline:
+            attempts += 1
+            request = Request(next(self._numbers), work, kind.size)
+            try:
+                await self._attempt(request, kind.deadline - (now() - started))
+                result = Result.ANSWERED
+                break
+            except FlowFailed as failure:
+                result = failure.result
+                self._drop()
+                if not (kind.idempotent or _certainly_not_run(result)):
+                    break
+        self._history.outcomes.append(
+            Outcome(kind.name, started, now() - started, result, attempts, kind.goal)
+        )
+
+    async def _attempt(self, request: Request, seconds: float) -> None:
+        flow = self._flow
+        if flow is None or not flow.usable:
+            self._drop()
+            flow = self._flow = self._host.open_flow(self._kind.route)
+            await flow.open()
+        await flow.request(request, seconds)
+        if self._kind.habit is Habit.FRESH or not flow.usable:
+            self._drop()
+
+    def _drop(self) -> None:
+        if self._flow is not None:
+            self._flow.close()
+            self._flow = None
+
+
+def _certainly_not_run(result: Result) -> bool:
+    return result in (Result.NOT_OPENED, Result.REFUSED)
--- /dev/null
+++ b/emulator/troubles.py
@@ -0,0 +1,353 @@
+"""Troubles of a run: drawn from a seed, then applied to a fleet."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from msgspec import Struct
+
+from balsamspool.kernel.clock import now
+from balsamspool.plugins.catalog.model import Target
+from emulator.backend_server import EmulatedServer, Grey, Healthy, Sluggish
+from emulator.catalog_service import Condition, Losing, Refusing, Serving, Silent, Slow
+from emulator.fleet import Fleet
+from emulator.network import Cut
+from emulator.process import EmulatedProcess
+from emulator.traffic import Traffic
+
+# A backend server that drains serves for so long after its report, at least.
+DRAIN_SECONDS = 3.5
+
+
+class Trouble(Struct, frozen=True, kw_only=True):
+    """Base of all troubles.
+
+    Attributes:
+        at: Seconds after the start of traffic.
+    """
+
+    at: float
+
+
+class KillEntry(Trouble, frozen=True):
+    """An entry is killed and starts again."""
+
+
+class KillAgent(Trouble, frozen=True):
+    """An agent is killed and starts again."""
+
+
+class KillAll(Trouble, frozen=True):
+    """All processes are killed and start again."""
+
+
+class RollEntries(Trouble, frozen=True):
+    """All entries are stopped in turn and start again.
+
+    Attributes:
+        gap: Seconds between two of them.
+    """
+
+    gap: float
+
+
+class AddEntry(Trouble, frozen=True):
+    """Another entry starts."""
+
+
+class CrashServer(Trouble, frozen=True):
+    """A backend server ends without a word.
+
+    Attributes:
+        returns_after: Seconds until another one starts there, None for never.
+    """
+
+    returns_after: float | None
+
+
+class DrainServer(Trouble, frozen=True):
+    """A backend server drains and leaves."""
+
+
+class ReplaceServer(Trouble, frozen=True):
+    """A backend server leaves, and one of another service starts at its address."""
+
+
+class MisbehavingServer(Trouble, frozen=True):
+    """A backend server fails requests or takes longer.
+
+    Attributes:
+        condition: How it behaves meanwhile.
+        seconds: How long.
+    """
+
+    condition: Grey | Sluggish
+    seconds: float
+
+
+class CatalogTrouble(Trouble, frozen=True):
+    """The service that publishes the catalog misbehaves.
+
+    Attributes:
+        condition: How it behaves meanwhile.
+        seconds: How long.
+        share: Share of the readers that are concerned.
+    """
+
+    condition: Condition
+    seconds: float
+    share: float
+
+
+class ForgetHistory(Trouble, frozen=True):
+    """The service that publishes the catalog drops its history."""
+
+
+class CutMachines(Trouble, frozen=True):
+    """An entry's datagrams do not reach a backend server's machine, or the reverse.
+
+    Attributes:
+        seconds: How long.
+        inward: Whether it is the way to the backend server.
+    """
+
+    seconds: float
+    inward: bool
+
+
+class DarkServer(Trouble, frozen=True):
+    """The machine of a backend server has no network.
+
+    Attributes:
+        seconds: How long.
+    """
+
+    seconds: float
+
+
+class ChangeRoutes(Trouble, frozen=True):
+    """A route is directed elsewhere, removed or added."""
+
+
+class Burst(Trouble, frozen=True):
+    """Many callers come at once.
+
+    Attributes:
+        factor: Times the usual rate.
+        seconds: How long.
+    """
+
+    factor: float
+    seconds: float
+
+
+def draw(rng: random.Random, count: int, begin: float, end: float) -> list[Trouble]:
+    """Draw troubles.
+
+    Args:
+        rng: Source of randomness.
+        count: Number of troubles.
+        begin: Earliest time in seconds.
+        end: Latest time in seconds.
+
+    Returns:
+        The troubles in order of time. Some come at the same moment.
+    """
+    times = [rng.uniform(begin, end) for _ in range(count)]
+    for number in range(1, count):
+        if rng.random() < 0.25:
+            times[number] = times[number - 1] + rng.uniform(0, 0.3)
+    return sorted((_draw_one(rng, at) for at in times), key=lambda t: t.at)
+
+
+def _draw_one(rng: random.Random, at: float) -> Trouble:
+    seconds = rng.uniform(1, 5)
+    condition = rng.choice([Refusing(), Silent(), Slow(0.25), Losing(0.3)])
+    makers: list[Callable[[], Trouble]] = [
+        lambda: KillEntry(at=at),
+        lambda: KillAgent(at=at),
+        lambda: KillAll(at=at),
+        lambda: RollEntries(at=at, gap=rng.uniform(0.3, 1.5)),
+        lambda: AddEntry(at=at),
+        lambda: CrashServer(at=at, returns_after=rng.choice([None, 0.5, 4.0])),
+        lambda: DrainServer(at=at),
+        lambda: ReplaceServer(at=at),
+        lambda: MisbehavingServer(at=at, condition=Grey(0.4), seconds=seconds),
+        lambda: MisbehavingServer(at=at, condition=Sluggish(4.0), seconds=seconds),
+        lambda: CatalogTrouble(
+            at=at, condition=condition, seconds=seconds, share=rng.choice([1.0, 0.4])
+        ),
+        lambda: ForgetHistory(at=at),
+        lambda: CutMachines(at=at, seconds=seconds, inward=rng.random() < 0.5),
+        lambda: DarkServer(at=at, seconds=seconds),
+        lambda: ChangeRoutes(at=at),
+        lambda: Burst(at=at, factor=1.7, seconds=3.0),
+    ]
+    return rng.choice(makers)()
+
+
+async def play(fleet: Fleet, traffic: Traffic, troubles: list[Trouble]) -> None:
+    """Apply troubles at their times; each goes on beside the next ones."""
+    begin = now()
+    for trouble in troubles:
+        await asyncio.sleep(max(0.0, begin + trouble.at - now()))
+        fleet.spawn(_Stage(fleet, traffic).apply(trouble))
+
+
+class _Stage:
+    """Applies one trouble."""
+
+    def __init__(self, fleet: Fleet, traffic: Traffic) -> None:
+        self._fleet = fleet
+        self._traffic = traffic
+        self._rng = fleet.rng
+
+    async def apply(self, trouble: Trouble) -> None:
+        """Apply a trouble and end it."""
+        fleet = self._fleet
+        match trouble:
+            case KillEntry():
+                await self._kill([self._rng.choice(fleet.entries)])
+            case KillAgent():
+                await self._kill([self._rng.choice(list(fleet.agents.values()))])
+            case KillAll():
+                await self._kill([*fleet.entries, *fleet.agents.values()])
+            case RollEntries(gap=gap):
+                await self._roll(gap)
+            case AddEntry():
+                await fleet.add_entry(self._rng.choice(fleet.plan.failure_domains))
+            case CrashServer(returns_after=seconds):
+                await self._crash(seconds)
+            case DrainServer():
+                await self._drain()
+            case ReplaceServer():
+                await self._replace()
+            case MisbehavingServer(condition=condition, seconds=seconds):
+                await self._misbehave(condition, seconds)
+            case CatalogTrouble(condition=condition, seconds=seconds, share=share):
+                await self._disturb_catalog(condition, seconds, share)
+            case ForgetHistory():
+                fleet.catalog.forget_history()
+            case CutMachines(seconds=seconds, inward=inward):
+                await self._cut(seconds, inward)
+            case DarkServer(seconds=seconds):
+                await self._darken(seconds)
+            case ChangeRoutes():
+                self._change_routes()
+            case Burst(factor=factor, seconds=seconds):
+                self._traffic.burst = factor
+                await asyncio.sleep(seconds)
+                self._traffic.burst = 1.0
+
+    def _some_server(self) -> EmulatedServer | None:
+        """Return a backend server whose service can do without it."""
+        fleet = self._fleet
+        usable = [s for s in fleet.servers.values() if not s.draining]
+        spare = [
+            s
+            for s in usable
+            if sum(o.plan.service == s.plan.service for o in usable) > 2
+        ]
+        return self._rng.choice(spare) if spare else None
+
+    async def _kill(self, processes: list[EmulatedProcess]) -> None:
+        machines = {process.address for process in processes}
+        self._fleet.history.disturb(machines, 1.0, now(), "kill")
+        await asyncio.gather(*(self._fleet.restart(p) for p in processes))
+
+    async def _roll(self, gap: float) -> None:
+        for entry in list(self._fleet.entries):
+            self._fleet.spawn(self._stop_and_start(entry))
+            await asyncio.sleep(gap)
+
+    async def _stop_and_start(self, entry: EmulatedProcess) -> None:
+        await entry.terminate()
+        await asyncio.sleep(0.5)
+        if not entry.running:
+            await entry.start()
+
+    async def _crash(self, seconds: float | None) -> None:
+        server = self._some_server()
+        if server is not None:
+            machine = {server.plan.address}
+            self._fleet.history.disturb(machine, seconds or 4.0, now(), "crash")
+            await self._fleet.crash_server(server.plan.name, seconds)
+
+    async def _drain(self) -> None:
+        server = self._some_server()
+        if server is not None:
+            await self._fleet.drain_server(server.plan.name, DRAIN_SECONDS)
+
+    async def _replace(self) -> None:
+        server = self._some_server()
+        if server is None:
+            return
+        await self._fleet.drain_server(server.plan.name, DRAIN_SECONDS)
+        plan = server.plan
+        other = [s for s in self._fleet.plan.services if s.name != plan.service]
+        await asyncio.sleep(4.5)
+        if other:
+            await self._fleet.add_server(
+                other[0].name, plan.failure_domain, plan.slots, plan.speed, plan.address
+            )
+
+    async def _misbehave(self, condition: Grey | Sluggish, seconds: float) -> None:
+        server = self._some_server()
+        if server is not None:
+            machine = {server.plan.address}
+            self._fleet.history.disturb(machine, seconds, now(), "misbehaviour")
+            server.condition = condition
+            await asyncio.sleep(seconds)
+            server.condition = Healthy()
+
+    async def _disturb_catalog(
+        self, condition: Condition, seconds: float, share: float
+    ) -> None:
+        catalog = self._fleet.catalog
+        self._fleet.history.disturb(set(), seconds, now(), "catalog")
+        readers = [
+            e.instance for e in self._fleet.entries if self._rng.random() < share
+        ]
+        if share < 1.0:
+            catalog.conditions.update(dict.fromkeys(readers, condition))
+        else:
+            catalog.condition = condition
+        await asyncio.sleep(seconds)
+        for reader in readers:
+            catalog.conditions.pop(reader, None)
+        if share >= 1.0:
+            catalog.condition = Serving()
+
+    async def _cut(self, seconds: float, inward: bool) -> None:
+        server = self._some_server()
+        if server is None:
+            return
+        entry = self._rng.choice(self._fleet.entries).address
+        there = server.plan.address
+        cut = Cut(entry, there) if inward else Cut(there, entry)
+        self._fleet.history.disturb({entry, there}, seconds, now(), "cut")
+        self._fleet.network.cuts.add(cut)
+        await asyncio.sleep(seconds)
+        self._fleet.network.cuts.discard(cut)
+
+    async def _darken(self, seconds: float) -> None:
+        server = self._some_server()
+        if server is None:
+            return
+        address = server.plan.address
+        self._fleet.history.disturb({address}, seconds, now(), "dark")
+        self._fleet.network.dark.add(address)
+        await asyncio.sleep(seconds)
+        self._fleet.network.dark.discard(address)
+
+    def _change_routes(self) -> None:
+        fleet = self._fleet
+        names = list(fleet.routes)
+        name = self._rng.choice(names)
+        other = self._rng.choice(names)
+        weights = (self._rng.randint(1, 9), self._rng.randint(1, 9))
+        if fleet.routes[name] == (Target(name),) and other != name:
+            fleet.routes[name] = (Target(name, weights[0]), Target(other, weights[1]))
+        else:
+            fleet.routes[name] = (Target(name),)
+        fleet.publish_routes()
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,116 @@
+"""Emulated fleets: the promises hold under drawn troubles, and the checks can fail."""
+
+import logging
+from unittest import TestCase, mock
+
+from balsamspool.plugins.catalog.model import Target
+from balsamspool.plugins.catalog.view import CatalogView
+from balsamspool.plugins.datagram_entry import plugin as entry_plugin
+from balsamspool.plugins.datagram_entry import search as search_module
+from balsamspool.plugins.datagram_entry.search import FlowSearch
+from emulator.checks import check
+from emulator.experiment import run_trial, small_workload
+from emulator.history import History, Run
+from emulator.segment import SegmentCodec
+from emulator.troubles import DrainServer, RollEntries
+
+WORKLOAD = small_workload(30.0, 0.3)
+TROUBLES = 8
+SEEDS = range(1, 5)
+# Seeds that failed before a fault was mended.
+REGRESSIONS = {
+    8: "searches for an acknowledgement sent copies to every host (stray)",
+}
+
+
+class EmulatorCase(TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def promises(self, workload, seed, troubles):
+        trial = run_trial(workload, seed, troubles)
+        return {violation.promise for violation in trial.violations}
+
+
+class PromisesTest(EmulatorCase):
+    def test_promises_hold_under_drawn_troubles(self):
+        """Guards against decisions that only fail when troubles come together."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                trial = run_trial(WORKLOAD, seed, TROUBLES)
+                self.assertEqual(trial.violations, [])
+                self.assertGreater(len(trial.history.outcomes), 500)
+
+    def test_seeds_that_failed_once(self):
+        """Guards against the return of faults that the emulator found."""
+        for seed, cause in REGRESSIONS.items():
+            with self.subTest(seed=seed, cause=cause):
+                self.assertEqual(run_trial(WORKLOAD, seed, TROUBLES).violations, [])
+
+    def test_the_same_seed_gives_the_same_run(self):
+        """Guards against findings that cannot be played again."""
+        first, second = (run_trial(WORKLOAD, 3, 3) for _ in range(2))
+        self.assertEqual(first.history.outcomes, second.history.outcomes)
+        self.assertEqual(first.counters, second.counters)
+
+
+class PlantedFaultTest(EmulatorCase):
+    """Guards against checks that never fail: each one meets a fault of its kind."""
+
+    def test_a_flow_at_another_service_is_noticed(self):
+        def choose(key, targets):
+            return Target("records")
+
+        with mock.patch.object(entry_plugin, "choose_target", choose):
+            self.assertIn("route", self.promises(small_workload(5.0, 0.3), 1, 0))
+
+    def test_new_flows_at_a_draining_host_are_noticed(self):
+        drains = [DrainServer(at=1.0 + number) for number in range(3)]
+        with mock.patch.object(CatalogView, "ready", CatalogView.listed):
+            found = self.promises(small_workload(20.0, 1.0), 1, drains)
+        self.assertIn("drain", found)
+
+    def test_a_reset_of_an_open_flow_is_noticed(self):
+        def search(self, packet, missing_since=None):
+            self.reset_lost(packet, "planted")
+
+        rolls = [RollEntries(at=1.0, gap=0.5)]
+        with mock.patch.object(FlowSearch, "search", search):
+            found = self.promises(small_workload(10.0, 0.3), 1, rolls)
+        self.assertIn("reset", found)
+
+    def test_packets_at_other_hosts_are_noticed(self):
+        original = search_module.order_lookup
+
+        def order(*args):
+            return original(*args)[-2:]
+
+        rolls = [RollEntries(at=1.0, gap=0.5)]
+        with mock.patch.object(search_module, "order_lookup", order):
+            found = self.promises(small_workload(10.0, 0.3), 1, rolls)
+        self.assertIn("stray", found)
+
+    def test_changed_packets_are_noticed(self):
+        original = SegmentCodec.encode
+
+        def encode(self, packet, tag):
+            head, data = original(self, packet, tag)
+            return [head, bytes(len(data))]
+
+        with mock.patch.object(SegmentCodec, "encode", encode):
+            self.assertIn("genuine", self.promises(small_workload(3.0, 0.3), 1, 0))
+
+    def test_a_second_run_is_noticed(self):
+        history = History()
+        for server in ("i-1", "i-2"):
+            history.runs.append(Run(7, server, "portal", bytes(6), 1.0, 0.0))
+        self.assertEqual({v.promise for v in check(history)}, {"once"})
+
+    def test_requests_without_answers_are_noticed(self):
+        def ignore(self, packet):
+            """Drop every opening."""
+
+        drain = [DrainServer(at=0.5)]
+        with mock.patch.object(entry_plugin.DatagramEntryPlugin, "_on_opening", ignore):
+            self.assertIn("served", self.promises(small_workload(12.0, 0.3), 1, drain))
