Confirm a flow that is held at once, and search acknowledgements only once

The backend server had nothing to say to it, so its agent confirmed nothing; the entry asked every host on its own, three times, and for two seconds the flow's own host got nothing.

Ruled out: a lost packet and a dark host; the trace shows that the flow's host had the packet each time.

Change: an agent whose backend server has sent data of the flow confirms it when it delivers the packet; if the server gives it back, the flow is reset as before. A packet without data that ends nothing is searched for once, because nobody waits for it.

--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -209,7 +209,7 @@
         flow.origin = forward.origin
         flow.seen = time
         if forward.unconfirmed:
-            flow.unconfirmed = True
+            flow.unconfirmed = not self._confirm_held(packet, flow)
         if packet.length and not packet.opens:
             self._flows.note_request(flow, time)
         flow.caller_ended = flow.caller_ended or packet.ends or packet.resets
@@ -218,6 +218,17 @@
         self._server_socket.send(parts, self._backend)
         self._flows.end_if_closed(flow, time)
 
+    def _confirm_held(self, packet: Packet, flow: HostFlow) -> bool:
+        """Tell an entry at once that the flow of its packet is held here.
+
+        The backend server has nothing to say to an acknowledgement, so the entry would
+        go on to ask the other hosts.
+        """
+        if not flow.held or flow.ended or packet.opens:
+            return False
+        self._tell(flow.origin, FlowLocated(packet.flow_from_caller))
+        return True
+
     def _remember(self, forward: Forward) -> bytes:
         """Keep the way of a packet and return the tag by which it is found again."""
         count = self._sent_count
--- a/balsamspool/plugins/datagram_entry/search.py
+++ b/balsamspool/plugins/datagram_entry/search.py
@@ -119,7 +119,9 @@
         self._searched.value += 1
         self._flows.put(key, flow)
         self._forwarder.forward(packet, number, hosts, unconfirmed=True)
-        self._schedule_retry(packet, flow, 0)
+        if packet.length or packet.ends:
+            # The loss of an acknowledgement harms nobody.
+            self._schedule_retry(packet, flow, 0)
         FLOW_SEARCHED.log(_logger, flow=flow_id(key), hosts=[s.name for s in found[:4]])
 
     def continue_search(self, packet: Packet, flow: EntryFlow) -> None:
--- a/tests/test_datagram_agent.py
+++ b/tests/test_datagram_agent.py
@@ -214,6 +214,23 @@
         ((message, _),) = self.peers.take_messages()
         self.assertTrue(message.skipped)
 
+    async def test_a_search_by_an_acknowledgement_finds_the_flow(self):
+        """Guards against searches that go on because the server has nothing to say."""
+        self.open_flow()
+        self.forward(packet(ACK))
+        ((message, address),) = self.peers.take_messages()
+        self.assertIsInstance(message, FlowLocated)
+        self.assertEqual(address, ENTRY)
+        self.assertEqual(len(self.backend.take()), 1)
+
+    async def test_a_flow_that_is_not_held_is_not_confirmed(self):
+        """Guards against an entry that sends packets where the flow never opened."""
+        self.forward(packet(SYN))
+        self.reply(answer(SYN | ACK))
+        self.peers.take()
+        self.forward(packet(ACK))
+        self.assertEqual(self.peers.take(), [])
+
     async def test_hops_are_bounded(self):
         """Guards against a packet that circles between agents."""
         message = Forward(
--- a/tests/test_datagram_entry.py
+++ b/tests/test_datagram_entry.py
@@ -191,6 +191,13 @@
         await asyncio.sleep(3)
         self.assertEqual(len(self.peers.take_forwards()), 1 + 3 * len(self.servers))
 
+    async def test_an_acknowledgement_is_searched_only_once(self):
+        """Guards against copies at every host for a packet that nobody waits for."""
+        self.receive(packet(ACK, ack=77))
+        self.forwarded()
+        await asyncio.sleep(3)
+        self.assertEqual(self.peers.take_forwards(), [])
+
     async def test_hosts_asked_on_their_own_have_to_answer_all(self):
         """Guards against a reset of a flow whose host has not answered yet."""
         self.receive(DATA)
