Hand new flows over only to peers that report

Cause: known red of tests.test_forwarding_fleet (ConnectionError of a caller 12 at once after the death of an agent). An agent whose slots are busy hands an opening packet over to a peer with less load. A peer that died a moment ago is still listed, and its last report says that it is idle. The choice is remembered for 10 s after each use, and callers repeat their opening packet after 0.7, 2, 4.7, 10 and 21 s: each repeat renewed it.

Ruled out: the handshake limit and the entries' probes; no entry avoided a live agent.

Change: a peer counts as reporting for 1.5 s after its report. Flows are handed over for load only to peers that report, a remembered peer that fell silent is chosen no more, and a leaving agent prefers peers that report.

--- a/balsamspool/plugins/frontend/opening_policy.py
+++ b/balsamspool/plugins/frontend/opening_policy.py
@@ -34,11 +34,14 @@
 )
 from balsamspool.plugins.routing.token import TokenCodec
 from balsamspool.plugins.serving import ServingPlugin
+from balsamspool.requests.relay import PeerLoad
 
 # A caller pads every datagram with an opening packet to this size (RFC 9000, 14.1).
 MIN_OPENING_BYTES = 1200
 # Load of a peer that has not reported any.
 MAX_LOAD = 255
+# Two reports in a row are missing.
+REPORTING_SECONDS = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,7 +167,7 @@
                 continue
             load = MAX_LOAD if report is None else report.load
             candidate = Candidate(host.instance, host.address, host.data_port)
-            peers.append(Peer(candidate, load))
+            peers.append(Peer(candidate, load, _reports(report)))
         return peers
 
     def _proven_id(self, forward: Forward, header: QuicHeader) -> bytes | None:
@@ -172,3 +175,10 @@
             return None
         caller = (forward.caller_address, forward.caller_port)
         return self._retry.open(caller, header.token, header.destination_cid, now())
+
+
+def _reports(report: PeerLoad | None) -> bool:
+    """Return whether a peer reported a short time ago."""
+    if report is None or report.reported_at is None:
+        return False
+    return now() - report.reported_at < REPORTING_SECONDS
--- a/balsamspool/plugins/relay/load.py
+++ b/balsamspool/plugins/relay/load.py
@@ -45,16 +45,16 @@
         self._forget(time)
         if message.sender not in self._known and len(self._known) >= TABLE_LIMIT:
             return
+        reported_at = time - message.age
         load = PeerLoad(
             message.instance,
             message.sender,
             report.state == ACCEPTING,
             report.load,
             report.expected_wait,
+            reported_at,
         )
-        self._known[message.sender] = _Known(
-            load, message.incarnation, time - message.age
-        )
+        self._known[message.sender] = _Known(load, message.incarnation, reported_at)
 
     def loads(self, time: float) -> list[PeerLoad]:
         """Return the loads that are known now."""
--- a/balsamspool/plugins/routing/handover.py
+++ b/balsamspool/plugins/routing/handover.py
@@ -41,10 +41,12 @@
     Attributes:
         host: The agent.
         load: Its reported load, 0 to 255.
+        reports: Whether it reported a short time ago.
     """
 
     host: Candidate
     load: int
+    reports: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,10 +182,10 @@
         """
         others = [peer for peer in peers if peer.host.name != own.name]
         known = self._memory.find(key, time)
-        if known is not None and hops == 0 and _is_listed(known, others):
+        if known is not None and hops == 0 and _is_usable(known, others):
             return HandOver(known)
         if known is not None:
-            # The packet came back, or the peer has left: that peer is no choice.
+            # The packet came back, or the peer has left or died: it is no choice.
             self._memory.forget(key)
             others = [peer for peer in others if peer.host.name != known.name]
         decision = self._decide_anew(key, own, others, hops)
@@ -200,7 +202,7 @@
                 # reports do not pass a flow back and forth.
                 if hops > 0 or own.load < BUSY_LOAD:
                     return Accept()
-                lighter = [p.host for p in others if p.load + LOAD_MARGIN <= own.load]
+                lighter = [p.host for p in others if _is_lighter(p, own)]
                 chosen = choose(key, lighter)
                 return Accept() if chosen is None else HandOver(chosen)
             case OwnState.LEAVING:
@@ -253,8 +255,22 @@
         return Refuse(RefuseReason.UNKNOWN_FLOW)
 
 
-def _is_listed(host: Candidate, peers: Sequence[Peer]) -> bool:
-    return any(peer.host.name == host.name for peer in peers)
+def _is_usable(host: Candidate, peers: Sequence[Peer]) -> bool:
+    """Return whether a peer takes flows, and reports if any peer does."""
+    return any(peer.host.name == host.name for peer in _reporting(peers))
+
+
+def _reporting(peers: Sequence[Peer]) -> Sequence[Peer]:
+    """Return the peers that report, or all if none does.
+
+    A peer that died stays listed for a while. Without reports from anybody, as after a
+    start, the list is all there is.
+    """
+    return [peer for peer in peers if peer.reports] or peers
+
+
+def _is_lighter(peer: Peer, own: OwnHost) -> bool:
+    return peer.reports and peer.load + LOAD_MARGIN <= own.load
 
 
 def _move(
@@ -262,5 +278,5 @@
 ) -> HandOver | Refuse:
     if hops >= MAX_HOPS:
         return Refuse(RefuseReason.HOP_LIMIT)
-    chosen = choose(key, [peer.host for peer in others])
+    chosen = choose(key, [peer.host for peer in _reporting(others)])
     return Refuse(reason) if chosen is None else HandOver(chosen)
--- a/balsamspool/requests/relay.py
+++ b/balsamspool/requests/relay.py
@@ -55,6 +55,8 @@
         accepting: Whether it takes new requests.
         load: Slots and queue in use, 0 to 255; 128 means that all slots are busy.
         expected_wait: Predicted wait for a slot in seconds.
+        reported_at: Event loop time of its report in seconds, None if it is only
+            listed.
     """
 
     instance: str
@@ -62,6 +64,7 @@
     accepting: bool
     load: int
     expected_wait: float
+    reported_at: float | None = None
 
 
 class Relay(Protocol):
--- a/tests/test_forwarding_fleet.py
+++ b/tests/test_forwarding_fleet.py
@@ -7,6 +7,9 @@
 from standins.caller import open_caller
 from standins.fleet import ServicePlan, run_fleet
 
+# A caller repeats its opening packet after 0.7, 2, 4.7, 10 and 21 s. One repeat may be
+# lost before it is known that the agent is dead, and a slow machine misses another.
+CONNECT_SECONDS = 15.0
 PORTAL = ServicePlan("portal", 1, 3, [{"kind": "request", "path": "/"}])
 
 
@@ -26,6 +29,28 @@
             self.assertNotIn(dead.instance, servers)
             self.assertEqual(len(set(servers)), 2)
 
+    async def test_busy_agents_do_not_hand_new_flows_to_a_dead_one(self):
+        """Guards against callers that wait until they give up (known red, idle limit).
+
+        The dead agent has just reported that it was idle, so busy ones hand flows over
+        to it, and a caller sends its opening packet again only after 1, 3 and 7 s.
+        """
+        async with run_fleet([PORTAL]) as fleet:
+            dead, *alive = fleet.agents.values()
+            for agent in alive:
+                agent.backend_server.behaviour.service_seconds = 1.5
+            busy = [asyncio.create_task(self.ask(fleet)) for _ in range(12)]
+            await asyncio.sleep(1.0)
+            await dead.kill()
+            for agent in alive:
+                agent.backend_server.behaviour.service_seconds = 0.005
+            async with asyncio.timeout(CONNECT_SECONDS):
+                servers = await asyncio.gather(*(self.ask(fleet) for _ in range(12)))
+            for task in busy:
+                task.cancel()
+            await asyncio.gather(*busy, return_exceptions=True)
+            self.assertNotIn(dead.instance, servers)
+
     async def test_faults_of_the_fabric_do_not_stop_requests(self):
         """Guards against a path that needs order or single delivery."""
         async with run_fleet([PORTAL]) as fleet:
--- a/tests/test_routing_handover.py
+++ b/tests/test_routing_handover.py
@@ -1,5 +1,6 @@
 """Hand-over decisions and the chain over earlier tables."""
 
+from dataclasses import replace
 from unittest import TestCase
 
 from balsamspool.placement.rendezvous import Candidate, choose
@@ -87,6 +88,27 @@
             handover.decide(b"k", own(load=0), peers(255, 0), 0, 19.1), Accept()
         )
 
+    def test_a_peer_that_fell_silent_is_no_choice_any_more(self):
+        """Guards against a flow that follows its first packet to a dead peer."""
+        handover = Handover()
+        first = handover.decide(b"k", own(load=200), peers(0, 255, 255), 0, 0.0)
+        self.assertEqual(first, HandOver(HOSTS[0]))
+        silent = [replace(peers(255)[0], reports=False), *peers(255, 0, 255)[1:]]
+        second = handover.decide(b"k", own(load=200), silent, 0, 3.0)
+        self.assertEqual(second, HandOver(HOSTS[1]))
+        self.assertEqual(handover.decide(b"l", own(load=10), silent, 0, 3.0), Accept())
+
+    def test_a_leaving_host_prefers_peers_that_report(self):
+        """Guards against new flows at a peer that died a moment ago."""
+        silent = [replace(peer, reports=False) for peer in peers(0, 0, 0)[:2]]
+        listed = [*silent, peers(0, 0, 255)[2]]
+        for number in range(50):
+            key = number.to_bytes(2, "big")
+            decision = Handover().decide(key, own(OwnState.LEAVING), listed, 0, 0.0)
+            self.assertEqual(decision, HandOver(HOSTS[2]))
+        only = Handover().decide(b"k", own(OwnState.LEAVING), silent, 0, 0.0)
+        self.assertIsInstance(only, HandOver)
+
     def test_packet_that_came_back_does_not_return_to_its_sender(self):
         """Guards against two leaving agents that send a packet to each other."""
         handover = Handover()
