Add balsamspool-ctl report and inspect

Cause: an engineer could follow one flow, but saw neither a run as a whole nor what entries and agents of opaque flows believe, because no instance list names them.

Change: `report` sums up logs and metrics pages of a run in tables and plots; `inspect` shows the status pages of given processes and exits with 1 if one is unreachable or route tables differ.

--- /dev/null
+++ b/balsamspool/commands/report.py
@@ -0,0 +1,119 @@
+"""Command ``report``: tables and plots of a run of the front end for opaque flows."""
+
+from collections import Counter
+from collections.abc import Sequence
+from pathlib import Path
+
+from balsamspool.commands.codes import ARGUMENT_INVALID, ExitCode
+from balsamspool.commands.log_lines import read_lines
+from balsamspool.commands.output import print_line, print_table
+from balsamspool.commands.registry import command
+from balsamspool.commands.run_summary import (
+    METRICS_SUFFIX,
+    RunSummary,
+    Spread,
+    add_metrics,
+    summarize,
+)
+from balsamspool.kernel.errors import ResultError
+
+# Changes that took longest to reach all processes are shown.
+SLOWEST = 5
+
+
+@command("report")
+async def report(*logs: str, plots: str = "") -> int:
+    """Sum up a run: flows by host, detours, resets, how changes spread, counters.
+
+    Args:
+        *logs: Log files, or directories with files that end in .log. Pages of metrics,
+            whose files end in .prom, are added up.
+        plots: Directory for plots as PNG files, none for no plots. They need
+            matplotlib.
+    """
+    if not logs:
+        raise ResultError(ARGUMENT_INVALID, "give log files or directories")
+    pages = _metrics_pages(logs)
+    texts = [name for name in logs if not name.endswith(METRICS_SUFFIX)]
+    summary = summarize(read_lines(texts))
+    add_metrics(summary, pages)
+    if summary.started is None and not summary.counters:
+        return ExitCode.NOT_MET
+    _print(summary)
+    if plots:
+        _draw(summary, Path(plots))
+    return ExitCode.OK
+
+
+def _metrics_pages(names: Sequence[str]) -> list[Path]:
+    pages = []
+    for path in map(Path, names):
+        if path.is_dir():
+            pages.extend(sorted(path.glob(f"*{METRICS_SUFFIX}")))
+        elif path.suffix == METRICS_SUFFIX:
+            pages.append(path)
+    return pages
+
+
+def _print(summary: RunSummary) -> None:
+    _print_counts("flows placed", summary.placed)
+    _print_counts("flows accepted", summary.accepted)
+    _print_balance(summary)
+    _print_counts("openings passed on", summary.detours)
+    _print_counts("hops of openings", summary.hops)
+    _print_counts("resets", summary.resets)
+    _print_spread("routes", summary.routes)
+    _print_spread("backend servers", summary.servers)
+    _print_counts("events", summary.events)
+    _print_counts("counters", summary.counters)
+
+
+def _print_counts(title: str, counts: Counter) -> None:  # type: ignore[type-arg]
+    if counts:
+        print_line("")
+        rows = [(name, f"{count:g}") for name, count in counts.most_common()]
+        print_table((title, "count"), rows)
+
+
+def _print_balance(summary: RunSummary) -> None:
+    costs = sorted(cost for second in summary.costs.values() for cost in second)
+    if not costs:
+        return
+    placed = list(summary.placed.values())
+    mean = sum(placed) / len(placed)
+    print_line("")
+    print_table(
+        ("placement", "value"),
+        [
+            ("flows of the busiest host over the mean", f"{max(placed) / mean:.2f}"),
+            ("cost of the chosen host, median", f"{costs[len(costs) // 2]:.2f}"),
+            ("cost, 99 in 100 below", f"{costs[int(0.99 * len(costs))]:.2f}"),
+        ],
+    )
+
+
+def _print_spread(title: str, spreads: dict[object, Spread]) -> None:
+    if not spreads:
+        return
+    slowest = sorted(spreads.items(), key=lambda item: -item[1].seconds)[:SLOWEST]
+    rows = [
+        (_text(key), spread.processes, f"{spread.seconds:.3f}")
+        for key, spread in slowest
+    ]
+    print_line("")
+    print_table((f"{title}, slowest of {len(spreads)}", "lines", "seconds"), rows)
+
+
+def _text(key: object) -> str:
+    return " ".join(map(str, key)) if isinstance(key, tuple) else str(key)
+
+
+def _draw(summary: RunSummary, directory: Path) -> None:
+    try:
+        # Imported here because only plots need the library.
+        from balsamspool.commands.run_plots import draw
+    except ImportError as error:
+        raise ResultError(ARGUMENT_INVALID, f"--plots needs {error.name}") from error
+    directory.mkdir(parents=True, exist_ok=True)
+    for path in draw(summary, directory):
+        print_line(f"wrote {path}")
--- a/tests/test_packet_fleet.py
+++ b/tests/test_packet_fleet.py
@@ -1,6 +1,8 @@
 """Entries and agents of opaque flows as processes, between the platform's stand-ins."""
 
 import asyncio
+import contextlib
+import io
 import json
 import os
 import resource
@@ -13,6 +15,9 @@
 
 from aiohttp import ClientSession
 
+from balsamspool.commands.codes import ExitCode
+from balsamspool.commands.inspect import inspect
+from balsamspool.kernel.errors import ResultError
 from standins.packet_caller import FlowBroken
 from standins.packet_fleet import ADMIN_PORT, PROGRAM, run_packet_fleet
 
@@ -52,6 +57,23 @@
         self.assertEqual(sum(a.server.forged for a in self.fleet.agents), 0)
         self.assertEqual(self.caller.forged, 0)
 
+    async def test_inspect_shows_each_process_and_what_is_unreachable(self):
+        """Guards against an engineer who cannot see what the processes believe."""
+        await self.ask(await self.open_flow())
+        machines = [*self.fleet.entries, *self.fleet.agents]
+        endpoints = [f"{m.address}:{ADMIN_PORT}" for m in machines]
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            code = await inspect(*endpoints)
+        self.assertEqual(code, ExitCode.OK)
+        self.assertEqual(output.getvalue().count("accepting"), len(machines))
+        with contextlib.redirect_stdout(output):
+            code = await inspect(*endpoints, f"{self.fleet.network}.9.9:{ADMIN_PORT}")
+        self.assertEqual(code, ExitCode.NOT_MET)
+        self.assertIn("unreachable", output.getvalue())
+        with self.assertRaises(ResultError):
+            await inspect("nowhere")
+
     async def test_flows_survive_planned_changes(self):
         """Guards against flows that a restart or a leaving host breaks."""
         flows = [await self.open_flow() for _ in range(12)]
