Ask all hosts of a service for a lost flow, so that it can be reset

Ruled out: the readiness of entries and the catalog; new flows were placed 0.5 s after the return of power, at a cost of 10 requests a slot for two seconds.

Change: the 12 likeliest hosts are asked one after the other as before. If none of them holds the flow, the others are asked in rows of 12 side by side, up to 96 hosts. A retry asks only those that have not given the packet back. Conditions of a reset are unchanged.

Measured: the new test of 40 hosts failed before; another one shows that a silent host forbids the reset. The emulator has the loss of power as a trouble now.

--- a/balsamspool/placement/lookup.py
+++ b/balsamspool/placement/lookup.py
@@ -9,7 +9,10 @@
 
 # Hosts that are asked one after the other. A flow opens at one of the first few of the
 # ranking; the others allow for hosts that came or left since.
-LOOKUP_LIMIT = 12
+CHAIN_HOSTS = 12
+# Hosts that are asked at all. In a larger service a lost flow is not reset, because
+# asking everybody for it would cost more than the wait of its caller.
+LOOKUP_LIMIT = 96
 
 S = TypeVar("S", bound=Placeable)
 
--- a/balsamspool/plugins/datagram_entry/flow.py
+++ b/balsamspool/plugins/datagram_entry/flow.py
@@ -13,9 +13,10 @@
         confirmed: Whether the first of them said that it holds the flow.
         searched: Event loop time in seconds at which the last search for it began,
             None if none did.
-        exhaustive: Whether that search asks every listed host.
-        returned_by: Agents that gave the packet back after each host was asked on its
-            own, None while hosts are asked one after the other.
+        exhaustive: Whether that search asks every listed host in the end.
+        rest: Addresses of agents that are asked if none of ``hosts`` holds it.
+        awaited: Agents that still have to give the packet back until all of ``hosts``
+            are known not to hold it, None while any one that does tells so.
         missing_since: Event loop time in seconds at which the first search ended
             without a host, None if none did.
     """
@@ -25,5 +26,6 @@
     confirmed: bool = False
     searched: float | None = None
     exhaustive: bool = False
-    returned_by: set[str] | None = None
+    rest: tuple[bytes, ...] = ()
+    awaited: set[str] | None = None
     missing_since: float | None = None
--- a/balsamspool/plugins/datagram_entry/search.py
+++ b/balsamspool/plugins/datagram_entry/search.py
@@ -21,7 +21,7 @@
 from balsamspool.kernel.counters import CounterSet
 from balsamspool.kernel.recent import Recent
 from balsamspool.placement.load import LoadBoard
-from balsamspool.placement.lookup import order_lookup
+from balsamspool.placement.lookup import CHAIN_HOSTS, order_lookup
 from balsamspool.plugins.catalog import BackendServer, CatalogPlugin
 from balsamspool.plugins.datagram_entry.flow import EntryFlow
 from balsamspool.plugins.datagram_entry.forwarder import (
@@ -111,14 +111,15 @@
         number = service_number(services[0]) if len(services) == 1 else ANY_SERVICE
         flow = EntryFlow(
             number,
-            hosts,
+            hosts[:CHAIN_HOSTS],
             searched=now(),
             exhaustive=len(found) >= len(listed),
             missing_since=missing_since,
+            rest=hosts[CHAIN_HOSTS:],
         )
         self._searched.value += 1
         self._flows.put(key, flow)
-        self._forwarder.forward(packet, number, hosts, unconfirmed=True)
+        self._forwarder.forward(packet, number, flow.hosts, unconfirmed=True)
         if packet.length or packet.ends:
             # The loss of an acknowledgement harms nobody.
             self._schedule_retry(packet, flow, 0)
@@ -129,16 +130,11 @@
         if flow.searched is not None and now() - flow.searched > SEARCH_AGAIN_SECONDS:
             # Other hosts may be listed or silent by now.
             self.search(packet, flow.missing_since)
-        elif flow.returned_by is not None:
-            self.ask_each(packet, flow)
+        elif flow.awaited is not None:
+            self._ask_awaited(packet, flow)
         else:
             self._forwarder.forward(packet, flow.service, flow.hosts, unconfirmed=True)
 
-    def ask_each(self, packet: Packet, flow: EntryFlow) -> None:
-        """Send a packet to each host that may hold its flow."""
-        for host in flow.hosts:
-            self._forwarder.forward(packet, flow.service, (host,), unconfirmed=True)
-
     def on_returned(self, returned: PacketReturned, agent: str) -> None:
         """Decide on a packet whose flow is at none of the hosts that were asked."""
         packet = self._codec.decode(bytes(returned.payload))
@@ -152,12 +148,11 @@
             self._on_returned_confirmed(packet, flow, returned, agent)
         elif flow is not None and self._waits_for_others(flow, returned, agent):
             return
-        elif (
-            flow is None
-            or returned.skipped
-            or flow.searched is None
-            or not flow.exhaustive
-        ):
+        elif flow is None or returned.skipped or flow.searched is None:
+            self._drop_unknown(packet, returned.hops, "not-all-asked")
+        elif flow.rest:
+            self._ask_rest(packet, flow)
+        elif not flow.exhaustive:
             self._drop_unknown(packet, returned.hops, "not-all-asked")
         elif self._is_verified(flow):
             if self._catalog.complete:
@@ -205,10 +200,27 @@
         if known is not flow or flow.confirmed or flow.missing_since is not None:
             return
         self._retried.value += 1
-        flow.returned_by = set()
-        self.ask_each(packet, flow)
+        flow.hosts, flow.rest = (*flow.hosts, *flow.rest), ()
+        if retries == 1 or flow.awaited is None:
+            flow.awaited = {socket.inet_ntoa(host) for host in flow.hosts}
+        self._ask_awaited(packet, flow)
         self._schedule_retry(packet, flow, retries)
 
+    def _ask_rest(self, packet: Packet, flow: EntryFlow) -> None:
+        """Ask the hosts that were not likely to hold a flow, a few in a row each."""
+        flow.hosts, flow.rest = flow.rest, ()
+        flow.awaited = set()
+        for start in range(0, len(flow.hosts), CHAIN_HOSTS):
+            chain = flow.hosts[start : start + CHAIN_HOSTS]
+            flow.awaited.add(socket.inet_ntoa(chain[-1]))
+            self._forwarder.forward(packet, flow.service, chain, unconfirmed=True)
+
+    def _ask_awaited(self, packet: Packet, flow: EntryFlow) -> None:
+        """Send a packet to each host that has not given it back."""
+        for agent in flow.awaited or ():
+            host = (socket.inet_aton(agent),)
+            self._forwarder.forward(packet, flow.service, host, unconfirmed=True)
+
     def _on_returned_confirmed(
         self, packet: Packet, flow: EntryFlow, returned: PacketReturned, agent: str
     ) -> None:
@@ -249,12 +261,12 @@
     def _waits_for_others(
         self, flow: EntryFlow, returned: PacketReturned, agent: str
     ) -> bool:
-        """Return whether hosts that were asked on their own have not answered yet."""
-        if flow.returned_by is None:
+        """Return whether hosts that were asked beside others have not answered yet."""
+        if flow.awaited is None:
             return False
         if not returned.skipped:
-            flow.returned_by.add(agent)
-        return len(flow.returned_by) < len(flow.hosts)
+            flow.awaited.discard(agent)
+        return bool(flow.awaited)
 
     def _drop_unknown(self, packet: Packet, hops: int, reason: str) -> None:
         key = packet.flow_from_caller
--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -14,6 +14,7 @@
     run_trial,
     small_workload,
 )
+from emulator.troubles import PowerOff, Trouble
 
 # Demand of runs that look for broken promises: callers wait little, so what fails is
 # not for lack of capacity.
@@ -62,6 +63,7 @@
         seconds: float = 34.0,
         seeds: int = 1,
         troubles: int = 0,
+        power_off: float = 0.0,
     ) -> None:
         """Run a fleet under load and print what callers got.
 
@@ -71,12 +73,17 @@
             seconds: Length of each run.
             seeds: Number of runs, from seed 1 on.
             troubles: Troubles in each run.
+            power_off: Seconds without power in the middle of each run, in place of
+                drawn troubles.
         """
         _set_logging(False)
+        planned: int | list[Trouble] = troubles
+        if power_off:
+            planned = [PowerOff(at=seconds / 2, seconds=power_off)]
         rows = []
         for seed in range(1, seeds + 1):
             started = perf_counter()
-            trial = run_trial(_workload(fleet, scale, seconds), seed, troubles)
+            trial = run_trial(_workload(fleet, scale, seconds), seed, planned)
             rows.append(_row(seed, trial, perf_counter() - started))
         print_table(_HEADER, rows)
 
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -31,6 +31,8 @@
 PROBE_SECONDS = 0.5
 MISSED_PROBES = 2
 RESTART_SECONDS = 0.5
+# A process needs so long from its start until it serves.
+START_SECONDS = 0.4
 HEARTBEAT_SECONDS = 1.2
 # A listed backend server that is silent is removed after so many heartbeats.
 LAPSE_HEARTBEATS = 3
@@ -272,6 +274,20 @@
                 plan.service, plan.failure_domain, plan.slots, plan.speed, plan.address
             )
 
+    async def power_off(self, seconds: float) -> None:
+        """Cut the power of all machines; everything starts anew afterwards.
+
+        Args:
+            seconds: How long.
+        """
+        entries = [entry for entry in self.entries if entry.running]
+        for entry in entries:
+            await entry.kill()
+        crashes = [self.crash_server(name, seconds) for name in list(self.servers)]
+        await asyncio.gather(
+            *crashes, *(self._start_later(e, seconds) for e in entries)
+        )
+
     async def restart(self, process: EmulatedProcess) -> None:
         """Kill a process and start it again."""
         await process.kill()
@@ -322,6 +338,11 @@
         fields = {f: getattr(listed, f) for f in listed.__struct_fields__}
         self.catalog.publish_server(BackendServer(**(fields | {"warmup": 0.0})))
 
+    async def _start_later(self, process: EmulatedProcess, seconds: float) -> None:
+        await asyncio.sleep(seconds + START_SECONDS)
+        if not process.running:
+            await process.start()
+
     async def _lapse(self, name: str) -> None:
         await asyncio.sleep(LAPSE_HEARTBEATS * HEARTBEAT_SECONDS)
         self.catalog.remove_server(name)
--- a/emulator/troubles.py
+++ b/emulator/troubles.py
@@ -41,6 +41,16 @@
     """All processes are killed and start again."""
 
 
+class PowerOff(Trouble, frozen=True):
+    """All machines lose power, and everything starts anew.
+
+    Attributes:
+        seconds: How long.
+    """
+
+    seconds: float
+
+
 class RollEntries(Trouble, frozen=True):
     """All entries are stopped in turn and start again.
 
@@ -167,6 +177,7 @@
         lambda: KillEntry(at=at),
         lambda: KillAgent(at=at),
         lambda: KillAll(at=at),
+        lambda: PowerOff(at=at, seconds=rng.uniform(0.5, 2.0)),
         lambda: RollEntries(at=at, gap=rng.uniform(0.3, 1.5)),
         lambda: AddEntry(at=at),
         lambda: CrashServer(at=at, returns_after=rng.choice([None, 0.5, 4.0])),
@@ -212,6 +223,8 @@
                 await self._kill([self._rng.choice(list(fleet.agents.values()))])
             case KillAll():
                 await self._kill([*fleet.entries, *fleet.agents.values()])
+            case PowerOff(seconds=seconds):
+                await self._power_off(seconds)
             case RollEntries(gap=gap):
                 await self._roll(gap)
             case AddEntry():
@@ -255,6 +268,12 @@
         self._fleet.history.disturb(machines, 1.0, now(), "kill")
         await asyncio.gather(*(self._fleet.restart(p) for p in processes))
 
+    async def _power_off(self, seconds: float) -> None:
+        fleet = self._fleet
+        machines = {p.address for p in (*fleet.entries, *fleet.agents.values())}
+        fleet.history.disturb(machines, seconds, now(), "power")
+        await fleet.power_off(seconds)
+
     async def _roll(self, gap: float) -> None:
         for entry in list(self._fleet.entries):
             self._fleet.spawn(self._stop_and_start(entry))
--- a/tests/test_datagram_entry.py
+++ b/tests/test_datagram_entry.py
@@ -1,6 +1,7 @@
 """Entry of opaque flows: where packets go, and when a flow is reset."""
 
 import asyncio
+import socket
 
 from balsamspool.datagram._codec import encode_small, returned_head
 from balsamspool.datagram.messages import FlowEnded, FlowLocated, Report, Subscribe
@@ -215,6 +216,48 @@
         self.give_back(DATA, "10.0.0.5", 5)
         self.assertEqual(len(self.resets()), 1)
 
+    async def test_a_lost_flow_of_a_large_service_is_reset(self):
+        """Guards against callers that wait for a flow that no host holds any more."""
+        more = [server(n) for n in range(6, 41)]
+        self.reporting |= {s.address for s in more}
+        self.source.publish(*published(50, *more))
+        self.source.records += published(50, *more)
+        await asyncio.sleep(3)
+        self.peers.take()
+        self.receive(DATA)
+        asked = self.answer_as_not_held()
+        self.assertEqual(asked, self.reporting)
+        self.assertEqual(self.resets(), [])
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.answer_as_not_held(), self.reporting)
+        self.assertEqual(len(self.resets()), 1)
+
+    async def test_one_of_many_hosts_that_is_silent_forbids_a_reset(self):
+        """Guards against a reset of a flow whose host did not answer."""
+        more = [server(n) for n in range(6, 41)]
+        self.reporting |= {s.address for s in more}
+        self.source.publish(*published(50, *more))
+        self.source.records += published(50, *more)
+        await asyncio.sleep(3)
+        self.peers.take()
+        self.receive(DATA)
+        for _ in range(30):
+            self.answer_as_not_held(silent="10.0.0.33")
+            await asyncio.sleep(0.03)
+        self.assertEqual(self.resets(), [])
+
+    def answer_as_not_held(self, silent=""):
+        """Let agents pass on and give back what they get, and return who was asked."""
+        asked = set()
+        while forwards := self.peers.take_forwards():
+            for message, address in forwards:
+                chain = [address, *map(socket.inet_ntoa, message.alternatives)]
+                asked |= set(chain)
+                if silent not in chain:
+                    payload = bytes(message.payload)
+                    self.give_back(payload, chain[-1], len(chain))
+        return asked
+
     async def test_a_removed_host_that_is_silent_is_not_asked(self):
         """Guards against a search that ends at a host that is gone."""
         self.reporting.discard("10.0.0.5")
