Count requests as work only on flows that the backend server accepted

Packets of lost flows reached agents whose backend servers were not up yet; each counted as a request in work until it expired after 10 s, and as an open flow for 30 s. A caller's reset did not end its request either.

Change: data counts as work once the backend server has accepted the flow; flows that it never accepted are forgotten after 2 s; a reset of the caller ends the flow.

--- a/balsamspool/plugins/datagram_agent/flows.py
+++ b/balsamspool/plugins/datagram_agent/flows.py
@@ -11,6 +11,8 @@
 IDLE_SECONDS = 30.0
 # Late packets of an ended flow must not be taken for a new one.
 ENDED_SECONDS = 5.0
+# A backend server accepts a flow at once or never.
+UNACCEPTED_SECONDS = 2.0
 
 
 class HostFlow(Struct):
@@ -130,4 +132,6 @@
 
 
 def _lifetime(flow: HostFlow) -> float:
-    return ENDED_SECONDS if flow.ended else IDLE_SECONDS
+    if flow.ended:
+        return ENDED_SECONDS
+    return IDLE_SECONDS if flow.accepted else UNACCEPTED_SECONDS
--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -210,9 +210,12 @@
         flow.seen = time
         if forward.unconfirmed:
             flow.unconfirmed = not self._confirm_held(packet, flow)
-        if packet.length and not packet.opens:
+        if packet.length and flow.accepted:
+            # Packets of a flow that is looked for may meet a backend server that is
+            # not up; they are no work.
             self._flows.note_request(flow, time)
         flow.caller_ended = flow.caller_ended or packet.ends or packet.resets
+        flow.server_ended = flow.server_ended or packet.resets
         self._delivered.value += 1
         parts = self._codec.encode(packet, self._remember(forward))
         self._server_socket.send(parts, self._backend)
--- a/tests/test_datagram_agent.py
+++ b/tests/test_datagram_agent.py
@@ -262,6 +262,29 @@
         self.reply(answer(RST))
         self.assertEqual(self.agent.status()["in_work"], 0)
 
+    async def test_a_search_that_meets_a_dark_server_is_no_work(self):
+        """Guards against hosts that look busy for 10 s after a loss of power."""
+        self.forward(packet(ACK, b"request"))
+        self.assertEqual(self.agent.status()["in_work"], 0)
+        await asyncio.sleep(3.5)
+        self.assertEqual(self.agent.status()["flows"], 0)
+
+    async def test_a_reset_of_the_caller_ends_the_work(self):
+        """Guards against requests that count although their callers gave them up."""
+        self.open_flow()
+        self.forward(packet(ACK, b"two"))
+        self.assertEqual(self.agent.status()["in_work"], 1)
+        self.forward(packet(RST))
+        self.assertEqual(self.agent.status()["in_work"], 0)
+        self.assertEqual(self.agent.status()["flows"], 0)
+
+    async def test_work_counts_again_after_a_restart_of_the_agent(self):
+        """Guards against a host that looks idle because its agent knows no flow."""
+        self.forward(packet(ACK, b"one"))
+        self.reply(answer(ACK, b"answer"))
+        self.forward(packet(ACK, b"two"))
+        self.assertEqual(self.agent.status()["in_work"], 1)
+
     async def test_reports_go_to_subscribers_until_their_lease_ends(self):
         """Guards against reports for entries that are gone."""
         lease = encode_small(Subscribe(1.0))
