--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -270,6 +270,8 @@
             await asyncio.sleep(returns_after)
             await agent.kill()
             plan = server.plan
+            if self.in_use(plan.address):
+                return
             await self.add_server(
                 plan.service, plan.failure_domain, plan.slots, plan.speed, plan.address
             )
@@ -295,6 +297,10 @@
         if not process.running:
             await process.start()
 
+    def in_use(self, address: str) -> bool:
+        """Return whether a backend server runs at an address."""
+        return any(s.plan.address == address for s in self.servers.values())
+
     def entry_for(self, failure_domain: str, key: bytes) -> str:
         """Return the entry to which the fabric sends a packet now."""
         local = [e for e in self.entries if e.failure_domain == failure_domain]
--- a/emulator/troubles.py
+++ b/emulator/troubles.py
@@ -305,7 +305,7 @@
         plan = server.plan
         other = [s for s in self._fleet.plan.services if s.name != plan.service]
         await asyncio.sleep(4.5)
-        if other:
+        if other and not self._fleet.in_use(plan.address):
             await self._fleet.add_server(
                 other[0].name, plan.failure_domain, plan.slots, plan.speed, plan.address
             )
