Read only the changes of the catalog to decide on unknown flows

Change: the refresher asks for the changes after the revision that the process follows, which is one small answer; only if the history is lost everything is read.

--- a/balsamspool/plugins/catalog/events.py
+++ b/balsamspool/plugins/catalog/events.py
@@ -66,7 +66,7 @@
     2313,
     "catalog-refresh-failed",
     logging.WARNING,
-    "The catalog could not be read again to decide on unknown flows.",
+    "The catalog could not be brought up to date to decide on unknown flows.",
 )
 HISTORY_READ = log_event(
     2314,
@@ -74,3 +74,9 @@
     logging.INFO,
     "The changes before the start were read, to know which entries may have lapsed.",
 )
+CATALOG_UPDATED = log_event(
+    2315,
+    "catalog-updated",
+    logging.INFO,
+    "The latest changes of the catalog were read to decide on unknown flows.",
+)
--- a/balsamspool/plugins/catalog/plugin.py
+++ b/balsamspool/plugins/catalog/plugin.py
@@ -76,7 +76,9 @@
         self._follower = CatalogFollower(
             source, self._view, self._completeness, self._wait, random.Random()
         )
-        self._refresher = CatalogRefresher(source, self._view, self._completeness)
+        self._refresher = CatalogRefresher(
+            source, self._view, self._completeness, self._follower
+        )
         self._pauses = 0
         self._listen = settings.listen
         self._exchange = CatalogExchange(
--- a/balsamspool/plugins/catalog/refresher.py
+++ b/balsamspool/plugins/catalog/refresher.py
@@ -1,4 +1,4 @@
-"""Reads the whole catalog again on demand."""
+"""Brings the view of the catalog up to date on demand."""
 
 import asyncio
 import logging
@@ -6,15 +6,18 @@
 
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.errors import ResultError
+from balsamspool.plugins.catalog.codes import CATALOG_HISTORY_LOST
 from balsamspool.plugins.catalog.completeness import (
     Completeness,
     unexplained_removals,
 )
 from balsamspool.plugins.catalog.events import (
     CATALOG_READ,
+    CATALOG_UPDATED,
     HISTORY_READ,
     REFRESH_FAILED,
 )
+from balsamspool.plugins.catalog.follower import CatalogFollower
 from balsamspool.plugins.catalog.source import CatalogSource
 from balsamspool.plugins.catalog.view import CatalogView
 
@@ -25,18 +28,23 @@
 
 
 class CatalogRefresher:
-    """Reads the catalog again when somebody needs it as of now.
+    """Reads what changed when somebody needs the catalog as of now.
+
+    The whole catalog is read only if the history is not kept: with many routes it is
+    large for the link of a small instance.
 
     Args:
         source: Reads the catalog where it is published.
         view: What the process knows; it is changed in place.
         completeness: Learns what the history explains.
+        follower: Tells up to which revision the view is known.
     """
 
     __slots__ = (
         "_callbacks",
         "_completeness",
         "_finished",
+        "_follower",
         "_source",
         "_started",
         "_view",
@@ -44,9 +52,14 @@
     )
 
     def __init__(
-        self, source: CatalogSource, view: CatalogView, completeness: Completeness
+        self,
+        source: CatalogSource,
+        view: CatalogView,
+        completeness: Completeness,
+        follower: CatalogFollower,
     ) -> None:
         self._source = source
+        self._follower = follower
         self._view = view
         self._completeness = completeness
         self._wanted = asyncio.Event()
@@ -86,20 +99,39 @@
     async def _read(self) -> None:
         started = now()
         try:
-            snapshot = await self._source.read()
+            revision = await self._update()
             if not self._completeness.holds(now()):
-                await self._explain(snapshot.revision)
+                await self._explain(revision)
         except ResultError as error:
             REFRESH_FAILED.log(_logger, error=str(error))
             return
-        self._view.replace(snapshot, now())
         self._started = started
         self._finished = now()
+        for callback in self._callbacks:
+            callback()
+
+    async def _update(self) -> int:
+        """Bring the view up to date and return its revision."""
+        known = self._follower.revision
+        if known is not None:
+            try:
+                changes = await self._source.changes(known)
+            except ResultError as error:
+                if error.code is not CATALOG_HISTORY_LOST:
+                    raise
+            else:
+                for record in changes.records:
+                    self._view.apply(record, now())
+                CATALOG_UPDATED.log(
+                    _logger, revision=changes.revision, records=len(changes.records)
+                )
+                return changes.revision
+        snapshot = await self._source.read()
+        self._view.replace(snapshot, now())
         CATALOG_READ.log(
             _logger, revision=snapshot.revision, records=len(snapshot.records)
         )
-        for callback in self._callbacks:
-            callback()
+        return snapshot.revision
 
     async def _explain(self, revision: int) -> None:
         """Look in the history for entries that may have lapsed before the start."""
--- a/balsamspool/plugins/catalog/source.py
+++ b/balsamspool/plugins/catalog/source.py
@@ -29,6 +29,17 @@
         """
         raise NotImplementedError
 
+    async def changes(self, after: int) -> Changes:
+        """Return the changes after a revision, up to this call.
+
+        Args:
+            after: Revision up to which changes are known.
+
+        Raises:
+            ResultError: With the codes of `watch`.
+        """
+        raise NotImplementedError
+
     async def watch(self, after: int, wait: float) -> Changes:
         """Wait for changes.
 
--- a/emulator/catalog_service.py
+++ b/emulator/catalog_service.py
@@ -192,6 +192,10 @@
         """Wait for changes."""
         return await self._service.watch(self._reader, after, wait)
 
+    async def changes(self, after: int) -> Changes:
+        """Return the changes after a revision, up to this call."""
+        return await self._service.watch(self._reader, after, 0.0)
+
     async def history(self, revision: int) -> Changes | None:
         """Return the latest changes up to a revision, None if they are not kept."""
         try:
--- a/tests/datagram_fakes.py
+++ b/tests/datagram_fakes.py
@@ -144,8 +144,9 @@
         self.failure = None
         self.past = Changes(10, ())
         self.reads = 0
+        self.updates = 0
         self.watches = 0
-        self.changes = asyncio.Queue()
+        self.queue = asyncio.Queue()
 
     async def read(self):
         self.reads += 1
@@ -153,6 +154,13 @@
             raise self.failure
         return Snapshot(self.revision, tuple(self.records))
 
+    async def changes(self, after):
+        self.updates += 1
+        if self.failure:
+            raise self.failure
+        newer = tuple(r for r in self.records if r.revision > after)
+        return Changes(self.revision, newer)
+
     async def history(self, revision):
         return self.past
 
@@ -162,7 +170,7 @@
             raise self.failure
         try:
             async with asyncio.timeout(wait):
-                found = await self.changes.get()
+                found = await self.queue.get()
         except TimeoutError:
             return Changes(after, ())
         if isinstance(found, Exception):
@@ -172,7 +180,7 @@
     def publish(self, *records):
         """Let the waiting watch see records."""
         self.revision = max(r.revision for r in records)
-        self.changes.put_nowait(Changes(self.revision, records))
+        self.queue.put_nowait(Changes(self.revision, records))
 
 
 class FakeKernel:
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -217,7 +217,7 @@
         await asyncio.sleep(1)
         self.source.records = [routes(30, version=9), *published(31, server(3))]
         self.source.revision = 40
-        self.source.changes.put_nowait(ResultError(CATALOG_HISTORY_LOST, "410"))
+        self.source.queue.put_nowait(ResultError(CATALOG_HISTORY_LOST, "410"))
         await asyncio.sleep(0.3)
         self.assertEqual(self.source.reads, 2)
         self.assertEqual(self.view.table.version, 9)
@@ -250,23 +250,62 @@
 
 
 class RefresherTest(PausedClockTestCase):
-    async def test_a_reading_begins_after_it_was_asked_for(self):
-        """Guards against a decision on a list that is older than the question."""
-        source = FakeSource()
+    async def asyncSetUp(self):
+        self.source = FakeSource()
+        self.view = CatalogView()
         state = Completeness()
         state.note_answer(0.0)
-        refresher = CatalogRefresher(source, CatalogView(), state)
-        task = asyncio.create_task(refresher.run())
+        self.follower = CatalogFollower(
+            self.source, self.view, state, 6.0, random.Random(1)
+        )
+        self.follower.adopt(Snapshot(10, ()))
+        self.refresher = CatalogRefresher(self.source, self.view, state, self.follower)
+        self.task = asyncio.create_task(self.refresher.run())
         await asyncio.sleep(1)
+
+    async def asyncTearDown(self):
+        self.task.cancel()
+
+    async def test_a_reading_begins_after_it_was_asked_for(self):
+        """Guards against a decision on a list that is older than the question."""
         asked = now()
-        refresher.request()
+        self.refresher.request()
         await asyncio.sleep(0.01)
-        self.assertGreaterEqual(refresher.started, asked)
+        self.assertGreaterEqual(self.refresher.started, asked)
         for _ in range(100):
-            refresher.request()
+            self.refresher.request()
             await asyncio.sleep(0.01)
-        self.assertLess(source.reads, 12)
-        task.cancel()
+        self.assertLess(self.source.updates, 12)
+
+    async def test_only_changes_are_read(self):
+        """Guards against full readings that fill a thin link (trouble-2 of a trial)."""
+        self.source.records = published(11, server(1))
+        self.source.revision = 11
+        self.refresher.request()
+        await asyncio.sleep(0.01)
+        self.assertEqual([s.name for s in self.view.servers], ["i-1"])
+        self.assertEqual((self.source.reads, self.source.updates), (0, 1))
+
+    async def test_all_is_read_if_the_history_is_lost(self):
+        """Guards against a decision on a list that misses what was forgotten."""
+
+        async def changes(after):
+            raise ResultError(CATALOG_HISTORY_LOST, "410")
+
+        self.source.changes = changes
+        self.source.records = published(11, server(1))
+        self.refresher.request()
+        await asyncio.sleep(0.01)
+        self.assertEqual([s.name for s in self.view.servers], ["i-1"])
+        self.assertEqual(self.source.reads, 1)
+
+    async def test_an_answer_that_is_missing_decides_nothing(self):
+        """Guards against a failed reading that counts as one."""
+        self.source.failure = ResultError(CATALOG_UNAVAILABLE, "503")
+        asked = now()
+        self.refresher.request()
+        await asyncio.sleep(0.01)
+        self.assertLess(self.refresher.started, asked)
 
 
 class ExchangeTest(PausedClockTestCase):
--- a/tests/test_datagram_entry.py
+++ b/tests/test_datagram_entry.py
@@ -203,15 +203,15 @@
         """Guards against a reset of a flow whose host has not answered yet."""
         self.receive(DATA)
         await asyncio.sleep(0.12)
-        reads = self.source.reads
+        reads = self.source.updates
         for address in sorted(self.reporting)[:-1]:
             self.give_back(DATA, address, 1)
             self.give_back(DATA, address, 1)
         await asyncio.sleep(0.05)
-        self.assertEqual(self.source.reads, reads)
+        self.assertEqual(self.source.updates, reads)
         self.give_back(DATA, sorted(self.reporting)[-1], 1)
         await asyncio.sleep(0.05)
-        self.assertEqual(self.source.reads, reads + 1)
+        self.assertEqual(self.source.updates, reads + 1)
         self.peers.take()
         self.give_back(DATA, "10.0.0.5", 5)
         self.assertEqual(len(self.resets()), 1)
@@ -294,25 +294,25 @@
         """Guards against callers that wait for hosts that lost power (trouble-1)."""
         self.receive(DATA)
         self.forwarded()
-        reads = self.source.reads
+        reads = self.source.updates
         self.give_back(DATA, "10.0.0.5", 5)
         self.assertEqual(self.resets(), [])
         await asyncio.sleep(0.05)
-        self.assertEqual(self.source.reads, reads + 1)
+        self.assertEqual(self.source.updates, reads + 1)
         self.assertEqual(self.resets(), [CODEC.reset(CODEC.decode(DATA))])
         # All hosts of the newer list have given the packet back already.
         self.assertEqual(self.peers.take_forwards(), [])
 
     async def test_a_reading_that_began_before_the_search_decides_nothing(self):
         """Guards against a reset by a list that does not name the newest hosts."""
-        read, gate = self.source.read, asyncio.Event()
+        update, gate = self.source.changes, asyncio.Event()
 
-        async def read_slowly():
-            snapshot = await read()
+        async def update_slowly(after):
+            changes = await update(after)
             await gate.wait()
-            return snapshot
+            return changes
 
-        self.source.read = read_slowly
+        self.source.changes = update_slowly
         self.catalog.refresher.request()
         await asyncio.sleep(0.01)
         self.receive(DATA)
@@ -378,13 +378,13 @@
         self.source.failure = None
         await asyncio.sleep(1)
         self.receive(DATA)
-        reads = self.source.reads
+        reads = self.source.updates
         for _ in range(60):
             await asyncio.sleep(0.05)
             for message, _ in self.peers.take_forwards():
                 self.give_back(bytes(message.payload), "10.0.0.5", 5)
         self.assertEqual(len(self.resets()), 1)
-        self.assertLessEqual(self.source.reads - reads, 3)
+        self.assertLessEqual(self.source.updates - reads, 3)
 
     async def test_a_host_that_does_not_hold_its_flow_any_more_ends_it(self):
         """Guards against callers of a host that started again."""
