--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 # More seeds of the fault suite than CI runs.
 faults: env
 	$(BIN)/python -m faults requests --seeds=$(or $(SEEDS),20) --first=$(or $(FIRST),100)
+	$(BIN)/python -m faults packets --seeds=$(or $(SEEDS),20) --first=$(or $(FIRST),100)
 
 check: env
 	$(BIN)/ruff format --check .
