Count an outage of the catalog until it answers again

Cause: tests.test_datagram_entry, test_no_reset_while_entries_may_have_lapsed, 4 of 40 runs: a flow was reset 1.3 s after the end of an outage. The outage counted until the last call that failed, which may be a second older than its end, so the list counted as complete before entries that lapsed in the outage had to be back.

Change: the first answer after failures ends the outage.

--- a/balsamspool/plugins/catalog/follower.py
+++ b/balsamspool/plugins/catalog/follower.py
@@ -158,13 +158,18 @@
     def _note_answer(self) -> None:
         if not self._reachable:
             self._reachable = True
+            # The service may have come back at any time since the last failure.
+            self._note_outage()
             CATALOG_REGAINED.log(_logger, revision=self._revision)
         self._answered = now()
         self._completeness.note_answer(now())
 
     def _note_failure(self, error: ResultError) -> None:
-        self._view.note_outage(now())
-        self._completeness.note_outage(now())
+        self._note_outage()
         if self._reachable:
             self._reachable = False
             CATALOG_LOST.log(_logger, revision=self._revision, error=str(error))
+
+    def _note_outage(self) -> None:
+        self._view.note_outage(now())
+        self._completeness.note_outage(now())
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -238,6 +238,19 @@
         self.assertTrue(self.follower.reachable)
         self.assertEqual(len(self.view.ready("portal")), 3)
 
+    async def test_an_outage_ends_with_the_first_answer(self):
+        """Guards against a list that counts as complete before entries are back.
+
+        The last failure may be a second older than the end of the outage.
+        """
+        self.source.failure = ResultError(CATALOG_UNAVAILABLE, "503")
+        await asyncio.sleep(10)
+        self.source.failure = None
+        regained = self.follower.answered
+        while self.follower.answered == regained:
+            await asyncio.sleep(0.01)
+        self.assertAlmostEqual(self.state.delay(now()), RETURN_SECONDS, 1)
+
     async def test_changes_in_a_row_cost_few_calls(self):
         """Guards against a call for each of many changes."""
         await asyncio.sleep(1)
