Give the emulated grown fleet the patience of its callers

Cause: callers of the larger deployment wait 1.8 times as long; the emulator called answers late that are in time there.

--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -31,11 +31,13 @@
         fleet: The fleet.
         scale: Times the demand of a small fleet.
         seconds: Length of the run in seconds.
+        patience: Times the latency objectives and deadlines of a small fleet.
     """
 
     fleet: FleetPlan
     scale: float
     seconds: float
+    patience: float = 1.0
 
 
 class LoadSummary(Struct, frozen=True):
@@ -102,7 +104,7 @@
         ),
         links=(200.0, 200.0, 10.0, 10.0, 14.0),
     )
-    return Workload(plan, scale, seconds)
+    return Workload(plan, scale, seconds, patience=1.8)
 
 
 def run_trial(
@@ -127,7 +129,7 @@
     fleet = Fleet(workload.fleet, rng)
     await fleet.start()
     await asyncio.sleep(SETTLE_SECONDS)
-    kinds = _kinds(fleet)
+    kinds = _kinds(fleet, workload.patience)
     traffic = Traffic(fleet, _demands(kinds, workload.scale), Wave(), rng)
     traffic.start()
     if isinstance(troubles, int):
@@ -147,25 +149,42 @@
     return Trial(violations, summary, fleet.history, counters)
 
 
-def _kinds(fleet: Fleet) -> list[RequestKind]:
+def _kinds(fleet: Fleet, patience: float) -> list[RequestKind]:
     portal = fleet.route_endpoint("portal")
     records = fleet.route_endpoint("records")
-    return [
-        RequestKind("feed", portal, Habit.KEPT, True, 0.026, 2_000, 0.15, 1.5),
-        RequestKind(
-            "ticket",
-            portal,
-            Habit.FRESH,
-            False,
-            0.033,
-            600,
-            0.2,
-            1.2,
-            worth=2.0,
-            late_worth=0.6,
-        ),
-        RequestKind("download", records, Habit.FRESH, True, 0.0042, 40_000, 0.5, 3.0),
-    ]
+    feed = RequestKind(
+        "feed",
+        portal,
+        Habit.KEPT,
+        idempotent=True,
+        work=0.026,
+        size=2_000,
+        goal=0.15 * patience,
+        deadline=1.0 * patience,
+    )
+    ticket = RequestKind(
+        "ticket",
+        portal,
+        Habit.FRESH,
+        idempotent=False,
+        work=0.033,
+        size=600,
+        goal=0.2 * patience,
+        deadline=1.2 * patience,
+        worth=2.0,
+        late_worth=0.6,
+    )
+    download = RequestKind(
+        "download",
+        records,
+        Habit.FRESH,
+        idempotent=True,
+        work=0.0042,
+        size=40_000,
+        goal=0.5 * patience,
+        deadline=3.0 * patience,
+    )
+    return [feed, ticket, download]
 
 
 def _demands(kinds: list[RequestKind], scale: float) -> list[Demand]:
