--- a/faults/apply.py
+++ b/faults/apply.py
@@ -23,10 +23,10 @@
     PlatformDown,
     PoorFabric,
     RaceTexts,
-    Step,
     StopAgents,
     StopEntry,
 )
+from faults.step import Step
 from standins.fabric import Fabric, Faults
 from standins.fleet import Fleet, Host
 
--- a/faults/packet_runner.py
+++ b/faults/packet_runner.py
@@ -27,11 +27,11 @@
     RefuseCalls,
     ReloadProcess,
     RestartServer,
-    Step,
     StopProcess,
     is_planned,
     make_schedule,
 )
+from faults.step import Step
 from standins.packet_caller import CallerFlow, CallerSocket, FlowBroken
 from standins.packet_fleet import Machine, PacketFleet, run_packet_fleet
 from standins.packet_server import PacketServer
@@ -166,7 +166,7 @@
         broken = Broken(flow.source, monotonic(), reason, opened, holder)
         self._history.broken.append(broken)
 
-    async def _inject(self, steps: tuple[Step, ...]) -> None:
+    async def _inject(self, steps: tuple[Step[Fault], ...]) -> None:
         started = monotonic()
         running: list[Task[None]] = []
         for step in steps:
--- a/faults/packet_schedule.py
+++ b/faults/packet_schedule.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import dataclass
 
+from faults.step import Step
 from standins.tcp_proxy import Condition, Delayed, Resetting, Silenced
 
 FIRST_AT, LAST_AT = 0.8, 6.5
@@ -112,19 +113,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Step:
-    """One fault of a schedule.
-
-    Attributes:
-        at: Time after the start of the load in seconds.
-        fault: The fault.
-    """
-
-    at: float
-    fault: Fault
-
-
 @dataclass(frozen=True, slots=True)
 class Machines:
     """Numbers of the machines of a fleet.
@@ -143,11 +131,11 @@
     return seed % 3 == 0
 
 
-def make_schedule(seed: int, machines: Machines) -> tuple[Step, ...]:
+def make_schedule(seed: int, machines: Machines) -> tuple[Step[Fault], ...]:
     """Return the faults of a seed in order of time."""
     chance = random.Random(seed)
     kinds = PLANNED if is_planned(seed) else ALL
-    steps: list[Step] = []
+    steps: list[Step[Fault]] = []
     for _ in range(STEPS):
         at = chance.uniform(FIRST_AT, LAST_AT)
         if steps and chance.random() < TOGETHER_SHARE:
--- a/faults/schedule.py
+++ b/faults/schedule.py
@@ -3,6 +3,8 @@
 import random
 from dataclasses import dataclass
 
+from faults.step import Step
+
 FIRST_AT, LAST_AT = 0.8, 5.5
 SHORTEST, LONGEST = 0.3, 2.5
 
@@ -143,19 +145,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Step:
-    """One fault of a schedule.
-
-    Attributes:
-        at: Time after the start of the load in seconds.
-        fault: The fault.
-    """
-
-    at: float
-    fault: Fault
-
-
 @dataclass(frozen=True, slots=True)
 class Schedule:
     """Faults of one run.
@@ -168,7 +157,7 @@
 
     seed: int
     planned: bool
-    steps: tuple[Step, ...]
+    steps: tuple[Step[Fault], ...]
 
 
 def make_schedule(seed: int, entries: int, hosts: dict[str, list[int]]) -> Schedule:
