Deliver packets of a flow that was found at another service there

Ruled out: marking such packets as not asked; a host whose address another service took over would never be known to have lost its flows.

Change: a flow that a search found at a host of another service is marked as one of any service, since its host said that it holds it.

--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -302,6 +302,16 @@
             FLOW_FOUND.log(_logger, flow=flow_id(key), address=agent)
         flow.hosts = (host,)
         flow.confirmed = True
+        if flow.searched is not None and self._is_of_another_service(agent, flow):
+            # The agent delivers a packet of another service only while it remembers
+            # the flow, which its host may hold since an earlier route table.
+            flow.service = ANY_SERVICE
+
+    def _is_of_another_service(self, agent: str, flow: EntryFlow) -> bool:
+        for server in self._catalog.view.servers:
+            if server.address == agent:
+                return service_number(server.service) != flow.service
+        return False
 
     def _log_placed(self, key: bytes, route: Route, choices: list[Choice]) -> None:
         first = choices[0]
--- a/tests/test_datagram_search.py
+++ b/tests/test_datagram_search.py
@@ -4,7 +4,7 @@
 import socket
 
 from balsamspool.datagram._codec import encode_small, service_number
-from balsamspool.datagram.messages import FlowLocated
+from balsamspool.datagram.messages import ANY_SERVICE, FlowLocated
 from balsamspool.kernel.errors import ResultError
 from balsamspool.plugins.catalog.codes import CATALOG_UNAVAILABLE
 from balsamspool.plugins.catalog.model import (
@@ -288,6 +288,27 @@
         self.answer_as_not_held()
         self.assertEqual(self.resets(), [])
 
+    async def test_a_flow_found_at_another_service_is_delivered_there(self):
+        """Guards against a reset after a restart of its agent (emulator, 1069)."""
+        other = ServerPublished(50, server(9, "records"), created=50)
+        self.source.publish(other, routes(60, version=2))
+        await asyncio.sleep(1)
+        self.receive(DATA)
+        self.peers.take()
+        self.peers.receive(encode_small(FlowLocated(KEY)), ("10.0.0.9", 7720))
+        self.receive(DATA)
+        message, address = self.forwarded()
+        self.assertEqual((message.service, address), (ANY_SERVICE, "10.0.0.9"))
+
+    async def test_a_flow_found_at_its_service_stays_there(self):
+        """Guards against packets at a server of another service that takes over."""
+        self.receive(DATA)
+        self.peers.take()
+        self.peers.receive(encode_small(FlowLocated(KEY)), ("10.0.0.4", 7720))
+        self.receive(DATA)
+        message, _ = self.forwarded()
+        self.assertEqual(message.service, service_number("portal"))
+
     async def test_a_reset_by_an_entry_that_knows_the_tables_of_a_minute(self):
         """Guards against callers of lost flows that are never told."""
         other = ServerPublished(50, server(9, "records"), created=50)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -20,6 +20,12 @@
 # Seeds that failed before a fault was mended: seed, troubles, seconds, cause.
 REGRESSIONS = (
     (8, 8, 30.0, "searches for an acknowledgement sent copies to every host (stray)"),
+    (
+        1069,
+        14,
+        40.0,
+        "a flow at an earlier service, after a restart of its agent (reset)",
+    ),
     (1002, 14, 40.0, "a flow at an earlier service of its route (stray, reset)"),
 )
 
