--- a/balsamspool/commands/report.py
+++ b/balsamspool/commands/report.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Sequence
 from pathlib import Path
+from typing import Any
 
 from balsamspool.commands.codes import ARGUMENT_INVALID, ExitCode
 from balsamspool.commands.log_lines import read_lines
@@ -68,7 +69,7 @@
     _print_counts("counters", summary.counters)
 
 
-def _print_counts(title: str, counts: Counter) -> None:  # type: ignore[type-arg]
+def _print_counts(title: str, counts: Counter[Any]) -> None:
     if counts:
         print_line("")
         rows = [(name, f"{count:g}") for name, count in counts.most_common()]
--- a/emulator/backend_server.py
+++ b/emulator/backend_server.py
@@ -11,7 +11,7 @@
 from emulator.exchange import Request, decode_request, reply_parts
 from emulator.history import History, OpenFlow, Opening, Run
 from emulator.network import EmulatedSocket, Network
-from emulator.segment import Flag, Segment, decode, encode, endpoint
+from emulator.segment import Flag, Segment, decode, encode
 
 APP_PORT = 8165
 OUTBOUND_PORT = 8162
@@ -268,15 +268,12 @@
         self._socket.send((bytes((data[0] | Flag.RETURNED,)), data[1:]), self._outbound)
 
 
-def opening_data(time: float) -> int:
-    """Return the number by which an opening tells when it was sent, in microseconds."""
+def opening_stamp(time: float) -> int:
+    """Return a time as openings carry it, in microseconds."""
     return int(time * 1e6) & 0xFFFFFFFF
 
 
 def _sent(segment: Segment) -> float:
     """Return the time in seconds at which an opening was sent."""
-    passed = (opening_data(now()) - segment.sequence) & 0xFFFFFFFF
+    passed = (opening_stamp(now()) - segment.sequence) & 0xFFFFFFFF
     return now() - passed / 1e6
-
-
-__all__ = ["EmulatedServer", "ServerPlan", "endpoint"]
--- a/emulator/caller.py
+++ b/emulator/caller.py
@@ -10,7 +10,7 @@
 
 from balsamspool.datagram.sockets import Address
 from balsamspool.kernel.clock import now
-from emulator.backend_server import opening_data
+from emulator.backend_server import opening_stamp
 from emulator.exchange import Request, decode_reply
 from emulator.exchange import encode as encode_message
 from emulator.history import History, Outcome, Result, SystemReset
@@ -29,7 +29,7 @@
 COPY_SECONDS = (0.2, 0.4, 0.8)
 RETRANSMIT_SECONDS = 0.2
 MAX_RETRANSMIT_SECONDS = 1.6
-# A repeat of a request uses the same answers, so a segment in two is acknowledged.
+# Every second segment is acknowledged.
 SEGMENTS_FOR_ACKNOWLEDGEMENT = 2
 
 
@@ -180,7 +180,7 @@
             FlowFailed: If no backend server accepted it in time.
         """
         for attempt, seconds in enumerate(COPY_SECONDS):
-            sent = opening_data(now())
+            sent = opening_stamp(now())
             self._send(Segment(Flag.OPENS, self._source, self._route, attempt, sent))
             accepted = await self._next(seconds, Flag.ACCEPTS)
             if accepted is not None:
--- a/emulator/catalog_service.py
+++ b/emulator/catalog_service.py
@@ -184,7 +184,7 @@
     """
 
     def __init__(self, kernel: object, service: CatalogService, reader: str) -> None:
-        super().__init__(kernel)  # type: ignore[arg-type]
+        super().__init__(kernel)
         self._service = service
         self._reader = reader
 
--- a/emulator/network.py
+++ b/emulator/network.py
@@ -162,11 +162,11 @@
     """
 
     def __init__(self, kernel: object, network: Network) -> None:
-        super().__init__(kernel)  # type: ignore[arg-type]
+        super().__init__(kernel)
         self._network = network
 
-    def open(self, address: Address, on_datagram: OnDatagram) -> EmulatedSocket:  # type: ignore[override]
+    def open(self, address: Address, on_datagram: OnDatagram) -> EmulatedSocket:
         """Return a socket that does not read yet."""
         opened = EmulatedSocket(self._network, address, on_datagram)
-        self._opened.append(opened)  # type: ignore[arg-type]
+        self._opened.append(opened)
         return opened
--- a/emulator/process.py
+++ b/emulator/process.py
@@ -163,15 +163,15 @@
             admin_port=ADMIN_PORT,
         )
         kernel = EmulatedKernel(self.role, settings, self._sections())
-        kernel.add(SegmentCodec(kernel))  # type: ignore[arg-type]
+        kernel.add(SegmentCodec(kernel))
         kernel.add(EmulatedSockets(kernel, self._network))
         match self.role:
             case Role.DATAGRAM_ENTRY:
                 kernel.add(EmulatedSource(kernel, self._catalog, self.instance))
-                kernel.add(CatalogPlugin(kernel))  # type: ignore[arg-type]
-                kernel.add(DatagramEntryPlugin(kernel))  # type: ignore[arg-type]
+                kernel.add(CatalogPlugin(kernel))
+                kernel.add(DatagramEntryPlugin(kernel))
             case Role.DATAGRAM_AGENT:
-                kernel.add(DatagramAgentPlugin(kernel))  # type: ignore[arg-type]
+                kernel.add(DatagramAgentPlugin(kernel))
         return kernel
 
     def _sections(self) -> dict[str, Section]:
--- a/faults/packet_runner.py
+++ b/faults/packet_runner.py
@@ -85,7 +85,7 @@
     __slots__ = (
         "_callers",
         "_fleet",
-        "_frozen",
+        "_stopped",
         "_history",
         "_machines",
         "_number",
@@ -103,8 +103,8 @@
         self._machines = [*fleet.entries, *fleet.agents]
         self._callers: list[CallerSocket] = []
         self._number = 0
-        # Machines with a process that this run has stopped, frozen or killed.
-        self._frozen: set[int] = set()
+        # Machines whose process is stopped, frozen or killed at present.
+        self._stopped: set[int] = set()
 
     async def run(self) -> PacketHistory:
         """Run the load and the faults, and record what was seen."""
@@ -210,37 +210,37 @@
                     await self._fleet.publish_routes(SERVICES)
 
     async def _kill(self, number: int, seconds: float) -> None:
-        if number in self._frozen:
+        if number in self._stopped:
             return
         machine = self._machines[number]
-        self._frozen.add(number)
+        self._stopped.add(number)
         self._disturb({number}, seconds + 1.0)
         await self._fleet.stop(machine, SIGKILL)
         await asyncio.sleep(seconds)
         await self._fleet.start(machine)
         await self._fleet.wait_ready(machine)
-        self._frozen.discard(number)
+        self._stopped.discard(number)
 
     async def _freeze(self, number: int, seconds: float) -> None:
-        if number in self._frozen:
+        if number in self._stopped:
             return
         machine = self._machines[number]
-        self._frozen.add(number)
+        self._stopped.add(number)
         self._disturb({number}, seconds)
         self._signal(machine, SIGSTOP)
         await asyncio.sleep(seconds)
         self._signal(machine, SIGCONT)
-        self._frozen.discard(number)
+        self._stopped.discard(number)
 
     async def _stop(self, number: int) -> None:
-        if number in self._frozen:
+        if number in self._stopped:
             return
         machine = self._machines[number]
-        self._frozen.add(number)
+        self._stopped.add(number)
         await self._fleet.stop(machine)
         await self._fleet.start(machine)
         await self._fleet.wait_ready(machine)
-        self._frozen.discard(number)
+        self._stopped.discard(number)
 
     async def _drain(self, number: int, seconds: float) -> None:
         machine = self._machines[number]
