--- a/faults/packet_runner.py
+++ b/faults/packet_runner.py
@@ -112,7 +112,7 @@
         load = []
         for route, service in SERVICES.items():
             for number in range(self._size.callers):
-                caller = self._fleet.caller(10 * route + number)
+                caller = self._fleet.caller(len(SERVICES) * number + route)
                 await caller.start()
                 self._callers.append(caller)
                 work = self._keep_asking(caller, route, service, until)
