Let two tests pass whose scaffolding failed, not the product

Cause: a request whose answer became complete in the moment of its timeout was cancelled, and the library refuses to end a completed direction of a stream (ValueError, test_guarantees_hold_under_faults). The premise of test_lost_flows_are_reset named one host, but caller ports are random, and for 3 to 5% of them that host holds none of eight flows.

Change: cancel() leaves complete directions alone, and the fault callers take an answer that is complete. The packet test restarts the host that holds the most flows, which is at least a third of them.

--- a/faults/callers.py
+++ b/faults/callers.py
@@ -173,8 +173,10 @@
             async with asyncio.timeout(timeout_seconds):
                 await _wait_for_end(answer)
         except TimeoutError:
-            connection.cancel(stream_id)
-            return TimedOut()
+            # The answer may have become complete in the moment of the timeout.
+            if not answer.whole:
+                connection.cancel(stream_id)
+                return TimedOut()
         if answer.cut:
             rejected = answer.reset_code == H3_REQUEST_REJECTED
             return Rejected() if rejected else Interrupted(answer.reset_code)
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -3,7 +3,7 @@
 import asyncio
 import ssl
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 
 from qh3.asyncio.client import connect
@@ -19,6 +19,7 @@
 )
 
 H3_REQUEST_REJECTED = 0x10B
+H3_REQUEST_CANCELLED = 0x10C
 
 
 class ConnectionLost(Exception):
@@ -132,9 +133,12 @@
         return answer
 
     def cancel(self, stream_id: int) -> None:
-        """Cancel a request."""
-        self._quic.reset_stream(stream_id, 0x10C)
-        self._quic.stop_stream(stream_id, 0x10C)
+        """Cancel a request. A request whose stream is complete is left as it is."""
+        # The two directions of a stream complete separately, and the library refuses
+        # to end a direction that is complete.
+        for end_direction in (self._quic.reset_stream, self._quic.stop_stream):
+            with suppress(ValueError):
+                end_direction(stream_id, H3_REQUEST_CANCELLED)
         self.transmit()
 
     def _handle_http(self, event: object) -> None:
--- a/tests/test_packet_fleet.py
+++ b/tests/test_packet_fleet.py
@@ -22,6 +22,7 @@
 from standins.packet_fleet import ADMIN_PORT, PROGRAM, run_packet_fleet
 
 SERVICES = {1: "portal", 2: "records"}
+HOSTS = 3
 DEADLINE = 2.0
 # Limits for the start time and the memory of a process, set by the platform's smallest
 # instances.
@@ -33,7 +34,9 @@
     async def asyncSetUp(self):
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
-        context = run_packet_fleet(Path(directory.name), SERVICES, hosts=3, entries=2)
+        context = run_packet_fleet(
+            Path(directory.name), SERVICES, hosts=HOSTS, entries=2
+        )
         self.fleet = await self.enterAsyncContext(context)
         self.caller = self.fleet.caller(1)
         await self.caller.start()
@@ -120,9 +123,10 @@
         flows = [await self.open_flow() for _ in range(8)]
         for flow in flows:
             await self.check_request(flow)
-        restarted = self.fleet.agents[0]
+        # Ports of callers are random, so any given host may hold none of the flows.
+        restarted = max(self.fleet.agents, key=lambda agent: agent.server.open_flows)
         expected = restarted.server.open_flows
-        self.assertGreater(expected, 0)
+        self.assertGreaterEqual(expected, len(flows) / HOSTS)
         restarted.server.forget_flows()
         broken = 0
         for flow in flows:
