--- a/balsamspool/datagram/_codec.py
+++ b/balsamspool/datagram/_codec.py
@@ -5,30 +5,40 @@
 from xxhash import xxh32_intdigest
 
 from balsamspool.datagram.messages import (
+    Announce,
     FlowEnded,
     FlowLocated,
     Forward,
     Message,
     PacketReturned,
+    Readers,
     Report,
+    SmallMessage,
     Subscribe,
 )
 from balsamspool.placement.load import LoadReport
 
 LAYOUT_VERSION = 1
 
-_FORWARD, _LOCATED, _ENDED, _RETURNED, _SUBSCRIBE, _REPORT = range(1, 7)
+_FORWARD, _LOCATED, _ENDED, _RETURNED = range(1, 5)
+_SUBSCRIBE, _REPORT, _ANNOUNCE, _READERS = range(5, 9)
 # Fields: layout, kind, hops, flags, number of alternatives, service, origin.
 _FORWARD_HEAD = struct.Struct("!BBBBBI4s")
 _FLOW = struct.Struct("!BB12s")
 # Fields: layout, kind, hops, flags.
 _RETURNED_HEAD = struct.Struct("!BBBB")
-_SUBSCRIPTION = struct.Struct("!BBH")
+# Fields: layout, kind, lease in ms, period in ms. The period may be missing.
+_SUBSCRIPTION = struct.Struct("!BBHH")
+_SUBSCRIPTION_WITHOUT_PERIOD = struct.Struct("!BBH")
 # Fields: layout, kind, responsive, requests in progress, mean number of requests in
 # progress in 1/256, flows, period in ms.
 _LOAD = struct.Struct("!BBBHIHH")
+# Fields: layout, kind, whether the entry reaches the service, failure domain, revision.
+_ANNOUNCEMENT = struct.Struct("!BBBIQ")
+# Fields: layout, kind, number of readers, entries, newest revision.
+_READERS_HEAD = struct.Struct("!BBBHQ")
 
-_UNCONFIRMED, _SKIPPED = 1, 2
+_UNCONFIRMED, _SKIPPED, _UNSURE = 1, 2, 4
 
 _MEAN_UNIT = 256
 _MAX_SHORT = 0xFFFF
@@ -40,13 +50,20 @@
     return xxh32_intdigest(name.encode()) or 1
 
 
+def failure_domain_number(name: str) -> int:
+    """Return the number that identifies a failure domain in messages."""
+    return xxh32_intdigest(name.encode())
+
+
 def forward_head(message: Forward) -> bytes:
     """Return the header that precedes the payload of a forwarded packet."""
     head = _FORWARD_HEAD.pack(
         LAYOUT_VERSION,
         _FORWARD,
         message.hops,
-        _UNCONFIRMED * message.unconfirmed | _SKIPPED * message.skipped,
+        _UNCONFIRMED * message.unconfirmed
+        | _SKIPPED * message.skipped
+        | _UNSURE * message.unsure,
         len(message.alternatives),
         message.service,
         message.origin,
@@ -54,21 +71,26 @@
     return head + b"".join(message.alternatives)
 
 
-def returned_head(hops: int, skipped: bool) -> bytes:
+def returned_head(hops: int, skipped: bool, unsure: bool = False) -> bytes:
     """Return the header that precedes the payload of a returned packet."""
-    return _RETURNED_HEAD.pack(LAYOUT_VERSION, _RETURNED, hops, _SKIPPED * skipped)
+    flags = _SKIPPED * skipped | _UNSURE * unsure
+    return _RETURNED_HEAD.pack(LAYOUT_VERSION, _RETURNED, hops, flags)
 
 
-def encode_small(message: FlowLocated | FlowEnded | Subscribe | Report) -> bytes:
+def encode_small(message: SmallMessage) -> bytes:
     """Encode a message without a payload."""
     match message:
         case FlowLocated(flow):
             return _FLOW.pack(LAYOUT_VERSION, _LOCATED, flow)
         case FlowEnded(flow):
             return _FLOW.pack(LAYOUT_VERSION, _ENDED, flow)
-        case Subscribe(lease):
-            milliseconds = min(int(lease * 1000), _MAX_SHORT)
-            return _SUBSCRIPTION.pack(LAYOUT_VERSION, _SUBSCRIBE, milliseconds)
+        case Subscribe(lease, period):
+            return _SUBSCRIPTION.pack(
+                LAYOUT_VERSION,
+                _SUBSCRIBE,
+                min(int(lease * 1000), _MAX_SHORT),
+                min(int(period * 1000), _MAX_SHORT),
+            )
         case Report(load):
             return _LOAD.pack(
                 LAYOUT_VERSION,
@@ -79,6 +101,19 @@
                 min(load.flows, _MAX_SHORT),
                 min(int(load.period * 1000), _MAX_SHORT),
             )
+        case Announce(failure_domain, revision, reaches_service):
+            return _ANNOUNCEMENT.pack(
+                LAYOUT_VERSION, _ANNOUNCE, reaches_service, failure_domain, revision
+            )
+        case Readers(readers, entries, newest_revision):
+            head = _READERS_HEAD.pack(
+                LAYOUT_VERSION,
+                _READERS,
+                len(readers),
+                min(entries, _MAX_SHORT),
+                newest_revision,
+            )
+            return head + b"".join(readers)
 
 
 def decode(data: bytes) -> Message | None:
@@ -109,26 +144,31 @@
         case 4:
             _, _, hops, flags = _RETURNED_HEAD.unpack_from(data)
             payload = data[_RETURNED_HEAD.size :]
-            return PacketReturned(hops, bool(flags & _SKIPPED), payload)
+            skipped, unsure = bool(flags & _SKIPPED), bool(flags & _UNSURE)
+            return PacketReturned(hops, skipped, payload, unsure)
         case 5:
-            return Subscribe(_SUBSCRIPTION.unpack(data)[2] / 1000)
+            return _decode_subscribe(data)
         case 6:
             _, _, responsive, in_progress, mean, flows, period = _LOAD.unpack(data)
             load = LoadReport(
                 in_progress, mean / _MEAN_UNIT, flows, bool(responsive), period / 1000
             )
             return Report(load)
+        case 7:
+            _, _, reaches, domain, revision = _ANNOUNCEMENT.unpack(data)
+            return Announce(domain, revision, bool(reaches))
+        case 8:
+            return _decode_readers(data)
         case _:
             return None
 
 
 def _decode_forward(data: bytes) -> Forward | None:
     _, _, hops, flags, count, service, origin = _FORWARD_HEAD.unpack_from(data)
-    start = _FORWARD_HEAD.size
-    end = start + 4 * count
+    end = _FORWARD_HEAD.size + 4 * count
     if len(data) < end:
         return None
-    alternatives = tuple(data[i : i + 4] for i in range(start, end, 4))
+    alternatives = _decode_addresses(data, _FORWARD_HEAD.size, end)
     return Forward(
         service=service,
         origin=origin,
@@ -137,4 +177,25 @@
         skipped=bool(flags & _SKIPPED),
         alternatives=alternatives,
         payload=data[end:],
+        unsure=bool(flags & _UNSURE),
     )
+
+
+def _decode_subscribe(data: bytes) -> Subscribe:
+    if len(data) == _SUBSCRIPTION_WITHOUT_PERIOD.size:
+        return Subscribe(_SUBSCRIPTION_WITHOUT_PERIOD.unpack(data)[2] / 1000)
+    _, _, lease, period = _SUBSCRIPTION.unpack(data)
+    return Subscribe(lease / 1000, period / 1000)
+
+
+def _decode_readers(data: bytes) -> Readers | None:
+    _, _, count, entries, newest_revision = _READERS_HEAD.unpack_from(data)
+    end = _READERS_HEAD.size + 4 * count
+    if len(data) != end:
+        return None
+    readers = _decode_addresses(data, _READERS_HEAD.size, end)
+    return Readers(readers, entries, newest_revision)
+
+
+def _decode_addresses(data: bytes, start: int, end: int) -> tuple[bytes, ...]:
+    return tuple(data[i : i + 4] for i in range(start, end, 4))
--- a/balsamspool/datagram/messages.py
+++ b/balsamspool/datagram/messages.py
@@ -20,6 +20,8 @@
             backend server.
         alternatives: Addresses of the agents to query next, 4 octets each.
         payload: The packet.
+        unsure: Whether an agent of another service passed the packet on that has not
+            run for long enough to know all flows of its backend server.
     """
 
     service: int
@@ -29,6 +31,7 @@
     skipped: bool
     alternatives: tuple[bytes, ...]
     payload: bytes | memoryview
+    unsure: bool = False
 
 
 class FlowLocated(Struct, frozen=True):
@@ -59,11 +62,13 @@
         skipped: Whether an agent passed the packet on without delivering it to its
             backend server.
         payload: The packet.
+        unsure: As in `Forward`.
     """
 
     hops: int
     skipped: bool
     payload: bytes | memoryview
+    unsure: bool = False
 
 
 class Subscribe(Struct, frozen=True):
@@ -71,9 +76,11 @@
 
     Attributes:
         lease: Seconds for which the entry subscribes to reports.
+        period: Shortest time between two reports in seconds, 0 for no limit.
     """
 
     lease: float
+    period: float = 0.0
 
 
 class Report(Struct, frozen=True):
@@ -86,4 +93,34 @@
     load: LoadReport
 
 
-Message = Forward | FlowLocated | FlowEnded | PacketReturned | Subscribe | Report
+class Announce(Struct, frozen=True):
+    """An entry announces itself, to learn which entries are to read the catalog.
+
+    Attributes:
+        failure_domain: Number of its failure domain.
+        revision: Revision of the catalog up to which it knows all changes.
+        reaches_service: Whether it can read the service that publishes the catalog.
+    """
+
+    failure_domain: int
+    revision: int
+    reaches_service: bool
+
+
+class Readers(Struct, frozen=True):
+    """Reply to `Announce`: the entries that are to read the catalog.
+
+    Attributes:
+        readers: Addresses of the first entries of the failure domain in the order in
+            which they are to read, 4 octets each.
+        entries: Number of entries of the failure domain.
+        newest_revision: Newest revision that any entry announced.
+    """
+
+    readers: tuple[bytes, ...]
+    entries: int
+    newest_revision: int
+
+
+SmallMessage = FlowLocated | FlowEnded | Subscribe | Report | Announce | Readers
+Message = Forward | PacketReturned | SmallMessage
--- a/balsamspool/plugins/catalog/codes.py
+++ b/balsamspool/plugins/catalog/codes.py
@@ -13,3 +13,6 @@
 CATALOG_MALFORMED = result_code(
     2303, "catalog-malformed", "An answer of the catalog service cannot be decoded."
 )
+CATALOG_PEER_UNAVAILABLE = result_code(
+    2304, "catalog-peer-unavailable", "A peer did not answer a request for its catalog."
+)
--- a/balsamspool/plugins/catalog/completeness.py
+++ b/balsamspool/plugins/catalog/completeness.py
@@ -41,7 +41,8 @@
         Args:
             time: Event loop time in seconds.
         """
-        self._outage_end = time
+        if self._outage_end is None or time > self._outage_end:
+            self._outage_end = time
 
     @property
     def removals_planned(self) -> bool:
--- a/balsamspool/plugins/catalog/events.py
+++ b/balsamspool/plugins/catalog/events.py
@@ -56,7 +56,7 @@
     logging.INFO,
     "Newer records of a peer were applied.",
 )
-PEER_UNREACHABLE = log_event(
+PEER_LOST = log_event(
     2312,
     "catalog-peer-unreachable",
     logging.WARNING,
@@ -80,3 +80,15 @@
     logging.INFO,
     "The latest changes of the catalog were read to decide on unknown flows.",
 )
+PEER_REGAINED = log_event(
+    2316,
+    "catalog-peer-regained",
+    logging.INFO,
+    "A peer answers requests for its catalog again.",
+)
+UPSTREAM_CHANGED = log_event(
+    2317,
+    "catalog-upstream-changed",
+    logging.INFO,
+    "The catalog is now read from the publishing service, or from a peer.",
+)
--- a/balsamspool/plugins/catalog/follower.py
+++ b/balsamspool/plugins/catalog/follower.py
@@ -1,39 +1,45 @@
-"""Keeps the view of the catalog up to date by watching the publishing service."""
+"""Keeps the view of the catalog up to date."""
 
 import asyncio
 import logging
 import random
+from typing import TYPE_CHECKING
 
 from balsamspool.kernel.backoff import Backoff
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.errors import ResultError
 from balsamspool.plugins.catalog.codes import CATALOG_HISTORY_LOST
 from balsamspool.plugins.catalog.completeness import Completeness
+from balsamspool.plugins.catalog.delta import CatalogDelta
 from balsamspool.plugins.catalog.events import (
     CATALOG_LOST,
     CATALOG_READ,
     CATALOG_REGAINED,
     HISTORY_LOST,
+    UPSTREAM_CHANGED,
 )
-from balsamspool.plugins.catalog.model import Snapshot
+from balsamspool.plugins.catalog.feed import CatalogFeed
+from balsamspool.plugins.catalog.model import Changes, Snapshot
 from balsamspool.plugins.catalog.source import CatalogSource
+from balsamspool.plugins.catalog.upstream import (
+    CHANGE_BATCH_SECONDS,
+    PROBE_WAIT_SECONDS,
+    FollowPeer,
+    ReadService,
+    Upstream,
+    UpstreamSelector,
+)
 from balsamspool.plugins.catalog.view import CatalogView
 
+if TYPE_CHECKING:
+    from balsamspool.plugins.catalog.peers import CatalogPeers
+
 _logger = logging.getLogger(__name__)
 
 FIRST_RETRY_SECONDS = 0.2
 RETRY_LIMIT_SECONDS = 1.0
 # Longest retry delay of a process that has no route table yet.
 EMPTY_RETRY_SECONDS = 0.15
-# Longest time that a watch waits for changes while the service is unreachable. It is
-# shorter than the usual wait, so that an answer soon shows that the service is
-# reachable again.
-PROBE_WAIT_SECONDS = 0.05
-# Pause after a watch that returned changes, so that the next watch reads all changes
-# that follow closely in one call. With this pause, 640 entry processes that follow
-# steady changes stay below the service's limit of 2,000 calls per second. The pause is
-# short enough, because every time limit for applying a change is at least 3 s.
-CHANGE_BATCH_SECONDS = 0.5
 # Longest random delay before a full read. It spreads the full reads that all processes
 # start at the same moment after the service has lost its history.
 REREAD_SPREAD_SECONDS = 0.2
@@ -44,21 +50,30 @@
 
     Args:
         source: Reads the catalog from the publishing service.
+        peers: Requests changes from peers.
+        peer_port: Port at which all peers answer, None if peers are not followed.
         view: View of the catalog; it is changed in place.
+        feed: Passes the records on to peers.
         completeness: Records answers and outages.
+        selector: Selects the service or a peer for each call.
         wait: Longest wait of one call in seconds, which bounds the time until a lost
             answer is detected.
         rng: Random number generator.
     """
 
     __slots__ = (
-        "_last_answer",
-        "_completeness",
         "_calls",
+        "_completeness",
+        "_feed",
+        "_last_answer",
+        "_peer_port",
+        "_peers",
         "_reachable",
         "_revision",
         "_rng",
+        "_selector",
         "_source",
+        "_upstream",
         "_view",
         "_watch_seconds",
     )
@@ -66,29 +81,41 @@
     def __init__(
         self,
         source: CatalogSource,
+        peers: "CatalogPeers",
+        peer_port: int | None,
         view: CatalogView,
+        feed: CatalogFeed,
         completeness: Completeness,
+        selector: UpstreamSelector,
         wait: float,
         rng: random.Random,
     ) -> None:
         self._source = source
+        self._peers = peers
+        self._peer_port = peer_port
         self._view = view
+        self._feed = feed
         self._completeness = completeness
+        self._selector = selector
         self._watch_seconds = wait
         self._rng = rng
         self._revision: int | None = None
         self._last_answer: float | None = None
         self._reachable = True
         self._calls = 0
+        self._upstream: Upstream = ReadService()
 
     @property
     def last_answer(self) -> float | None:
-        """Event loop time of the last answer in seconds, None before the first."""
+        """Event loop time in seconds of the last answer of the service, None before it.
+
+        A process that follows a peer takes over the time of the peer's last answer.
+        """
         return self._last_answer
 
     @property
     def reachable(self) -> bool:
-        """Whether the last call was answered."""
+        """Whether the service answered this process, or a followed peer, recently."""
         return self._reachable
 
     @property
@@ -98,40 +125,98 @@
 
     @property
     def calls(self) -> int:
-        """Number of calls so far."""
+        """Number of calls to the service so far."""
         return self._calls
 
-    def apply_peer_snapshot(self, snapshot: Snapshot) -> bool:
-        """Apply the records of a peer if they are newer than the view.
+    @property
+    def upstream(self) -> Upstream:
+        """From where the last call read."""
+        return self._upstream
+
+    def record_pause(self) -> None:
+        """Record that the process was paused, so its last answer may be old."""
+        self._last_answer = None
+        self._feed.record_answer(None)
+        self._record_outage(now())
 
-        Args:
-            snapshot: All records that the peer has.
+    def apply_delta(self, delta: CatalogDelta) -> bool:
+        """Apply what a peer sent unless this process knows newer changes.
 
         Returns:
-            Whether the snapshot was newer.
+            Whether the peer knew newer changes.
         """
-        if self._revision is not None and snapshot.revision <= self._revision:
+        known = self._revision
+        if known is not None and delta.revision < known:
             return False
-        self._view.replace(snapshot, now())
-        self._revision = snapshot.revision
-        return True
+        if delta.outage_age is not None:
+            self._record_outage(now() - delta.outage_age)
+        if delta.complete or known is None:
+            if not delta.complete:
+                return False
+            self._apply_snapshot(Snapshot(delta.revision, delta.records))
+        else:
+            self._apply_changes(Changes(delta.revision, delta.records))
+        if delta.age is not None and delta.age < self._selector.times.stale:
+            self._record_answer(now() - delta.age)
+        return known is None or delta.revision > known
 
     async def run(self) -> None:
         """Follow the catalog until cancelled."""
         backoff = Backoff(FIRST_RETRY_SECONDS, RETRY_LIMIT_SECONDS, self._rng)
         while True:
-            try:
-                await self._read_or_watch()
-            except ResultError as error:
-                if error.code is CATALOG_HISTORY_LOST:
-                    HISTORY_LOST.log(_logger, revision=self._revision)
-                    self._revision = None
-                    await asyncio.sleep(self._rng.uniform(0, REREAD_SPREAD_SECONDS))
-                    continue
-                self._record_failure(error)
-                await asyncio.sleep(self._retry_delay(backoff))
-            else:
-                backoff.reset()
+            match self._choose_upstream():
+                case ReadService():
+                    await self._read_service(backoff)
+                case FollowPeer(address):
+                    await self._follow(address)
+
+    def _choose_upstream(self) -> Upstream:
+        if self._peer_port is None:
+            return ReadService()
+        chosen = self._selector.choose(self._revision, self._last_answer, now())
+        if type(chosen) is not type(self._upstream):
+            match chosen:
+                case ReadService():
+                    UPSTREAM_CHANGED.log(_logger, upstream="service", **self._state())
+                case FollowPeer(address):
+                    UPSTREAM_CHANGED.log(_logger, upstream=address, **self._state())
+        self._upstream = chosen
+        return chosen
+
+    def _state(self) -> dict[str, object]:
+        answered = self._last_answer
+        age = None if answered is None else round(now() - answered, 3)
+        return {"revision": self._revision, "age": age}
+
+    async def _follow(self, address: str) -> None:
+        """Request changes from a peer, which waits until there are any."""
+        assert self._revision is not None
+        peer = f"{address}:{self._peer_port}"
+        try:
+            wait = self._selector.times.peer_wait
+            delta = await self._peers.fetch(peer, self._revision, wait)
+        except ResultError:
+            # The plug-in for peers has logged the failure.
+            self._selector.record_peer_failure(address, now())
+            return
+        if delta is None:
+            self._selector.record_peer_failure(address, now())
+            return
+        self.apply_delta(delta)
+
+    async def _read_service(self, backoff: Backoff) -> None:
+        try:
+            await self._read_or_watch()
+        except ResultError as error:
+            if error.code is CATALOG_HISTORY_LOST:
+                HISTORY_LOST.log(_logger, revision=self._revision)
+                self._revision = None
+                await asyncio.sleep(self._rng.uniform(0, REREAD_SPREAD_SECONDS))
+                return
+            self._record_failure(error)
+            await asyncio.sleep(self._retry_delay(backoff))
+        else:
+            backoff.reset()
 
     def _retry_delay(self, backoff: Backoff) -> float:
         delay = backoff.next_delay()
@@ -144,40 +229,63 @@
         self._calls += 1
         if self._revision is None:
             snapshot = await self._source.read()
-            self._record_answer()
-            self._view.replace(snapshot, now())
-            self._revision = snapshot.revision
+            self._record_service_answer()
+            self._apply_snapshot(snapshot)
             CATALOG_READ.log(
                 _logger, revision=snapshot.revision, records=len(snapshot.records)
             )
+            # Agents tell this process meanwhile whether it has to go on reading.
+            await asyncio.sleep(CHANGE_BATCH_SECONDS)
             return
-        # A watch that waits for changes does not show whether the service answers, so
-        # the wait is short until the service is known to be reachable.
-        wait = self._watch_seconds if self._reachable else PROBE_WAIT_SECONDS
-        changes = await self._source.watch(self._revision, wait)
-        self._record_answer()
-        for record in changes.records:
-            self._view.apply(record, now())
-        self._revision = max(self._revision, changes.revision)
+        changes = await self._source.watch(self._revision, self._watch_wait())
+        self._record_service_answer()
+        self._apply_changes(changes)
         if changes.records:
             await asyncio.sleep(CHANGE_BATCH_SECONDS)
 
-    def _record_answer(self) -> None:
+    def _watch_wait(self) -> float:
+        if not self._reachable:
+            return PROBE_WAIT_SECONDS
+        if self._peer_port is None:
+            return self._watch_seconds
+        return min(self._watch_seconds, self._selector.longest_wait(now()))
+
+    def _apply_snapshot(self, snapshot: Snapshot) -> None:
+        self._view.replace(snapshot, now())
+        self._feed.record_snapshot(snapshot)
+        self._revision = snapshot.revision
+
+    def _apply_changes(self, changes: Changes) -> None:
+        for record in changes.records:
+            self._view.apply(record, now())
+        self._revision = max(self._revision or 0, changes.revision)
+        self._feed.record_changes(Changes(self._revision, changes.records))
+
+    def _record_service_answer(self) -> None:
+        self._selector.record_service_answer(now())
+        self._record_answer(now())
+
+    def _record_answer(self, time: float) -> None:
+        """Record an answer of the service to this process or to a followed peer."""
         if not self._reachable:
             self._reachable = True
             # The outage may have lasted until this answer, so the time of the answer is
             # recorded as the end of the outage.
-            self._record_outage()
+            self._record_outage(time)
             CATALOG_REGAINED.log(_logger, revision=self._revision)
-        self._last_answer = now()
-        self._completeness.record_answer(now())
+        if self._last_answer is None or time > self._last_answer:
+            self._last_answer = time
+            self._feed.record_answer(time)
+        self._completeness.record_answer(time)
 
     def _record_failure(self, error: ResultError) -> None:
-        self._record_outage()
+        self._selector.record_service_failure(now())
+        self._record_outage(now())
         if self._reachable:
             self._reachable = False
             CATALOG_LOST.log(_logger, revision=self._revision, error=str(error))
 
-    def _record_outage(self) -> None:
-        self._view.record_outage(now())
-        self._completeness.record_outage(now())
+    def _record_outage(self, time: float) -> None:
+        self._feed.record_outage(time)
+        self._view.record_outage(time)
+        self._completeness.record_outage(time)
--- a/balsamspool/plugins/catalog/model.py
+++ b/balsamspool/plugins/catalog/model.py
@@ -94,7 +94,7 @@
     started_ms: int | None = None
 
 
-class RoutesPublished(Struct, frozen=True):
+class RoutesPublished(Struct, frozen=True, tag=True):
     """The route table was published.
 
     Attributes:
@@ -106,7 +106,7 @@
     table: RouteTable
 
 
-class ServerPublished(Struct, frozen=True):
+class ServerPublished(Struct, frozen=True, tag=True):
     """A backend server appeared or changed.
 
     Attributes:
@@ -120,7 +120,7 @@
     created: int = 0
 
 
-class ServerRemoved(Struct, frozen=True):
+class ServerRemoved(Struct, frozen=True, tag=True):
     """A backend server is no longer listed.
 
     Attributes:
@@ -132,7 +132,7 @@
     name: str
 
 
-class RecordIgnored(Struct, frozen=True):
+class RecordIgnored(Struct, frozen=True, tag=True):
     """A record that cannot be used.
 
     Attributes:
--- /dev/null
+++ b/balsamspool/plugins/catalog/peers.py
@@ -0,0 +1,127 @@
+"""Plug-in that passes the catalog between processes over HTTP."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from urllib.parse import parse_qs
+
+from balsamspool.kernel.errors import ResultError
+from balsamspool.kernel.identity import Role
+from balsamspool.kernel.lifecycle import Kernel
+from balsamspool.kernel.registry import Plugin, register
+from balsamspool.kernel.settings import split_endpoint
+from balsamspool.minihttp.client import HttpConnection
+from balsamspool.minihttp.server import Page, PageServer
+from balsamspool.plugins.catalog.codes import CATALOG_PEER_UNAVAILABLE
+from balsamspool.plugins.catalog.delta import CatalogDelta, decode_delta, encode_delta
+from balsamspool.plugins.catalog.events import PEER_LOST, PEER_REGAINED
+
+_logger = logging.getLogger(__name__)
+
+CHANGES_PATH = "/catalog/changes"
+# Time for the answer of a peer, beyond the wait that the request asks for.
+ANSWER_SECONDS = 0.5
+# Longest wait that a peer may ask for.
+MAX_WAIT_SECONDS = 5.0
+# Maximum number of connections that are kept open to peers.
+MAX_CONNECTIONS = 8
+
+# Returns what changed after a revision, or None if nothing did within a time in
+# seconds.
+AnswerChanges = Callable[[int, float], Awaitable[CatalogDelta | None]]
+
+
+@register("catalog-peers", roles=[Role.DATAGRAM_ENTRY])
+class CatalogPeers(Plugin):
+    """Requests changes of the catalog from peers, and answers theirs.
+
+    The emulator replaces this plug-in by one of its own.
+
+    Args:
+        kernel: Kernel that runs the plug-in.
+    """
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._connections: dict[str, HttpConnection] = {}
+        self._lost_peers: set[str] = set()
+        self._answer: AnswerChanges | None = None
+        self._server = PageServer(self._page)
+
+    async def stop(self) -> None:
+        """Stop answering peers and close the connections to them."""
+        self._server.close()
+        while self._connections:
+            self._connections.popitem()[1].close()
+
+    async def serve(self, endpoint: str, answer: AnswerChanges) -> None:
+        """Answer requests of peers.
+
+        Args:
+            endpoint: IPv4 address and port to listen at.
+            answer: Returns the changes.
+        """
+        self._answer = answer
+        await self._server.start(*split_endpoint(endpoint))
+
+    async def fetch(self, peer: str, after: int, wait: float) -> CatalogDelta | None:
+        """Request the changes after a revision from a peer.
+
+        Args:
+            peer: IPv4 address and port of the peer.
+            after: Revision up to which this process knows all changes.
+            wait: Time in seconds for which the peer waits for a change.
+
+        Returns:
+            The changes, None if there are none.
+
+        Raises:
+            ResultError: With code 2304 if the peer gives no usable answer in time.
+        """
+        connection = self._connection(peer)
+        target = f"{CHANGES_PATH}?after={after}&wait-ms={int(wait * 1000)}"
+        try:
+            response = await connection.get(target, wait + ANSWER_SECONDS)
+            if response.status not in (200, 204):
+                raise OSError(f"answered with status {response.status}")
+            body = bytes(response.body)
+            delta = decode_delta(body) if response.status == 200 else None
+        except (OSError, ValueError) as error:
+            self._record_lost(peer, error)
+            raise ResultError(CATALOG_PEER_UNAVAILABLE, f"{peer}: {error!r}") from error
+        if peer in self._lost_peers:
+            self._lost_peers.discard(peer)
+            PEER_REGAINED.log(_logger, peer=peer)
+        return delta
+
+    def _connection(self, peer: str) -> HttpConnection:
+        connection = self._connections.pop(peer, None)
+        if connection is None:
+            connection = HttpConnection(*split_endpoint(peer))
+        # The connection that was used last is at the end.
+        self._connections[peer] = connection
+        if len(self._connections) > MAX_CONNECTIONS:
+            self._connections.pop(next(iter(self._connections))).close()
+        return connection
+
+    def _record_lost(self, peer: str, error: Exception) -> None:
+        self._connections.pop(peer).close()
+        if peer not in self._lost_peers:
+            self._lost_peers.add(peer)
+            PEER_LOST.log(_logger, peer=peer, error=repr(error))
+
+    async def _page(self, path: str, query: str) -> Page:
+        if path != CHANGES_PATH or self._answer is None:
+            return Page(404, b"")
+        fields = parse_qs(query)
+        try:
+            after = int(fields["after"][0])
+            wait = int(fields.get("wait-ms", ["0"])[0]) / 1000
+        except (KeyError, ValueError):
+            return Page(400, b"after and wait-ms are whole numbers\n")
+        delta = await self._answer(after, min(max(0.0, wait), MAX_WAIT_SECONDS))
+        if delta is None:
+            return Page(204, b"")
+        # Encoding a large route table takes milliseconds, so other tasks run before.
+        await asyncio.sleep(0)
+        return Page(200, encode_delta(delta), "application/octet-stream")
--- a/balsamspool/plugins/catalog/plugin.py
+++ b/balsamspool/plugins/catalog/plugin.py
@@ -1,7 +1,6 @@
 """Plug-in that keeps the view of the catalog up to date."""
 
 import asyncio
-import random
 from typing import Annotated
 
 from msgspec import Meta
@@ -11,12 +10,19 @@
 from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.kernel.settings import Section, split_endpoint
-from balsamspool.minihttp.server import Page, PageServer
 from balsamspool.plugins.catalog.completeness import Completeness
-from balsamspool.plugins.catalog.exchange import CATALOG_PATH, CatalogExchange
+from balsamspool.plugins.catalog.exchange import CatalogExchange
+from balsamspool.plugins.catalog.feed import CatalogFeed
 from balsamspool.plugins.catalog.follower import CatalogFollower
+from balsamspool.plugins.catalog.peers import CatalogPeers
 from balsamspool.plugins.catalog.refresher import CatalogRefresher
 from balsamspool.plugins.catalog.source import CatalogSource
+from balsamspool.plugins.catalog.upstream import (
+    FollowPeer,
+    ReadService,
+    UpstreamSelector,
+    UpstreamTimes,
+)
 from balsamspool.plugins.catalog.view import CatalogView
 
 EXPIRY_INTERVAL_SECONDS = 0.5
@@ -32,6 +38,8 @@
         watch_seconds: Longest wait for changes in one call in seconds. It bounds the
             time until a lost answer is detected; the source detects a silent
             connection sooner.
+        apply_milliseconds: Time in milliseconds within which a published change must be
+            in force.
         listen: IPv4 address and port at which this process answers peers, None if it
             answers none.
         peers: Addresses and ports of processes that may know the catalog. Some of them
@@ -39,6 +47,7 @@
     """
 
     watch_seconds: Annotated[float, Meta(gt=0, le=30)] = 6.0
+    apply_milliseconds: Annotated[int, Meta(ge=1_000)] = 6_000
     listen: str | None = None
     peers: list[str] = []
 
@@ -56,7 +65,7 @@
 @register(
     "catalog",
     roles=[Role.DATAGRAM_ENTRY],
-    requires=["catalog-source"],
+    requires=["catalog-source", "catalog-peers"],
 )
 class CatalogPlugin(Plugin):
     """Follows the published catalog.
@@ -72,21 +81,39 @@
         settings: CatalogSettings = kernel.settings.section("catalog")
         self._watch_seconds = settings.watch_seconds
         source = kernel.plugin(CatalogSource)
+        self._peers = kernel.plugin(CatalogPeers)
+        self._listen = settings.listen
         self._view = CatalogView()
+        self._feed = CatalogFeed()
         self._completeness = Completeness()
+        self._selector = UpstreamSelector(
+            kernel.identity.address,
+            UpstreamTimes.from_limit(settings.apply_milliseconds / 1000),
+            kernel.new_random(),
+        )
         self._follower = CatalogFollower(
-            source, self._view, self._completeness, self._watch_seconds, random.Random()
+            source,
+            self._peers,
+            split_endpoint(settings.listen)[1] if settings.listen else None,
+            self._view,
+            self._feed,
+            self._completeness,
+            self._selector,
+            self._watch_seconds,
+            kernel.new_random(),
         )
         self._refresher = CatalogRefresher(
             source, self._view, self._completeness, self._follower
         )
         self._pauses = 0
-        self._listen = settings.listen
         self._exchange = CatalogExchange(
-            self._follower, self._view, settings.listen or "", random.Random()
+            self._follower,
+            self._peers,
+            self._view,
+            settings.listen or "",
+            kernel.new_random(),
         )
         self._exchange.set_peers(settings.peers)
-        self._server = PageServer(self._page)
 
     @property
     def ready(self) -> bool:
@@ -114,6 +141,16 @@
             and age < self._watch_seconds + FRESH_MARGIN_SECONDS
         )
 
+    @property
+    def selector(self) -> UpstreamSelector:
+        """Selects from where this process reads the catalog."""
+        return self._selector
+
+    @property
+    def revision(self) -> int:
+        """Revision up to which changes are known, 0 before the first read."""
+        return self._follower.revision or 0
+
     @property
     def refresher(self) -> CatalogRefresher:
         """Reads the catalog again on demand."""
@@ -131,15 +168,11 @@
     async def start(self) -> None:
         """Start following the catalog and answering peers."""
         if self._listen is not None:
-            await self._server.start(*split_endpoint(self._listen))
-        self._kernel.spawn(self._exchange.run(), "catalog exchange")
-        self._kernel.spawn(self._refresher.run(), "catalog refresher")
-        self._kernel.spawn(self._follower.run(), "catalog follower")
-        self._kernel.spawn(self._expire(), "catalog expiry")
-
-    async def stop(self) -> None:
-        """Stop answering peers."""
-        self._server.close()
+            await self._peers.serve(self._listen, self._feed.changes_after)
+        self._kernel.supervise(self._exchange.run, "catalog exchange")
+        self._kernel.supervise(self._refresher.run, "catalog refresher")
+        self._kernel.supervise(self._follower.run, "catalog follower")
+        self._kernel.supervise(self._expire, "catalog expiry")
 
     def reload(self) -> None:
         """Apply a changed list of peers."""
@@ -155,11 +188,16 @@
             "reachable": self._follower.reachable,
             "age_seconds": self.age,
             "calls": self._follower.calls,
+            "upstream": self._upstream_name(),
             "servers": {s.name: s.state.value for s in self._view.servers},
         }
 
-    def _page(self, path: str, query: str) -> Page:
-        return self._exchange.page(query) if path == CATALOG_PATH else Page(404, b"")
+    def _upstream_name(self) -> str:
+        match self._follower.upstream:
+            case ReadService():
+                return "service"
+            case FollowPeer(address):
+                return address
 
     async def _expire(self) -> None:
         while True:
@@ -171,5 +209,4 @@
         """Record each pause as an outage, because the pause may have hidden one."""
         if self._kernel.pauses != self._pauses:
             self._pauses = self._kernel.pauses
-            self._view.record_outage(now())
-            self._completeness.record_outage(now())
+            self._follower.record_pause()
--- /dev/null
+++ b/balsamspool/plugins/catalog/record_log.py
@@ -0,0 +1,98 @@
+"""The newest record of each name, kept so that it can be passed on to peers."""
+
+from balsamspool.plugins.catalog.model import (
+    Record,
+    RecordIgnored,
+    RoutesPublished,
+    ServerPublished,
+    ServerRemoved,
+    Snapshot,
+)
+
+# Maximum number of removals that are kept. A peer that asks for changes from before the
+# oldest of them gets the whole catalog.
+MAX_REMOVALS = 1_024
+
+_ROUTES_NAME = ""
+
+
+class RecordLog:
+    """Records as the publishing service sent them, without decisions of this process.
+
+    The view of a process delays some removals. A peer decides on its own which removals
+    it delays, so it gets the records and not the view.
+    """
+
+    __slots__ = ("_complete_since", "_records", "_removals")
+
+    def __init__(self) -> None:
+        self._records: dict[str, Record] = {}
+        # Names of the removed records, the oldest removal first.
+        self._removals: dict[str, None] = {}
+        # Revision after which no change is missing, None before the first snapshot.
+        self._complete_since: int | None = None
+
+    def apply(self, record: Record) -> None:
+        """Keep a record unless a newer one of the same name is known."""
+        name = _name_of(record)
+        known = self._records.get(name)
+        if known is not None and known.revision >= record.revision:
+            return
+        self._records[name] = record
+        self._removals.pop(name, None)
+        if isinstance(record, ServerRemoved):
+            self._removals[name] = None
+            if len(self._removals) > MAX_REMOVALS:
+                self._forget_oldest_removal()
+
+    def replace(self, snapshot: Snapshot) -> None:
+        """Apply a snapshot, and record what it no longer lists as removed."""
+        listed = {_name_of(record) for record in snapshot.records}
+        for record in snapshot.records:
+            self.apply(record)
+        for name, known in list(self._records.items()):
+            if name in listed or name in self._removals or name == _ROUTES_NAME:
+                continue
+            if known.revision <= snapshot.revision:
+                # The time of the removal is not known. A peer must not miss it, so the
+                # removal gets the revision of the snapshot.
+                self._records[name] = ServerRemoved(snapshot.revision, name)
+                self._removals[name] = None
+        if self._complete_since is None:
+            self._complete_since = snapshot.revision
+
+    def changes_after(self, revision: int) -> tuple[Record, ...] | None:
+        """Return the records that changed after a revision, the oldest first.
+
+        Returns:
+            The records, None if some of the changes are no longer known.
+        """
+        if self._complete_since is None or revision < self._complete_since:
+            return None
+        found = [r for r in self._records.values() if r.revision > revision]
+        return tuple(sorted(found, key=lambda record: record.revision))
+
+    def listed(self) -> tuple[Record, ...]:
+        """Return all records except removals."""
+        return tuple(
+            record
+            for record in self._records.values()
+            if not isinstance(record, ServerRemoved)
+        )
+
+    def _forget_oldest_removal(self) -> None:
+        name = next(iter(self._removals))
+        del self._removals[name]
+        removal = self._records.pop(name)
+        if self._complete_since is not None:
+            self._complete_since = max(self._complete_since, removal.revision)
+
+
+def _name_of(record: Record) -> str:
+    match record:
+        case RoutesPublished():
+            return _ROUTES_NAME
+        case ServerPublished(_, server):
+            return server.name
+        case ServerRemoved(_, name) | RecordIgnored(_, name):
+            return name
--- a/balsamspool/plugins/catalog/refresher.py
+++ b/balsamspool/plugins/catalog/refresher.py
@@ -46,6 +46,7 @@
         "_completeness",
         "_finished",
         "_follower",
+        "_history_read",
         "_source",
         "_started",
         "_view",
@@ -67,6 +68,12 @@
         self._started = 0.0
         self._finished = 0.0
         self._callbacks: list[Callable[[], None]] = []
+        self._history_read = False
+
+    @property
+    def history_read(self) -> bool:
+        """Whether the changes before the start of this process have been read."""
+        return self._history_read
 
     @property
     def started(self) -> float:
@@ -102,7 +109,7 @@
         started = now()
         try:
             revision = await self._update()
-            if not self._completeness.is_complete(now()):
+            if not self._history_read or not self._completeness.is_complete(now()):
                 await self._check_history(revision)
         except ResultError as error:
             REFRESH_FAILED.log(_logger, error=str(error))
@@ -136,9 +143,15 @@
         return snapshot.revision
 
     async def _check_history(self, revision: int) -> None:
-        """Check the history for entries that may have expired before the start."""
+        """Read the history from before the start of this process.
+
+        It shows which catalog entries may have expired, and earlier route tables.
+        """
         history = await self._source.history(revision)
+        self._history_read = True
         self._completeness.record_history(history)
+        if history is not None:
+            self._view.learn_history(history.records)
         HISTORY_READ.log(
             _logger,
             records=len(history.records) if history else None,
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -1,10 +1,11 @@
 """State of the published catalog as one process knows it."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from msgspec import Struct
 
+from balsamspool.placement.ranking import by_failure_domain
 from balsamspool.plugins.catalog.events import (
     RECORD_IGNORED,
     ROUTES_IGNORED,
@@ -80,10 +81,11 @@
         "_created_revisions",
         "_recently_removed",
         "_delayed_removals",
+        "_oldest_table_revision",
         "_outage_end",
         "_past_services",
         "_ready_cache",
-        "_records",
+        "_ready_domains",
         "_listed_cache",
         "_revisions",
         "_routes",
@@ -98,6 +100,9 @@
     def __init__(self) -> None:
         self._table: RouteTable | None = None
         self._table_revision = 0
+        # Revision of the oldest table that this process knows, 0 before the first. It
+        # knows all tables since then.
+        self._oldest_table_revision = 0
         self._routes: dict[tuple[str, int], Route] = {}
         self._past_services: dict[tuple[str, int], tuple[str, ...]] = {}
         self._servers: dict[str, BackendServer] = {}
@@ -111,6 +116,7 @@
         self._outage_end: float | None = None
         self._ready_cache: dict[str, tuple[BackendServer, ...]] = {}
         self._listed_cache: dict[str, tuple[BackendServer, ...]] = {}
+        self._ready_domains: dict[str, dict[str, list[BackendServer]]] = {}
         self._version = 0
         self._subscribers: list[Callable[[], None]] = []
 
@@ -139,24 +145,6 @@
         """Backend servers that were removed a short time ago."""
         return [removed.server for removed in self._recently_removed.values()]
 
-    def revision_of(self, name: str) -> int:
-        """Return the newest known revision of a backend server, 0 if unknown."""
-        return self._revisions.get(name, 0)
-
-    def records(self) -> tuple[RoutesPublished | ServerPublished, ...]:
-        """Return all known records, to be sent to a peer."""
-        servers = [
-            ServerPublished(
-                self._revisions[server.name],
-                server,
-                self._created_revisions[server.name],
-            )
-            for server in self._servers.values()
-        ]
-        if self._table is None:
-            return tuple(servers)
-        return (RoutesPublished(self._table_revision, self._table), *servers)
-
     def route(self, address: str, port: int) -> Route | None:
         """Return the route at an address, or None."""
         return self._routes.get((address, port))
@@ -174,12 +162,14 @@
         past = self._past_services.get((address, port), ())
         return (*present, *(service for service in past if service not in present))
 
-    def knows_services(self, address: str, port: int, time: float) -> bool:
-        """Return whether `services_at` names every service that holds flows of a route.
+    def unknown_holders(
+        self, address: str, port: int, time: float
+    ) -> list[BackendServer]:
+        """Return backend servers of other services that may hold flows of a route.
 
-        A process that has just started does not know earlier tables. A backend server
-        of any other service holds no flow of the route if it was first listed after
-        the table in force was published.
+        A process that has just started does not know earlier tables, and so not all
+        earlier services of a route. A backend server that was first listed after the
+        oldest table that this process knows holds no flow under an unknown table.
 
         Args:
             address: IPv4 address of the route.
@@ -188,13 +178,14 @@
         """
         since = self._tracked_since
         if since is not None and time - since >= FLOW_LIFE_SECONDS:
-            return True
+            return []
         services = self.services_at(address, port)
-        return all(
-            server.service in services
-            or self._created_revisions[name] >= self._table_revision
+        return [
+            server
             for name, server in self._servers.items()
-        )
+            if server.service not in services
+            and self._created_revisions[name] < self._oldest_table_revision
+        ]
 
     def ready(self, service: str) -> tuple[BackendServer, ...]:
         """Return the backend servers of a service that accept new flows."""
@@ -208,6 +199,15 @@
             self._ready_cache[service] = found
         return found
 
+    def ready_by_domain(self, service: str) -> dict[str, list[BackendServer]]:
+        """Return the backend servers that accept new flows, by failure domain."""
+        found = self._ready_domains.get(service)
+        if found is None:
+            found = self._ready_domains[service] = by_failure_domain(
+                self.ready(service)
+            )
+        return found
+
     def listed(self, service: str) -> tuple[BackendServer, ...]:
         """Return the listed backend servers of a service, in any state."""
         found = self._listed_cache.get(service)
@@ -244,8 +244,25 @@
         return max(0.0, max(ends, default=time) - time)
 
     def record_outage(self, time: float) -> None:
-        """Record that the publishing service did not answer."""
-        self._outage_end = time
+        """Record that the publishing service did not answer at a time in seconds."""
+        if self._outage_end is None or time > self._outage_end:
+            self._outage_end = time
+
+    def learn_history(self, records: Iterable[Record]) -> None:
+        """Learn the earlier services of routes from records before the first read.
+
+        Args:
+            records: All records since a revision, in order of their revision.
+        """
+        for record in records:
+            match record:
+                case RoutesPublished(revision, table) if (
+                    revision < self._table_revision
+                ):
+                    self._remember_services(table.routes)
+                    self._oldest_table_revision = min(
+                        self._oldest_table_revision, revision
+                    )
 
     def apply(self, record: Record, time: float) -> None:
         """Apply a record unless a newer one of the same name is known.
@@ -322,9 +339,12 @@
                     _logger, offered=table.version, in_force=self._table.version
                 )
             return
-        self._record_past_services()
+        # The services of each route are remembered before a newer table replaces them.
+        self._remember_services(self._routes.values())
         self._table = table
         self._table_revision = record.revision
+        if self._oldest_table_revision == 0:
+            self._oldest_table_revision = record.revision
         self._routes = {(r.address, r.port): r for r in table.routes}
         self._on_change()
         ROUTES_IN_FORCE.log(
@@ -334,14 +354,14 @@
             routes=len(table.routes),
         )
 
-    def _record_past_services(self) -> None:
-        """Remember the services of each route before a newer table replaces them."""
-        for endpoint, route in self._routes.items():
+    def _remember_services(self, routes: Iterable[Route]) -> None:
+        """Remember the services of routes, the latest of them first."""
+        for route in routes:
+            endpoint = (route.address, route.port)
             past = self._past_services.get(endpoint, ())
-            new = [t.service for t in route.targets if t.service not in past]
-            if new:
-                kept = (*new, *past)[:MAX_PAST_SERVICES]
-                self._past_services[endpoint] = kept
+            services = tuple(target.service for target in route.targets)
+            kept = tuple(service for service in past if service not in services)
+            self._past_services[endpoint] = (*services, *kept)[:MAX_PAST_SERVICES]
 
     def _apply_server(self, server: BackendServer, revision: int, time: float) -> None:
         before = self._servers.get(server.name)
@@ -438,6 +458,7 @@
     def _on_change(self) -> None:
         self._version += 1
         self._ready_cache.clear()
+        self._ready_domains.clear()
         self._listed_cache.clear()
         for callback in self._subscribers:
             callback()
--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -19,6 +19,7 @@
 )
 from balsamspool.datagram.messages import (
     ANY_SERVICE,
+    Announce,
     FlowEnded,
     FlowLocated,
     Forward,
@@ -39,7 +40,12 @@
 from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.kernel.settings import split_endpoint
-from balsamspool.plugins.datagram_agent.flows import FlowTable, HostFlow
+from balsamspool.plugins.datagram_agent.entries import EntryRegister
+from balsamspool.plugins.datagram_agent.flows import (
+    IDLE_SECONDS,
+    FlowTable,
+    HostFlow,
+)
 from balsamspool.plugins.datagram_agent.liveness import ServerLiveness
 from balsamspool.plugins.datagram_agent.reporter import LoadReporter
 from balsamspool.plugins.datagram_agent.work import WorkMeter
@@ -91,6 +97,8 @@
         self._sent_forwards: list[Forward | None] = [None] * REMEMBERED_PACKETS
         self._sent_count = 0
         self._last_packet = 0.0
+        self._started = 0.0
+        self._entries = EntryRegister()
         counters = kernel.counters
         self._malformed = counters.counter(
             "balsamspool_datagram_malformed", "Datagrams that could not be read"
@@ -111,7 +119,8 @@
 
     async def start(self) -> None:
         """Open the sockets and start passing packets."""
-        self._meter = WorkMeter(now())
+        self._started = now()
+        self._meter = WorkMeter(self._started)
         self._flows = FlowTable(self._meter)
         self._liveness = ServerLiveness()
         sockets = self._kernel.plugin(DatagramSockets)
@@ -122,7 +131,7 @@
         )
         self._peer_socket.start()
         self._server_socket.start()
-        self._kernel.spawn(self._expire(), "flow expiry")
+        self._kernel.supervise(self._expire, "flow expiry")
 
     async def drain(self) -> None:
         """Keep passing packets while the backend server or callers still send them."""
@@ -141,14 +150,19 @@
             "mean_work": round(self._meter.mean(now()), 2),
             "responsive": self._liveness.responsive,
             "subscribers": self._reporter.subscribers,
+            "entries": len(self._entries),
         }
 
     def _on_peer(self, data: bytes, sender: Address) -> None:
         match decode(data):
             case Forward() as forward:
                 self._on_forward(forward)
-            case Subscribe(lease):
-                self._reporter.subscribe(sender, lease)
+            case Subscribe(lease, period):
+                self._reporter.subscribe(sender, lease, period)
+            case Announce() as announce:
+                self._entries.record(sender[0], announce, now())
+                readers = self._entries.readers_for(announce.failure_domain)
+                self._peer_socket.send((encode_small(readers),), sender)
             case _:
                 self._malformed.value += 1
 
@@ -165,6 +179,9 @@
         if flow is None or not flow.accepted:
             was_passed_on = flow is not None and flow.passed_on
             if forward.service not in (ANY_SERVICE, self._service):
+                # The backend server may hold flows that opened before this agent
+                # started, until all of them have been idle for too long.
+                forward.unsure |= now() - self._started < IDLE_SECONDS
                 self._pass_on(forward, packet, "other-service")
                 return
             if was_passed_on or not self._liveness.responsive:
@@ -347,6 +364,7 @@
             forward.skipped,
             forward.alternatives[1:],
             forward.payload,
+            forward.unsure,
         )
         self._passed_on.value += 1
         parts = [forward_head(onward), *self._codec.encode(packet, bytes(4))]
@@ -360,7 +378,7 @@
             )
             return
         self._to_entries.value += 1
-        head = returned_head(forward.hops + 1, forward.skipped)
+        head = returned_head(forward.hops + 1, forward.skipped, forward.unsure)
         parts = [head, *self._codec.encode(packet, bytes(4))]
         entry = (socket.inet_ntoa(forward.origin), self._address[1])
         self._peer_socket.send(parts, entry)
--- a/balsamspool/plugins/datagram_agent/reporter.py
+++ b/balsamspool/plugins/datagram_agent/reporter.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import logging
+from functools import partial
+
+from msgspec import Struct
 
 from balsamspool.datagram._codec import encode_small
 from balsamspool.datagram.events import SUBSCRIBER_ADDED, SUBSCRIBER_EXPIRED
@@ -25,6 +28,18 @@
 MAX_SUBSCRIBERS = 1_024
 
 
+class _Subscription(Struct):
+    """Subscription of one entry.
+
+    Attributes:
+        until: Event loop time in seconds at which it ends.
+        period: Shortest time between two reports in seconds.
+    """
+
+    until: float
+    period: float
+
+
 class LoadReporter:
     """Reports the load of a backend server.
 
@@ -39,10 +54,10 @@
     __slots__ = (
         "_flows",
         "_kernel",
-        "_leases",
         "_liveness",
         "_meter",
         "_peer_socket",
+        "_subscriptions",
     )
 
     def __init__(
@@ -58,35 +73,42 @@
         self._meter = meter
         self._flows = flows
         self._liveness = liveness
-        self._leases: dict[Address, float] = {}
+        self._subscriptions: dict[Address, _Subscription] = {}
 
     @property
     def subscribers(self) -> int:
         """Number of entries that get reports."""
-        return len(self._leases)
+        return len(self._subscriptions)
 
-    def subscribe(self, entry: Address, lease: float) -> None:
+    def subscribe(self, entry: Address, lease: float, period: float) -> None:
         """Start sending reports to an entry, or extend its subscription.
 
         Args:
             entry: Address and port of the entry.
             lease: Seconds for which the entry subscribes to reports.
+            period: Shortest time between two reports in seconds.
         """
-        known = entry in self._leases
-        if not known and len(self._leases) >= MAX_SUBSCRIBERS:
+        known = self._subscriptions.get(entry)
+        if known is not None:
+            known.until, known.period = now() + lease, period
             return
-        self._leases[entry] = now() + lease
-        if not known:
-            SUBSCRIBER_ADDED.log(_logger, entry=entry[0])
-            self._kernel.spawn(self._report(entry), f"load reports to {entry[0]}")
+        if len(self._subscriptions) >= MAX_SUBSCRIBERS:
+            return
+        self._subscriptions[entry] = _Subscription(now() + lease, period)
+        SUBSCRIBER_ADDED.log(_logger, entry=entry[0])
+        self._kernel.supervise(
+            partial(self._report, entry), f"load reports to {entry[0]}"
+        )
 
     async def _report(self, entry: Address) -> None:
-        while now() < self._leases[entry]:
-            period = max(PERIOD_SECONDS, len(self._leases) / REPORTS_PER_SECOND)
+        subscription = self._subscriptions[entry]
+        while now() < subscription.until:
+            shared = len(self._subscriptions) / REPORTS_PER_SECOND
+            period = max(PERIOD_SECONDS, shared, subscription.period)
             report = Report(self._load(period))
             self._peer_socket.send((encode_small(report),), entry)
             await asyncio.sleep(period)
-        del self._leases[entry]
+        del self._subscriptions[entry]
         SUBSCRIBER_EXPIRED.log(_logger, entry=entry[0])
 
     def _load(self, period: float) -> LoadReport:
--- a/balsamspool/plugins/datagram_entry/flow.py
+++ b/balsamspool/plugins/datagram_entry/flow.py
@@ -15,6 +15,8 @@
             began, None without a search.
         catalog_version: Version of the catalog when that search began.
         exhaustive: Whether ``queried`` contains every host that was listed then.
+        unsure: Whether an agent of another service returned a packet of the flow
+            although it may not know all flows of its host.
         remaining_hosts: Addresses of the agents that are queried if none of ``hosts``
             holds the flow, 4 octets each.
         queried: Addresses of all agents that the last search covers, including those in
@@ -34,6 +36,7 @@
     searched_at: float | None = None
     catalog_version: int = 0
     exhaustive: bool = False
+    unsure: bool = False
     remaining_hosts: tuple[bytes, ...] = ()
     queried: frozenset[bytes] = frozenset()
     awaited_agents: set[str] | None = None
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -3,13 +3,8 @@
 import asyncio
 import logging
 import socket
-from contextlib import suppress
 
-from balsamspool.datagram._codec import (
-    decode,
-    encode_small,
-    service_number,
-)
+from balsamspool.datagram._codec import decode, service_number
 from balsamspool.datagram.events import (
     FLOW_FOUND,
     FLOW_IGNORED,
@@ -23,8 +18,8 @@
     FlowEnded,
     FlowLocated,
     PacketReturned,
+    Readers,
     Report,
-    Subscribe,
 )
 from balsamspool.datagram.packet import (
     Packet,
@@ -53,17 +48,12 @@
     Forwarder,
 )
 from balsamspool.plugins.datagram_entry.search import FlowSearch
+from balsamspool.plugins.datagram_entry.subscriptions import Subscriptions
 
 _logger = logging.getLogger(__name__)
 
 # Maximum number of flows in each of the two generations of the flow table.
 MAX_KNOWN_FLOWS = 65_536
-SUBSCRIBE_SECONDS = 1.0
-SUBSCRIBE_PAUSE_SECONDS = 0.1
-# Lifetime of a subscription to load reports. It is long enough that two lost renewals
-# do not end the subscription.
-LEASE_SECONDS = 3.5
-MAX_SUBSCRIPTIONS = 512
 # Maximum number of agents named in a forwarded packet.
 MAX_ALTERNATIVES = 12
 # Maximum number of packets that wait for the first catalog.
@@ -105,7 +95,6 @@
         self._caller_socket: BatchSocket
         self._peer_socket: BatchSocket
         self._last_packet = 0.0
-        self._servers_changed = asyncio.Event()
         # Addresses of hosts that were removed from the catalog a short time ago.
         self._removed_hosts: set[str] = set()
         # Packets that wait for the first catalog.
@@ -139,10 +128,14 @@
             self._codec,
             self._forwarder,
             self._kernel.counters,
+            self._failure_domain,
+        )
+        self._subscriptions = Subscriptions(
+            self._kernel, self._catalog, self._board, self._peer_socket
         )
         self._peer_socket.start()
         self._caller_socket.start()
-        self._kernel.spawn(self._subscribe(), "load subscriptions")
+        self._kernel.supervise(self._subscriptions.run, "load subscriptions")
 
     async def drain(self) -> None:
         """Keep forwarding until the fabric has taken this process out of rotation."""
@@ -167,7 +160,6 @@
         self._removed_hosts = {
             server.address for server in view.recently_removed
         } - listed
-        self._servers_changed.set()
         if self._waiting_packets and view.table is not None:
             # The waiting packets are handled after the other records of this catalog
             # update have been applied.
@@ -218,11 +210,13 @@
             self._reject(packet, "no-route")
             return
         target = choose_target(key, route.targets)
-        servers = self._catalog.view.ready(target.service)
+        servers = self._catalog.view.ready_by_domain(target.service)
         if not servers:
             self._reject(packet, "no-host")
             return
-        choices = order_choices(key, servers, self._board, now(), self._failure_domain)
+        choices = order_choices(
+            key, target.service, servers, self._board, now(), self._failure_domain
+        )
         known_flow = self._flows.get(key)
         if known_flow is not None and packet.attempt:
             known_flow.service = service_number(target.service)
@@ -297,11 +291,14 @@
                 self._flows.discard(key)
             case PacketReturned() as returned:
                 self._search.on_returned(returned, sender[0])
+            case Readers() as readers:
+                self._subscriptions.record_readers(readers, sender[0])
             case _:
                 self._malformed.value += 1
 
     def _on_located(self, key: bytes, agent: str) -> None:
         flow = self._flows.get(key)
+        self._subscriptions.record_flow_at(agent)
         host = socket.inet_aton(agent)
         if flow is None:
             self._flows.put(key, EntryFlow(ANY_SERVICE, (host,), confirmed=True))
@@ -335,22 +332,3 @@
             next=[f"{c.server.name}:{c.cost:.2f}" for c in choices[1:]],
             catalog_version=self._catalog.view.version,
         )
-
-    async def _subscribe(self) -> None:
-        """Renew subscriptions to load reports periodically and on catalog changes."""
-        while True:
-            self._servers_changed.clear()
-            view = self._catalog.view
-            # Load reports of removed hosts are requested too, because they show whether
-            # such a host is silent.
-            addresses = {s.address for s in (*view.servers, *view.recently_removed)}
-            self._board.retain(addresses)
-            message = encode_small(Subscribe(LEASE_SECONDS))
-            for address in list(addresses)[:MAX_SUBSCRIPTIONS]:
-                self._peer_socket.send((message,), (address, self._peer_address[1]))
-            with suppress(TimeoutError):
-                async with asyncio.timeout(SUBSCRIBE_SECONDS):
-                    await self._servers_changed.wait()
-            # Catalog changes that follow each other within this pause need only one
-            # round of subscriptions.
-            await asyncio.sleep(SUBSCRIBE_PAUSE_SECONDS)
--- a/balsamspool/plugins/datagram_entry/search.py
+++ b/balsamspool/plugins/datagram_entry/search.py
@@ -22,6 +22,7 @@
 from balsamspool.kernel.recent import RecentCache
 from balsamspool.placement.load import LoadBoard
 from balsamspool.placement.lookup import CHAIN_HOSTS, LOOKUP_LIMIT, order_lookup
+from balsamspool.placement.ranking import by_failure_domain
 from balsamspool.plugins.catalog import BackendServer, CatalogPlugin
 from balsamspool.plugins.datagram_entry.flow import EntryFlow
 from balsamspool.plugins.datagram_entry.forwarder import (
@@ -53,11 +54,13 @@
         codec: Layout of packets.
         forwarder: Sends packets.
         counters: Counters of the process.
+        failure_domain: Failure domain of the entry.
     """
 
     __slots__ = (
         "_board",
         "_catalog",
+        "_failure_domain",
         "_codec",
         "_flow_missing",
         "_flows",
@@ -79,12 +82,14 @@
         codec: PacketCodec,
         forwarder: Forwarder,
         counters: CounterSet,
+        failure_domain: str,
     ) -> None:
         self._catalog = catalog
         self._board = board
         self._flows = flows
         self._codec = codec
         self._forwarder = forwarder
+        self._failure_domain = failure_domain
         # One packet of each flow that waits until the catalog has been read again.
         self._missing_flows: dict[bytes, Packet] = {}
         self._searched = counters.counter(PACKETS, PACKETS_HELP, "searched")
@@ -108,9 +113,19 @@
             departed.extend(
                 s for s in view.recently_removed_from(service) if self._still_reports(s)
             )
-        found = order_lookup(key, listed, departed, self._board)
-        if len(services) == 1 and not self._knows_services(packet):
-            found += self._servers_of_others(services, LOOKUP_LIMIT - len(found))
+        found = order_lookup(
+            key,
+            by_failure_domain(listed),
+            by_failure_domain(departed),
+            self._board,
+            self._failure_domain,
+        )
+        # Agents of other services deliver a packet only if they know its flow, so no
+        # packet reaches a backend server for which it is not meant. An agent that has
+        # not run for long may not know a flow of its backend server, and says that it
+        # is unsure.
+        others = self._unknown_holders(packet) if len(services) == 1 else []
+        found += others[: LOOKUP_LIMIT - len(found)]
         hosts = tuple(dict.fromkeys(socket.inet_aton(s.address) for s in found))
         if not hosts:
             self._unknown.value += 1
@@ -162,6 +177,8 @@
         self._returned.value += 1
         key = packet.flow_from_caller
         flow = self._flows.get(key)
+        if flow is not None:
+            flow.unsure = flow.unsure or returned.unsure
         if flow is not None and flow.confirmed:
             self._on_returned_confirmed(packet, flow, returned, agent)
         elif flow is not None and self._awaits_others(flow, returned, agent):
@@ -170,16 +187,22 @@
             self._drop_unknown(packet, returned.hops, "not-all-asked")
         elif flow.remaining_hosts:
             self._query_remaining(packet, flow)
-        elif not self._knows_services(packet):
+        else:
+            self._on_not_held(packet, flow, returned.hops)
+
+    def _on_not_held(self, packet: Packet, flow: EntryFlow, hops: int) -> None:
+        """Handle a packet whose flow none of the queried hosts holds."""
+        asked_all = self._asked_all_services(packet, flow)
+        if not asked_all and self._catalog.refresher.history_read:
             # The flow may have opened under a route table that this process has not
-            # seen. It may still exist at a host of that table, if the agent there has
-            # restarted and no longer knows the flow.
-            self._drop_unknown(packet, returned.hops, "services-unknown")
-        elif self._catalog_read_since_missing(flow):
-            if self._catalog.complete:
-                self.reset_lost(packet, "held-nowhere")
-            else:
-                self._await_catalog(packet, flow)
+            # seen, at a host of a service that was not queried.
+            self._drop_unknown(packet, hops, "services-unknown")
+        elif (
+            asked_all
+            and self._catalog_read_since_missing(flow)
+            and self._catalog.complete
+        ):
+            self.reset_lost(packet, "held-nowhere")
         else:
             self._await_catalog(packet, flow)
 
@@ -255,7 +278,7 @@
 
     def _query_awaited(self, packet: Packet, flow: EntryFlow) -> None:
         """Send a packet to each agent that has not returned it yet."""
-        for agent in flow.awaited_agents or ():
+        for agent in sorted(flow.awaited_agents or ()):
             host = (socket.inet_aton(agent),)
             self._forwarder.forward(packet, flow.service, host, unconfirmed=True)
 
@@ -311,38 +334,42 @@
                 # result may lack hosts that were listed after the read began.
                 continue
             del self._missing_flows[key]
-            if not self._knows_services(packet):
+            if self._knows_more_services(packet, flow):
+                self.search(packet, flow.missing_since)
+            elif not self._asked_all_services(packet, flow):
                 self._drop_unknown(packet, 0, "services-unknown")
             elif self._queried_all_listed(packet, flow):
                 self.reset_lost(packet, "held-nowhere")
             else:
                 self.search(packet, flow.missing_since)
 
-    def _servers_of_others(
-        self, services: tuple[str, ...], limit: int
-    ) -> list[BackendServer]:
-        """Return backend servers of other services at which a flow may have opened.
-
-        Their agents deliver a packet only if they know its flow, so no packet reaches a
-        backend server for which it is not meant.
-        """
-        servers = self._catalog.view.servers
-        return [s for s in servers if s.service not in services][:limit]
-
     def _queried_all(self, flow: EntryFlow, returned: PacketReturned) -> bool:
         """Return whether a search covers all listed hosts and no agent skipped one."""
         return flow.searched_at is not None and flow.exhaustive and not returned.skipped
 
-    def _knows_services(self, packet: Packet) -> bool:
+    def _unknown_holders(self, packet: Packet) -> list[BackendServer]:
+        """Return hosts of other services that may hold the flow of a packet."""
         address, port = service_endpoint(packet)
-        return self._catalog.view.knows_services(address, port, now())
+        return self._catalog.view.unknown_holders(address, port, now())
+
+    def _asked_all_services(self, packet: Packet, flow: EntryFlow) -> bool:
+        """Return whether the last search covers each service that may hold a flow."""
+        holders = self._unknown_holders(packet)
+        queried = all(socket.inet_aton(s.address) in flow.queried for s in holders)
+        return not holders or (queried and not flow.unsure)
+
+    def _knows_more_services(self, packet: Packet, flow: EntryFlow) -> bool:
+        """Return whether an earlier service of the route is known since the search."""
+        services = self._catalog.view.services_at(*service_endpoint(packet))
+        return flow.service != ANY_SERVICE and len(services) > 1
 
     def _queried_all_listed(self, packet: Packet, flow: EntryFlow) -> bool:
         """Return whether the last search queried every host that is listed now."""
         view = self._catalog.view
+        services = view.services_at(*service_endpoint(packet))
         return all(
             socket.inet_aton(server.address) in flow.queried
-            for service in view.services_at(*service_endpoint(packet))
+            for service in services
             for server in view.listed(service)
         )
 
--- a/emulator/network.py
+++ b/emulator/network.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 from msgspec import Struct
 
@@ -24,6 +24,10 @@
 HEADER_BYTES = 28
 
 
+# Answers a request that arrived over a connection.
+RequestHandler = Callable[[bytes], Awaitable[bytes]]
+
+
 class Cut(Struct, frozen=True):
     """Path from one machine to another on which all datagrams are lost.
 
@@ -82,6 +86,7 @@
         self.loss = loss
         self.cuts: set[Cut] = set()
         self.disconnected: set[str] = set()
+        self._request_handlers: dict[str, RequestHandler] = {}
         self.cross_domain_bytes = 0
         self.dropped_at_links = 0
         # By machine: rate of its link in octets per second, and the time in seconds at
@@ -106,6 +111,39 @@
         if self._sockets.get(address) is socket:
             del self._sockets[address]
 
+    def serve_requests(self, endpoint: str, handler: RequestHandler) -> None:
+        """Answer requests to an endpoint, given as address and port."""
+        self._request_handlers[endpoint] = handler
+
+    def close_requests(self, endpoint: str) -> None:
+        """Stop answering requests to an endpoint."""
+        self._request_handlers.pop(endpoint, None)
+
+    async def request(self, data: bytes, source: str, endpoint: str) -> bytes:
+        """Send a request over a connection and return the answer.
+
+        Raises:
+            ConnectionRefusedError: If nobody answers at the endpoint.
+        """
+        receiver = endpoint.partition(":")[0]
+        await self._carry(len(data), source, receiver)
+        handler = self._request_handlers.get(endpoint)
+        if handler is None:
+            raise ConnectionRefusedError(endpoint)
+        answer = await handler(data)
+        await self._carry(len(answer), receiver, source)
+        return answer
+
+    async def _carry(self, size: int, sender: str, receiver: str) -> None:
+        """Wait until octets of a connection have arrived, forever on a cut path."""
+        delay = self._delay(sender, receiver, size)
+        for machine in (sender, receiver):
+            delay += self._link_delay(machine, size) or 0.0
+        await asyncio.sleep(delay)
+        cut = Cut(sender, receiver) in self.cuts
+        if cut or self.disconnected & {sender, receiver}:
+            await asyncio.Event().wait()
+
     def transmit(self, data: bytes, source: Address, destination: Address) -> None:
         """Send a datagram, which is delivered after a delay or lost."""
         sender, receiver = source[0], destination[0]
--- a/emulator/process.py
+++ b/emulator/process.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, TypeVar, cast
 
 from balsamspool.datagram.settings import DatagramAgentSettings, DatagramSettings
 from balsamspool.kernel.counters import CounterSet
 from balsamspool.kernel.identity import Identity, Role
-from balsamspool.kernel.lifecycle import ProcessState
+from balsamspool.kernel.lifecycle import ProcessState, run_supervised
 from balsamspool.kernel.registry import Plugin
 from balsamspool.kernel.settings import BaseProcessSettings, Section, Settings
 from balsamspool.plugins.catalog import CatalogPlugin
@@ -17,6 +17,7 @@
 from balsamspool.plugins.datagram_entry import DatagramEntryPlugin
 from emulator.backend_server import APP_PORT, OUTBOUND_PORT
 from emulator.caller import CALLER_PORT
+from emulator.catalog_peers import CONTROL_PORT, EmulatedPeers
 from emulator.catalog_service import CatalogService, EmulatedSource
 from emulator.network import EmulatedSockets, Network
 from emulator.segment import SegmentCodec
@@ -33,11 +34,17 @@
         role: Role of the process.
         process: Settings of the process.
         sections: Settings of the plug-ins.
+        rng: Random number generator.
     """
 
     def __init__(
-        self, role: Role, process: BaseProcessSettings, sections: dict[str, Section]
+        self,
+        role: Role,
+        process: BaseProcessSettings,
+        sections: dict[str, Section],
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self.identity = Identity.from_settings(role, process)
         self.settings = Settings(process, sections)
         self.counters = CounterSet()
@@ -73,6 +80,16 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
+    def supervise(
+        self, work: Callable[[], Coroutine[Any, Any, None]], name: str
+    ) -> asyncio.Task[Any]:
+        """Start a background task, and start it again if it fails."""
+        return self.spawn(run_supervised(work, name), name)
+
+    def new_random(self) -> random.Random:
+        """Return a random number generator that depends on the seed of the run."""
+        return random.Random(self._rng.random())
+
     async def stop(self) -> None:
         """Stop the plug-ins and cancel all tasks."""
         for plugin in reversed(self._plugins):
@@ -162,12 +179,13 @@
             peer_port=PEER_PORT,
             admin_port=ADMIN_PORT,
         )
-        kernel = EmulatedKernel(self.role, settings, self._sections())
+        kernel = EmulatedKernel(self.role, settings, self._sections(), self._rng)
         kernel.add(SegmentCodec(kernel))
         kernel.add(EmulatedSockets(kernel, self._network))
         match self.role:
             case Role.DATAGRAM_ENTRY:
                 kernel.add(EmulatedSource(kernel, self._catalog, self.instance))
+                kernel.add(EmulatedPeers(kernel, self._network, self.address))
                 kernel.add(CatalogPlugin(kernel))
                 kernel.add(DatagramEntryPlugin(kernel))
             case Role.DATAGRAM_AGENT:
@@ -177,7 +195,7 @@
     def _sections(self) -> dict[str, Section]:
         address = f"{self.address}:{CALLER_PORT}"
         return {
-            "catalog": CatalogSettings(),
+            "catalog": CatalogSettings(listen=f"{self.address}:{CONTROL_PORT}"),
             "datagram-entry": DatagramSettings(address=address),
             "datagram-agent": DatagramAgentSettings(
                 address=address,
--- a/tests/datagram_entry_case.py
+++ b/tests/datagram_entry_case.py
@@ -73,8 +73,8 @@
         ((message, address),) = self.peers.take_forwards()
         return message, address
 
-    def return_packet(self, data, agent, hops, skipped=False):
-        self.peers.receive(returned_head(hops, skipped) + data, (agent, 7720))
+    def return_packet(self, data, agent, hops, skipped=False, unsure=False):
+        self.peers.receive(returned_head(hops, skipped, unsure) + data, (agent, 7720))
 
     def open_flow(self):
         self.receive(packet(SYN))
--- a/tests/datagram_fakes.py
+++ b/tests/datagram_fakes.py
@@ -1,6 +1,7 @@
 """Fakes at the interfaces of the datagram plug-ins, and packets of the adapter."""
 
 import asyncio
+import random
 import socket
 import struct
 import sys
@@ -17,9 +18,14 @@
 from balsamspool.datagram._codec import decode  # noqa: E402
 from balsamspool.datagram.messages import Forward  # noqa: E402
 from balsamspool.datagram.sockets import DatagramSockets  # noqa: E402
+from balsamspool.kernel.clock import now  # noqa: E402
 from balsamspool.kernel.counters import CounterSet  # noqa: E402
 from balsamspool.kernel.identity import Identity, Role  # noqa: E402
-from balsamspool.kernel.lifecycle import ProcessState  # noqa: E402
+from balsamspool.kernel.lifecycle import (  # noqa: E402
+    ProcessState,
+    run_supervised,
+)
+from balsamspool.plugins.catalog.delta import CatalogDelta  # noqa: E402
 from balsamspool.plugins.catalog.model import (  # noqa: E402
     BackendServer,
     BackendState,
@@ -31,6 +37,7 @@
     Snapshot,
     Target,
 )
+from balsamspool.plugins.catalog.peers import CatalogPeers  # noqa: E402
 from balsamspool.plugins.catalog.source import CatalogSource  # noqa: E402
 
 FIN, SYN, RST, ACK, BOUNCED = 1, 2, 4, 64, 128
@@ -184,6 +191,31 @@
         self.queue.put_nowait(Changes(self.revision, records))
 
 
+class FakePeers(CatalogPeers):
+    """Peers that a test fills: a delta by peer, or an exception to raise."""
+
+    def __init__(self):
+        self.deltas = {}
+        self.fetched = []
+        self.stopped = False
+
+    async def serve(self, endpoint, answer):
+        self.answer = answer
+
+    async def fetch(self, peer, after, wait):
+        self.fetched.append((peer, after))
+        end = now() + wait
+        while True:
+            found = self.deltas.get(peer)
+            changed = isinstance(found, CatalogDelta) and found.revision > after
+            if changed or now() >= end:
+                break
+            await asyncio.sleep(0.05)
+        if isinstance(found, Exception):
+            raise found
+        return found
+
+
 class FakeKernel:
     """The parts of the kernel that plug-ins use."""
 
@@ -193,12 +225,18 @@
         self.counters = CounterSet()
         self.state = ProcessState.ACCEPTING
         self.pauses = 0
-        self.known = [CODEC, FakeSockets(self)]
+        self.known = [CODEC, FakeSockets(self), FakePeers()]
         self.tasks = []
 
     def plugin(self, plugin_type):
         return next(p for p in self.known if isinstance(p, plugin_type))
 
+    def supervise(self, work, name):
+        return self.spawn(run_supervised(work, name), name)
+
+    def new_random(self):
+        return random.Random(1)
+
     def spawn(self, work, name):
         task = asyncio.get_running_loop().create_task(work, name=name)
         self.tasks.append(task)
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -4,8 +4,6 @@
 import random
 from unittest import TestCase
 
-import msgspec
-
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.errors import ResultError
 from balsamspool.plugins.catalog.codes import (
@@ -16,7 +14,12 @@
     Completeness,
     unplanned_removals,
 )
-from balsamspool.plugins.catalog.exchange import CatalogExchange, CatalogState
+from balsamspool.plugins.catalog.delta import (
+    CatalogDelta,
+    decode_delta,
+    encode_delta,
+)
+from balsamspool.plugins.catalog.feed import CatalogFeed
 from balsamspool.plugins.catalog.follower import CatalogFollower
 from balsamspool.plugins.catalog.model import (
     BackendState,
@@ -27,6 +30,7 @@
     Snapshot,
 )
 from balsamspool.plugins.catalog.refresher import CatalogRefresher
+from balsamspool.plugins.catalog.upstream import UpstreamSelector, UpstreamTimes
 from balsamspool.plugins.catalog.view import (
     FLOW_LIFE_SECONDS,
     RELISTING_SECONDS,
@@ -34,11 +38,35 @@
     CatalogView,
 )
 from tests._clock import PausedClockTestCase
-from tests.datagram_fakes import SERVICE, FakeSource, published, route, routes, server
+from tests.datagram_fakes import (
+    SERVICE,
+    FakePeers,
+    FakeSource,
+    published,
+    route,
+    routes,
+    server,
+)
 
 DRAINING = BackendState.DRAINING
 
 
+def new_follower(source, view, completeness=None, wait=6.0, peers=None):
+    """Return a follower that follows peers only if they are given."""
+    rng = random.Random(1)
+    return CatalogFollower(
+        source,
+        peers or FakePeers(),
+        8166 if peers else None,
+        view,
+        CatalogFeed(),
+        completeness or Completeness(),
+        UpstreamSelector("10.0.0.1", UpstreamTimes.from_limit(6.0), rng),
+        wait,
+        rng,
+    )
+
+
 def names(servers):
     return sorted(s.name for s in servers)
 
@@ -203,20 +231,36 @@
 
     def test_a_server_that_is_older_than_the_table_may_hold_flows(self):
         view = self.view(created=3)
-        self.assertFalse(view.knows_services(*SERVICE, 1.0))
-        self.assertTrue(view.knows_services(*SERVICE, FLOW_LIFE_SECONDS))
+        self.assertEqual(names(view.unknown_holders(*SERVICE, 1.0)), ["i-2"])
+        self.assertEqual(view.unknown_holders(*SERVICE, FLOW_LIFE_SECONDS), [])
 
     def test_a_server_that_is_newer_than_the_table_holds_none(self):
-        self.assertTrue(self.view(created=10).knows_services(*SERVICE, 1.0))
+        self.assertEqual(self.view(created=10).unknown_holders(*SERVICE, 1.0), [])
+
+    def test_earlier_services_are_learned_from_the_history(self):
+        """The process started after the route was directed to another service."""
+        view = self.view(created=3)
+        view.learn_history([routes(4, route("records")), routes(8, route("portal"))])
+        self.assertEqual(view.services_at(*SERVICE), ("portal", "records"))
+        view.learn_history([routes(12, route("later"))])
+        self.assertEqual(view.services_at(*SERVICE), ("portal", "records"))
+
+    def test_a_server_that_is_newer_than_a_learned_table_holds_none(self):
+        view = self.view(created=6)
+        self.assertEqual(len(view.unknown_holders(*SERVICE, 1.0)), 1)
+        view.learn_history([routes(4, route("portal"))])
+        self.assertEqual(view.unknown_holders(*SERVICE, 1.0), [])
 
     def test_an_unknown_age_counts_as_older(self):
-        self.assertFalse(self.view(created=0).knows_services(*SERVICE, 1.0))
+        self.assertEqual(len(self.view(created=0).unknown_holders(*SERVICE, 1.0)), 1)
 
     def test_the_age_is_passed_on_to_peers(self):
+        records = (routes(10), ServerPublished(12, server(2, "records"), 10))
+        delta = CatalogDelta(12, True, records, 0.0)
         copy = CatalogView()
-        for record in self.view(created=10).records():
+        for record in decode_delta(encode_delta(delta)).records:
             copy.apply(record, 0.0)
-        self.assertTrue(copy.knows_services(*SERVICE, 1.0))
+        self.assertEqual(copy.unknown_holders(*SERVICE, 1.0), [])
 
 
 class FollowerTest(PausedClockTestCase):
@@ -225,9 +269,7 @@
         self.source.records = [routes(1), *published(2, server(1), server(2))]
         self.view = CatalogView()
         self.state = Completeness()
-        self.follower = CatalogFollower(
-            self.source, self.view, self.state, 2.5, random.Random(1)
-        )
+        self.follower = new_follower(self.source, self.view, self.state, wait=2.5)
         self.task = asyncio.create_task(self.follower.run())
 
     async def asyncTearDown(self):
@@ -308,10 +350,8 @@
         self.view = CatalogView()
         state = Completeness()
         state.record_answer(0.0)
-        self.follower = CatalogFollower(
-            self.source, self.view, state, 6.0, random.Random(1)
-        )
-        self.follower.apply_peer_snapshot(Snapshot(10, ()))
+        self.follower = new_follower(self.source, self.view, state)
+        self.follower.apply_delta(CatalogDelta(10, True, (), None))
         self.refresher = CatalogRefresher(self.source, self.view, state, self.follower)
         self.task = asyncio.create_task(self.refresher.run())
         await asyncio.sleep(1)
@@ -361,37 +401,18 @@
         self.assertLess(self.refresher.started, requested_at)
 
 
-class ExchangeTest(PausedClockTestCase):
-    def follower(self, source, view):
-        return CatalogFollower(source, view, Completeness(), 6.0, random.Random(1))
-
+class DeltaTest(PausedClockTestCase):
     async def test_only_newer_records_of_a_peer_are_applied(self):
         """Guards against a view that reverts to that of a partitioned peer."""
-        ahead, behind = CatalogView(), CatalogView()
-        source = FakeSource()
-        follower = self.follower(source, behind)
+        view = CatalogView()
+        follower = new_follower(FakeSource(), view)
         for record in published(5, server(1), server(3), server(4)):
-            behind.apply(record, 0.0)
+            view.apply(record, 0.0)
         known = published(6, server(3), server(4), server(2))
-        self.assertTrue(
-            follower.apply_peer_snapshot(Snapshot(20, (routes(8, version=3), *known)))
-        )
-        self.assertEqual(names(behind.listed("portal")), ["i-2", "i-3", "i-4"])
-        older = Snapshot(10, (routes(7, version=2), ServerPublished(5, server(1))))
-        self.assertFalse(follower.apply_peer_snapshot(older))
-        self.assertEqual(behind.table.version, 3)
-        self.assertEqual(ahead.records(), ())
-
-    async def test_the_page_for_a_peer_holds_all_records(self):
-        """Guards against a peer that receives only a part of the catalog."""
-        view = CatalogView()
-        follower = self.follower(FakeSource(), view)
-        records = (routes(8, version=3), *published(20, server(1), server(2)))
-        follower.apply_peer_snapshot(Snapshot(30, records))
-        exchange = CatalogExchange(follower, view, "10.0.0.1:1", random.Random(1))
-        page = exchange.page("after=29")
-        state = msgspec.msgpack.decode(page.body, type=CatalogState)
-        self.assertEqual(state.revision, 30)
-        self.assertEqual((state.routes, *state.servers), records)
-        self.assertEqual(exchange.page("after=30").status, 204)
-        self.assertEqual(exchange.page("nonsense").status, 204)
+        newer = CatalogDelta(20, True, (routes(8, version=3), *known), 0.1)
+        self.assertTrue(follower.apply_delta(newer))
+        self.assertEqual(names(view.listed("portal")), ["i-2", "i-3", "i-4"])
+        stale = (routes(7, version=2), ServerPublished(5, server(1)))
+        self.assertFalse(follower.apply_delta(CatalogDelta(10, True, stale, 0.1)))
+        self.assertEqual(view.table.version, 3)
+        self.assertEqual(names(view.listed("portal")), ["i-2", "i-3", "i-4"])
--- a/tests/test_datagram_agent.py
+++ b/tests/test_datagram_agent.py
@@ -14,7 +14,7 @@
 )
 from balsamspool.datagram.settings import DatagramAgentSettings
 from balsamspool.kernel.identity import Role
-from balsamspool.plugins.datagram_agent import DatagramAgentPlugin, plugin
+from balsamspool.plugins.datagram_agent import DatagramAgentPlugin, flows, plugin
 from tests._clock import PausedClockTestCase
 from tests.datagram_fakes import (
     ACK,
@@ -205,6 +205,14 @@
         self.assertEqual(self.backend.take(), [])
         self.assertEqual([a for _, a in self.peers.take_forwards()], [NEXT, NEXT])
 
+    async def test_an_agent_that_started_a_short_time_ago_says_that_it_is_unsure(self):
+        """Guards against a reset of a flow that a restarted agent has forgotten."""
+        for unsure in (True, False):
+            self.forward(packet(ACK, b"x"), service="records", alternatives=())
+            ((returned, _),) = self.peers.take_messages()
+            self.assertEqual((returned.unsure, returned.skipped), (unsure, False))
+            await asyncio.sleep(flows.IDLE_SECONDS)
+
     async def test_a_chain_that_skipped_a_silent_host_reports_it(self):
         """Guards against a reset of a flow that a silent host may hold."""
         for port in (1, 2):
--- a/tests/test_datagram_entry.py
+++ b/tests/test_datagram_entry.py
@@ -20,6 +20,7 @@
     CODEC,
     RST,
     SYN,
+    FakePeers,
     FakeSocket,
     FakeSockets,
     FakeSource,
@@ -93,7 +94,7 @@
         """Guards against packets that are lost while an entry starts (inc-6274)."""
         source = FakeSource()
         source.failure = ResultError(CATALOG_UNAVAILABLE, "503")
-        self.kernel.known = [CODEC, FakeSockets(self.kernel), source]
+        self.kernel.known = [CODEC, FakeSockets(self.kernel), FakePeers(), source]
         catalog = CatalogPlugin(self.kernel)
         self.kernel.known.append(catalog)
         entry = DatagramEntryPlugin(self.kernel)
--- a/tests/test_datagram_search.py
+++ b/tests/test_datagram_search.py
@@ -277,7 +277,7 @@
         The route pointed to another service for a while, and this entry has started
         since then.
         """
-        other = ServerPublished(50, server(9, "records"), created=50)
+        other = ServerPublished(50, server(9, "records"), created=0)
         self.reporting.add("10.0.0.9")
         self.source.publish(other, routes(60, version=2))
         await asyncio.sleep(1)
@@ -288,14 +288,33 @@
         # The packet is addressed to the portal, so an agent of another service delivers
         # the packet only if its host holds the flow.
         self.assertEqual(first.service, service_number("portal"))
+        # The agent of the other service started a short time ago, so it may not know
+        # the flow.
+        self.return_packet(DATA, "10.0.0.9", 6, unsure=True)
+        await asyncio.sleep(0.5)
+        self.answer_as_not_held("10.0.0.9")
+        self.assertEqual(self.resets(), [])
+
+    async def test_a_flow_that_no_service_holds_is_reset(self):
+        """Guards against callers that wait because an entry missed a route table.
+
+        The agent of the other service has run for longer than a flow may be idle, so it
+        knows each flow of its host.
+        """
+        other = ServerPublished(50, server(9, "records"), created=0)
+        self.reporting.add("10.0.0.9")
+        self.source.publish(other, routes(60, version=2))
+        await asyncio.sleep(1)
+        self.peers.take()
+        self.receive(DATA)
         self.return_packet(DATA, "10.0.0.9", 6)
         await asyncio.sleep(0.5)
         self.answer_as_not_held()
-        self.assertEqual(self.resets(), [])
+        self.assertEqual(len(self.resets()), 1)
 
     async def test_a_flow_found_at_another_service_is_delivered_there(self):
         """Guards against a reset after a restart of its agent (emulator, 1069)."""
-        other = ServerPublished(50, server(9, "records"), created=50)
+        other = ServerPublished(50, server(9, "records"), created=0)
         self.source.publish(other, routes(60, version=2))
         await asyncio.sleep(1)
         self.receive(DATA)
@@ -316,7 +335,7 @@
 
     async def test_an_entry_with_the_tables_of_a_whole_minute_resets_lost_flows(self):
         """Guards against callers that never learn that their flow is lost."""
-        other = ServerPublished(50, server(9, "records"), created=50)
+        other = ServerPublished(50, server(9, "records"), created=0)
         self.source.publish(other, routes(60, version=2))
         await asyncio.sleep(FLOW_LIFE_SECONDS)
         self.peers.take()
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -27,6 +27,7 @@
         "a flow at an earlier service, after a restart of its agent (reset)",
     ),
     (1002, 14, 40.0, "a flow at an earlier service of its route (stray, reset)"),
+    (42, 8, 30.0, "the same after a kill of all processes, found in history (stray)"),
 )
 
 
