Refuse answers of a backend server whose end cannot be recognized

Cause: a body without a length and without chunks ends when the connection closes.

Change: such an answer fails with 1702 backend-failed, outcome unknown, before anything is sent to the caller. Answers with a length, with chunks or without a body are passed on as before.

--- a/balsamspool/plugins/backend/client.py
+++ b/balsamspool/plugins/backend/client.py
@@ -28,6 +28,7 @@
 
 CHUNK_BYTES = 64 * 1024
 CONNECT_TIMEOUT_SECONDS = 2.0
+_BODYLESS_STATUS = frozenset((204, 304))
 
 # Header fields that belong to one connection, not to the message (RFC 9110, 7.6.1).
 _CONNECTION_HEADERS = frozenset(
@@ -112,7 +113,8 @@
 
         Raises:
             ResultError: With code 1701 if no connection was opened, 1702 or 1703 if
-                the outcome is unknown.
+                the outcome is unknown. An answer whose end cannot be recognized fails
+                with 1702.
         """
         timeout = ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS)
         try:
@@ -128,6 +130,9 @@
                     allow_redirects=False,
                 ) as response,
             ):
+                if not _shows_its_end(method, response):
+                    detail = f"{method} {path}: the answer has no length"
+                    raise ResultError(BACKEND_FAILED, detail)
                 fields = without_connection_headers(response.headers.items())
                 # Only balsamspool itself may send this header field to callers.
                 fields = [pair for pair in fields if pair[0] != RESULT_HEADER]
@@ -143,6 +148,18 @@
             raise ResultError(BACKEND_FAILED, repr(error)) from error
 
 
+def _shows_its_end(method: str, response: ClientResponse) -> bool:
+    """Return whether a complete body can be told from one that broke off.
+
+    A body without a length and without chunks ends when the connection closes, which
+    also happens when the backend server crashes.
+    """
+    if method == "HEAD" or response.status in _BODYLESS_STATUS:
+        return True
+    encoding = response.headers.get("Transfer-Encoding", "").lower()
+    return "Content-Length" in response.headers or encoding.endswith("chunked")
+
+
 def without_connection_headers(headers: Iterable[tuple[str, str]]) -> Headers:
     """Return header fields in lower case without connection headers.
 
