Keep the flows of a host that is only silent for a while

Cause: since agents report ten times a second to the entries of their failure domain, a host counted as silent after 0.5 to 0.6 s. If its catalog entry had expired as well (the host cut off from the store), its open flows were reset although it was alive. With few entries this was so before, too. One announcement with a huge revision made every follower read the service for as long as it ran.

Change: a host that did not announce that it was leaving is given up after 3 s of silence; a host that drained and left still at once. A host that has never reported counts from its removal. The newest announced revision is that of the lists in use.

--- a/balsamspool/placement/load.py
+++ b/balsamspool/placement/load.py
@@ -11,6 +11,8 @@
 SILENT_SLACK_SECONDS = 0.1
 
 
+# Silence after which the flows of a host that is no longer listed are given up.
+GONE_SECONDS = 3.0
 # Time for which the load of a whole service is kept. Hosts report about as often.
 SERVICE_LOAD_SECONDS = 0.1
 
@@ -158,6 +160,17 @@
         limit = SILENT_PERIODS * load.report.period + SILENT_SLACK_SECONDS
         return self._last_received - load.received > limit
 
+    def seems_gone(self, address: str) -> bool:
+        """Return whether a host has been silent for so long that it may have stopped.
+
+        A host that is silent for a shorter time may be slow or may have been cut off,
+        and still holds its flows.
+        """
+        load = self._hosts.get(address)
+        if load is None:
+            return False
+        return self._last_received - load.received > GONE_SECONDS
+
     def _compute_service_load(
         self,
         servers: Mapping[str, Sequence[Addressed]],
--- a/balsamspool/plugins/catalog/__init__.py
+++ b/balsamspool/plugins/catalog/__init__.py
@@ -9,7 +9,7 @@
 )
 from balsamspool.plugins.catalog.plugin import CatalogPlugin
 from balsamspool.plugins.catalog.source import CatalogSource
-from balsamspool.plugins.catalog.view import CatalogView
+from balsamspool.plugins.catalog.view import CatalogView, RemovedServer
 
 __all__ = [
     "BackendServer",
@@ -17,6 +17,7 @@
     "CatalogPlugin",
     "CatalogSource",
     "CatalogView",
+    "RemovedServer",
     "Route",
     "RouteTable",
     "Target",
--- a/balsamspool/plugins/catalog/upstream.py
+++ b/balsamspool/plugins/catalog/upstream.py
@@ -121,7 +121,6 @@
         "_independent_until",
         "_lists",
         "_newer_since",
-        "_newest_revision",
         "_next_service_try",
         "_own_address",
         "_paused_peers",
@@ -139,7 +138,6 @@
         self._rng = rng
         self._lists: dict[str, _ReceivedList] = {}
         self._paused_peers: dict[str, float] = {}
-        self._newest_revision = 0
         # Event loop time in seconds since which a newer revision has been announced.
         self._newer_since = math.inf
         self._next_service_try = -math.inf
@@ -167,9 +165,6 @@
             if time - received.received <= READERS_LIFETIME_SECONDS
         }
         self._lists[agent] = _ReceivedList(found, time)
-        if found.newest_revision > self._newest_revision:
-            self._newest_revision = found.newest_revision
-            self._newer_since = min(self._newer_since, time)
 
     def record_peer_failure(self, peer: str, time: float) -> None:
         """Do not ask a peer again for a while."""
@@ -244,9 +239,11 @@
 
     def _is_behind(self, revision: int, time: float) -> bool:
         """Return whether another entry has known a newer revision for a while."""
-        if revision >= self._newest_revision:
+        newest = max(r.list.newest_revision for r in self._lists.values())
+        if revision >= newest:
             self._newer_since = math.inf
             return False
+        self._newer_since = min(self._newer_since, time)
         return time - self._newer_since > REVISION_LAG_SECONDS
 
     def _peers(self, time: float) -> tuple[str, ...]:
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -62,16 +62,26 @@
     until: float
 
 
-class _RemovedServer(Struct, frozen=True):
+class RemovedServer(Struct, frozen=True):
     """A backend server that was removed a short time ago.
 
     Attributes:
         server: The backend server.
-        until: Event loop time in seconds until which flows may still belong to it.
+        removed: Event loop time of its removal in seconds.
     """
 
     server: BackendServer
-    until: float
+    removed: float
+
+    @property
+    def planned(self) -> bool:
+        """Whether it announced that it was leaving."""
+        return self.server.state is BackendState.DRAINING
+
+    @property
+    def until(self) -> float:
+        """Event loop time in seconds until which flows may still belong to it."""
+        return self.removed + REMOVED_RETENTION_SECONDS
 
 
 class CatalogView:
@@ -112,7 +122,7 @@
         # Event loop time in seconds at which the first route table was received.
         self._tracked_since: float | None = None
         self._delayed_removals: dict[str, _DelayedRemoval] = {}
-        self._recently_removed: dict[str, _RemovedServer] = {}
+        self._recently_removed: dict[str, RemovedServer] = {}
         self._outage_end: float | None = None
         self._ready_cache: dict[str, tuple[BackendServer, ...]] = {}
         self._listed_cache: dict[str, tuple[BackendServer, ...]] = {}
@@ -145,6 +155,15 @@
         """Backend servers that were removed a short time ago."""
         return [removed.server for removed in self._recently_removed.values()]
 
+    def removed_hosts(self) -> dict[str, RemovedServer]:
+        """Return the last backend server of each address that lists none any more."""
+        listed = {server.address for server in self._servers.values()}
+        return {
+            removed.server.address: removed
+            for removed in self._recently_removed.values()
+            if removed.server.address not in listed
+        }
+
     def route(self, address: str, port: int) -> Route | None:
         """Return the route at an address, or None."""
         return self._routes.get((address, port))
@@ -434,8 +453,8 @@
             1
             for removed in self._recently_removed.values()
             if removed.server.service == service
-            and removed.server.state is BackendState.READY
-            and removed.until - REMOVED_RETENTION_SECONDS >= since
+            and not removed.planned
+            and removed.removed >= since
         )
 
     def _remove_now(self, name: str, revision: int, time: float) -> None:
@@ -443,9 +462,7 @@
         self._created_revisions.pop(name, None)
         self._delayed_removals.pop(name, None)
         self._revisions[name] = max(revision, self._revisions.get(name, 0))
-        self._recently_removed[name] = _RemovedServer(
-            server, time + REMOVED_RETENTION_SECONDS
-        )
+        self._recently_removed[name] = RemovedServer(server, time)
         self._on_change()
         SERVER_REMOVED.log(
             _logger,
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -37,10 +37,10 @@
 from balsamspool.kernel.recent import RecentCache
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.kernel.settings import split_endpoint
-from balsamspool.placement.load import LoadBoard
+from balsamspool.placement.load import GONE_SECONDS, LoadBoard
 from balsamspool.placement.opening import Choice, order_choices
 from balsamspool.placement.rendezvous import choose_target
-from balsamspool.plugins.catalog import CatalogPlugin, Route
+from balsamspool.plugins.catalog import CatalogPlugin, RemovedServer, Route
 from balsamspool.plugins.datagram_entry.flow import EntryFlow
 from balsamspool.plugins.datagram_entry.forwarder import (
     PACKETS,
@@ -95,8 +95,8 @@
         self._caller_socket: BatchSocket
         self._peer_socket: BatchSocket
         self._last_packet = 0.0
-        # Addresses of hosts that were removed from the catalog a short time ago.
-        self._removed_hosts: set[str] = set()
+        # Hosts that were removed from the catalog a short time ago, by address.
+        self._removed_hosts: dict[str, RemovedServer] = {}
         # Packets that wait for the first catalog.
         self._waiting_packets: list[Packet] = []
         self._catalog.view.subscribe(self._on_catalog)
@@ -156,10 +156,7 @@
 
     def _on_catalog(self) -> None:
         view = self._catalog.view
-        listed = {server.address for server in view.servers}
-        self._removed_hosts = {
-            server.address for server in view.recently_removed
-        } - listed
+        self._removed_hosts = view.removed_hosts()
         if self._waiting_packets and view.table is not None:
             # The waiting packets are handled after the other records of this catalog
             # update have been applied.
@@ -196,7 +193,7 @@
         flow = self._flows.get(packet.flow_from_caller)
         if flow is None:
             self._search.search(packet)
-        elif flow.confirmed and self._is_removed_and_silent(flow.hosts[0]):
+        elif flow.confirmed and self._is_gone(flow.hosts[0]):
             self._search.reset_lost(packet, "host-gone")
         elif flow.confirmed:
             self._forwarder.forward(packet, flow.service, flow.hosts, unconfirmed=False)
@@ -253,10 +250,22 @@
             tried=[socket.inet_ntoa(host) for host in tried],
         )
 
-    def _is_removed_and_silent(self, host: bytes) -> bool:
-        """Return whether the host was removed from the catalog and is silent."""
+    def _is_gone(self, host: bytes) -> bool:
+        """Return whether a host has left or failed, and holds no flow any more.
+
+        A host that did not announce that it was leaving may only be cut off from the
+        service that lists it, or slow, so its flows are given up later.
+        """
         address = socket.inet_ntoa(host)
-        return address in self._removed_hosts and self._board.silent(address)
+        removed = self._removed_hosts.get(address)
+        if removed is None:
+            return False
+        if self._board.load(address) is None:
+            # The host has been asked for reports since its removal, and has sent none.
+            return now() - removed.removed > GONE_SECONDS
+        if removed.planned:
+            return self._board.silent(address)
+        return self._board.seems_gone(address)
 
     def _reject(self, packet: Packet, reason: str) -> None:
         """Answer an opening packet by a reset, or drop it if the catalog is old."""
--- a/balsamspool/plugins/datagram_entry/search.py
+++ b/balsamspool/plugins/datagram_entry/search.py
@@ -23,7 +23,7 @@
 from balsamspool.placement.load import LoadBoard
 from balsamspool.placement.lookup import CHAIN_HOSTS, LOOKUP_LIMIT, order_lookup
 from balsamspool.placement.ranking import by_failure_domain
-from balsamspool.plugins.catalog import BackendServer, CatalogPlugin
+from balsamspool.plugins.catalog import BackendServer, BackendState, CatalogPlugin
 from balsamspool.plugins.datagram_entry.flow import EntryFlow
 from balsamspool.plugins.datagram_entry.forwarder import (
     PACKETS,
@@ -236,8 +236,11 @@
 
     def _still_reports(self, server: BackendServer) -> bool:
         """Return whether the agent of a removed backend server still reports."""
-        load = self._board.load(server.address)
-        return load is not None and not self._board.silent(server.address)
+        if self._board.load(server.address) is None:
+            return False
+        if server.state is BackendState.DRAINING:
+            return not self._board.silent(server.address)
+        return not self._board.seems_gone(server.address)
 
     def _schedule_retry(self, packet: Packet, flow: EntryFlow, retries: int) -> None:
         if retries < len(SEARCH_RETRY_SECONDS):
--- a/tests/test_catalog_upstream.py
+++ b/tests/test_catalog_upstream.py
@@ -111,10 +111,19 @@
         """Guards against readers that answer but hold an old catalog."""
         newer = ReaderList(LIST.readers, 9, 30)
         self.selector.record_list("10.1.0.1", newer, 100.0)
+        self.assertIsInstance(self.choose(100.0), FollowPeer)
         self.assertIsInstance(self.choose(100.5), FollowPeer)
         self.assertEqual(self.choose(100.1 + REVISION_LAG_SECONDS), ReadService())
         self.assertIsInstance(self.choose(101.5, revision=30), FollowPeer)
 
+    def test_an_impossible_revision_is_forgotten(self):
+        """Guards against one malformed announcement that makes all entries readers."""
+        self.selector.record_list("10.1.0.2", ReaderList((FIRST,), 1, 1 << 63), 100.0)
+        time = 100.0 + READERS_LIFETIME_SECONDS + 0.1
+        self.selector.record_list("10.1.0.1", LIST, time)
+        self.choose(time)
+        self.assertIsInstance(self.choose(time + 2.0, answered=time + 1.9), FollowPeer)
+
     def test_a_follower_that_was_behind_reads_for_a_while(self):
         """Guards against a follower that returns to outdated readers at once."""
         late = 100.0 + TIMES.stale + 0.1
--- a/tests/test_datagram_entry.py
+++ b/tests/test_datagram_entry.py
@@ -5,6 +5,7 @@
 from balsamspool.datagram._codec import encode_small
 from balsamspool.datagram.messages import FlowEnded, FlowLocated, Subscribe
 from balsamspool.kernel.errors import ResultError
+from balsamspool.placement.load import GONE_SECONDS
 from balsamspool.plugins.catalog import CatalogPlugin
 from balsamspool.plugins.catalog.codes import CATALOG_UNAVAILABLE
 from balsamspool.plugins.catalog.model import (
@@ -144,6 +145,30 @@
         self.assertEqual(len(self.resets()), 1)
         self.assertEqual(self.peers.take_forwards(), [])
 
+    async def test_flows_of_a_host_that_is_silent_for_a_while_are_kept(self):
+        """Guards against giving up the work of a host that is only cut off or slow.
+
+        Its catalog entry expires, and its reports are late for 2 s. A host that stays
+        silent is given up, so that its callers do not wait.
+        """
+        agent = self.open_flow()
+        number = int(agent.rpartition(".")[2])
+        self.reporting.discard(agent)
+        self.source.publish(ServerRemoved(51, f"i-{number}"))
+        for _ in range(4):
+            await asyncio.sleep(0.5)
+            self.receive(DATA)
+            self.assertEqual(self.forwarded()[1], agent)
+        self.reporting.add(agent)
+        await asyncio.sleep(2)
+        self.receive(DATA)
+        self.assertEqual(self.forwarded()[1], agent)
+        self.assertEqual(self.resets(), [])
+        self.reporting.discard(agent)
+        await asyncio.sleep(GONE_SECONDS + 0.2)
+        self.receive(DATA)
+        self.assertEqual(len(self.resets()), 1)
+
     async def test_a_reset_of_a_caller_is_not_answered(self):
         """Guards against resets that answer each other."""
         agent = self.open_flow()
