Part the catalog view: route history and removals are modules of their own

Change: route_history.py keeps the table in force and earlier services, removals.py what is known of servers that left. The view computes removed hosts once a change.

Measured: tests of catalog, entry, search, placement and fuzzing pass.

--- a/balsamspool/plugins/catalog/__init__.py
+++ b/balsamspool/plugins/catalog/__init__.py
@@ -8,8 +8,9 @@
     Target,
 )
 from balsamspool.plugins.catalog.plugin import CatalogPlugin
+from balsamspool.plugins.catalog.removals import RemovedServer
 from balsamspool.plugins.catalog.source import CatalogSource
-from balsamspool.plugins.catalog.view import CatalogView, RemovedServer
+from balsamspool.plugins.catalog.view import CatalogView
 
 __all__ = [
     "BackendServer",
--- /dev/null
+++ b/balsamspool/plugins/catalog/removals.py
@@ -0,0 +1,42 @@
+"""Backend servers that are no longer listed, or are about to be removed."""
+
+from msgspec import Struct
+
+from balsamspool.plugins.catalog.model import BackendServer, BackendState
+
+# A removed backend server is remembered for this long because it may still hold flows.
+REMOVED_RETENTION_SECONDS = 20.0
+
+
+class DelayedRemoval(Struct):
+    """Removal of a backend server that is no longer listed but still used.
+
+    Attributes:
+        removal_revision: Revision of the removal.
+        until: Event loop time in seconds at which the removal takes effect.
+    """
+
+    removal_revision: int
+    until: float
+
+
+class RemovedServer(Struct, frozen=True):
+    """A backend server that was removed a short time ago.
+
+    Attributes:
+        server: The backend server.
+        removed: Event loop time of its removal in seconds.
+    """
+
+    server: BackendServer
+    removed: float
+
+    @property
+    def planned(self) -> bool:
+        """Whether it announced that it was leaving."""
+        return self.server.state is BackendState.DRAINING
+
+    @property
+    def until(self) -> float:
+        """Event loop time in seconds until which flows may still belong to it."""
+        return self.removed + REMOVED_RETENTION_SECONDS
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -3,13 +3,9 @@
 import logging
 from collections.abc import Callable, Iterable
 
-from msgspec import Struct
-
 from balsamspool.placement.ranking import by_failure_domain
 from balsamspool.plugins.catalog.events import (
     RECORD_IGNORED,
-    ROUTES_IGNORED,
-    ROUTES_IN_FORCE,
     SERVER_CHANGED,
     SERVER_REMOVAL_DELAYED,
     SERVER_REMOVED,
@@ -26,6 +22,8 @@
     ServerRemoved,
     Snapshot,
 )
+from balsamspool.plugins.catalog.removals import DelayedRemoval, RemovedServer
+from balsamspool.plugins.catalog.route_history import RouteHistory
 
 _logger = logging.getLogger(__name__)
 
@@ -35,53 +33,9 @@
 RELISTING_SECONDS = 2.2
 # Time after the end of an outage within which removals are attributed to the outage.
 OUTAGE_EFFECT_SECONDS = 4.0
-# A removed backend server is remembered for this long because it may still hold flows.
-REMOVED_RETENTION_SECONDS = 20.0
 # If at least this share of the backend servers of a service is removed within
 # RELISTING_SECONDS, their catalog entries are assumed to have expired in an outage.
 MASS_REMOVAL_SHARE = 0.5
-# Longest life of a flow: callers use a flow for at most one minute. No open flow
-# depends on a route table that was replaced longer ago than this.
-FLOW_LIFE_SECONDS = 60.0
-
-# Maximum number of earlier services that are remembered for each route. Unknown flows
-# of the route are searched for in these services, because the route once directed flows
-# to them.
-MAX_PAST_SERVICES = 3
-
-
-class _DelayedRemoval(Struct):
-    """Removal of a backend server that is no longer listed but still used.
-
-    Attributes:
-        removal_revision: Revision of the removal.
-        until: Event loop time in seconds at which the removal takes effect.
-    """
-
-    removal_revision: int
-    until: float
-
-
-class RemovedServer(Struct, frozen=True):
-    """A backend server that was removed a short time ago.
-
-    Attributes:
-        server: The backend server.
-        removed: Event loop time of its removal in seconds.
-    """
-
-    server: BackendServer
-    removed: float
-
-    @property
-    def planned(self) -> bool:
-        """Whether it announced that it was leaving."""
-        return self.server.state is BackendState.DRAINING
-
-    @property
-    def until(self) -> float:
-        """Event loop time in seconds until which flows may still belong to it."""
-        return self.removed + REMOVED_RETENTION_SECONDS
 
 
 class CatalogView:
@@ -91,54 +45,38 @@
         "_created_revisions",
         "_recently_removed",
         "_delayed_removals",
-        "_oldest_table_revision",
         "_outage_end",
-        "_past_services",
         "_ready_cache",
         "_ready_domains",
         "_listed_cache",
+        "_removed_hosts",
         "_revisions",
         "_routes",
         "_servers",
         "_subscribers",
-        "_table",
-        "_table_revision",
-        "_tracked_since",
         "_version",
     )
 
     def __init__(self) -> None:
-        self._table: RouteTable | None = None
-        self._table_revision = 0
-        # Revision of the oldest table that this process knows, 0 before the first. It
-        # knows all tables since then.
-        self._oldest_table_revision = 0
-        self._routes: dict[tuple[str, int], Route] = {}
-        self._past_services: dict[tuple[str, int], tuple[str, ...]] = {}
+        self._routes = RouteHistory()
         self._servers: dict[str, BackendServer] = {}
         self._revisions: dict[str, int] = {}
         # Revision at which each listed backend server was first listed.
         self._created_revisions: dict[str, int] = {}
-        # Event loop time in seconds at which the first route table was received.
-        self._tracked_since: float | None = None
-        self._delayed_removals: dict[str, _DelayedRemoval] = {}
+        self._delayed_removals: dict[str, DelayedRemoval] = {}
         self._recently_removed: dict[str, RemovedServer] = {}
         self._outage_end: float | None = None
         self._ready_cache: dict[str, tuple[BackendServer, ...]] = {}
         self._listed_cache: dict[str, tuple[BackendServer, ...]] = {}
         self._ready_domains: dict[str, dict[str, list[BackendServer]]] = {}
+        self._removed_hosts: dict[str, RemovedServer] | None = None
         self._version = 0
         self._subscribers: list[Callable[[], None]] = []
 
     @property
     def table(self) -> RouteTable | None:
         """Route table in force, None before the first."""
-        return self._table
-
-    @property
-    def table_revision(self) -> int:
-        """Revision of the record that holds the route table in force."""
-        return self._table_revision
+        return self._routes.table
 
     @property
     def version(self) -> int:
@@ -157,29 +95,22 @@
 
     def removed_hosts(self) -> dict[str, RemovedServer]:
         """Return the last backend server of each address that lists none any more."""
-        listed = {server.address for server in self._servers.values()}
-        return {
-            removed.server.address: removed
-            for removed in self._recently_removed.values()
-            if removed.server.address not in listed
-        }
+        if self._removed_hosts is None:
+            listed = {server.address for server in self._servers.values()}
+            self._removed_hosts = {
+                removed.server.address: removed
+                for removed in self._recently_removed.values()
+                if removed.server.address not in listed
+            }
+        return self._removed_hosts
 
     def route(self, address: str, port: int) -> Route | None:
         """Return the route at an address, or None."""
-        return self._routes.get((address, port))
+        return self._routes.route((address, port))
 
     def services_at(self, address: str, port: int) -> tuple[str, ...]:
-        """Return the services whose hosts may hold flows of a route.
-
-        A route that is directed to another service keeps its open flows, so the result
-        also names the earlier services, after those of the table in force.
-        """
-        route = self.route(address, port)
-        if route is None:
-            return ()
-        present = tuple(target.service for target in route.targets)
-        past = self._past_services.get((address, port), ())
-        return (*present, *(service for service in past if service not in present))
+        """Return the services whose hosts may hold flows of a route."""
+        return self._routes.services_at((address, port))
 
     def unknown_holders(
         self, address: str, port: int, time: float
@@ -195,15 +126,14 @@
             port: UDP port of the route.
             time: Event loop time in seconds.
         """
-        since = self._tracked_since
-        if since is not None and time - since >= FLOW_LIFE_SECONDS:
+        if self._routes.is_complete(time):
             return []
         services = self.services_at(address, port)
         return [
             server
             for name, server in self._servers.items()
             if server.service not in services
-            and self._created_revisions[name] < self._oldest_table_revision
+            and self._created_revisions[name] < self._routes.oldest_revision
         ]
 
     def ready(self, service: str) -> tuple[BackendServer, ...]:
@@ -268,20 +198,8 @@
             self._outage_end = time
 
     def learn_history(self, records: Iterable[Record]) -> None:
-        """Learn the earlier services of routes from records before the first read.
-
-        Args:
-            records: All records since a revision, in order of their revision.
-        """
-        for record in records:
-            match record:
-                case RoutesPublished(revision, table) if (
-                    revision < self._table_revision
-                ):
-                    self._remember_services(table.routes)
-                    self._oldest_table_revision = min(
-                        self._oldest_table_revision, revision
-                    )
+        """Learn earlier route tables from the records before the first read."""
+        self._routes.learn(records)
 
     def apply(self, record: Record, time: float) -> None:
         """Apply a record unless a newer one of the same name is known.
@@ -292,9 +210,8 @@
         """
         match record:
             case RoutesPublished():
-                if self._tracked_since is None:
-                    self._tracked_since = time
-                self._apply_routes(record)
+                if self._routes.apply(record, time):
+                    self._on_change()
             case ServerPublished(revision, server, created):
                 if revision > self._revisions.get(server.name, 0):
                     self._created_revisions[server.name] = created
@@ -350,38 +267,6 @@
         if expired:
             self._on_change()
 
-    def _apply_routes(self, record: RoutesPublished) -> None:
-        table = record.table
-        if self._table is not None and table.version <= self._table.version:
-            if table.version < self._table.version:
-                ROUTES_IGNORED.log(
-                    _logger, offered=table.version, in_force=self._table.version
-                )
-            return
-        # The services of each route are remembered before a newer table replaces them.
-        self._remember_services(self._routes.values())
-        self._table = table
-        self._table_revision = record.revision
-        if self._oldest_table_revision == 0:
-            self._oldest_table_revision = record.revision
-        self._routes = {(r.address, r.port): r for r in table.routes}
-        self._on_change()
-        ROUTES_IN_FORCE.log(
-            _logger,
-            version=table.version,
-            revision=record.revision,
-            routes=len(table.routes),
-        )
-
-    def _remember_services(self, routes: Iterable[Route]) -> None:
-        """Remember the services of routes, the latest of them first."""
-        for route in routes:
-            endpoint = (route.address, route.port)
-            past = self._past_services.get(endpoint, ())
-            services = tuple(target.service for target in route.targets)
-            kept = tuple(service for service in past if service not in services)
-            self._past_services[endpoint] = (*services, *kept)[:MAX_PAST_SERVICES]
-
     def _apply_server(self, server: BackendServer, revision: int, time: float) -> None:
         before = self._servers.get(server.name)
         self._revisions[server.name] = revision
@@ -424,7 +309,7 @@
         if name in self._delayed_removals:
             return
         if server.state is BackendState.READY and self._may_be_relisted(server, time):
-            self._delayed_removals[name] = _DelayedRemoval(
+            self._delayed_removals[name] = DelayedRemoval(
                 revision, time + RELISTING_SECONDS
             )
             SERVER_REMOVAL_DELAYED.log(
@@ -476,6 +361,7 @@
         self._version += 1
         self._ready_cache.clear()
         self._ready_domains.clear()
+        self._removed_hosts = None
         self._listed_cache.clear()
         for callback in self._subscribers:
             callback()
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -40,7 +40,7 @@
 from balsamspool.placement.load import GONE_SECONDS, LoadBoard
 from balsamspool.placement.opening import Choice, order_choices
 from balsamspool.placement.rendezvous import choose_target
-from balsamspool.plugins.catalog import CatalogPlugin, RemovedServer, Route
+from balsamspool.plugins.catalog import CatalogPlugin, Route
 from balsamspool.plugins.datagram_entry.flow import EntryFlow
 from balsamspool.plugins.datagram_entry.forwarder import (
     PACKETS,
@@ -95,8 +95,6 @@
         self._caller_socket: BatchSocket
         self._peer_socket: BatchSocket
         self._last_packet = 0.0
-        # Hosts that were removed from the catalog a short time ago, by address.
-        self._removed_hosts: dict[str, RemovedServer] = {}
         # Packets that wait for the first catalog.
         self._waiting_packets: list[Packet] = []
         self._catalog.view.subscribe(self._on_catalog)
@@ -156,7 +154,6 @@
 
     def _on_catalog(self) -> None:
         view = self._catalog.view
-        self._removed_hosts = view.removed_hosts()
         if self._waiting_packets and view.table is not None:
             # The waiting packets are handled after the other records of this catalog
             # update have been applied.
@@ -257,7 +254,7 @@
         service that lists it, or slow, so its flows are given up later.
         """
         address = socket.inet_ntoa(host)
-        removed = self._removed_hosts.get(address)
+        removed = self._catalog.view.removed_hosts().get(address)
         if removed is None:
             return False
         if self._board.load(address) is None:
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -30,11 +30,11 @@
     Snapshot,
 )
 from balsamspool.plugins.catalog.refresher import CatalogRefresher
+from balsamspool.plugins.catalog.removals import REMOVED_RETENTION_SECONDS
+from balsamspool.plugins.catalog.route_history import FLOW_LIFE_SECONDS
 from balsamspool.plugins.catalog.upstream import UpstreamSelector, UpstreamTimes
 from balsamspool.plugins.catalog.view import (
-    FLOW_LIFE_SECONDS,
     RELISTING_SECONDS,
-    REMOVED_RETENTION_SECONDS,
     CatalogView,
 )
 from tests._clock import PausedClockTestCase
--- a/tests/test_datagram_search.py
+++ b/tests/test_datagram_search.py
@@ -12,7 +12,7 @@
     ServerPublished,
     ServerRemoved,
 )
-from balsamspool.plugins.catalog.view import FLOW_LIFE_SECONDS
+from balsamspool.plugins.catalog.route_history import FLOW_LIFE_SECONDS
 from tests.datagram_entry_case import DATA, KEY, EntryCase
 from tests.datagram_fakes import (
     ACK,
