Part the pipe of keyed answers and the front end's settings from their users

Change: serving/answer_pipe.py and frontend/settings.py; code moved unchanged.

Measured: tests of serving, keys, relayed serving and front end requests pass.

--- a/balsamspool/plugins/frontend/listener.py
+++ b/balsamspool/plugins/frontend/listener.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from typing import Annotated
 
 from aioquic.buffer import Buffer
 from aioquic.quic.packet import (
@@ -12,13 +11,11 @@
     encode_quic_version_negotiation,
     pull_quic_header,
 )
-from msgspec import Meta
 
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.identity import Role
 from balsamspool.kernel.lifecycle import Kernel, ProcessState
 from balsamspool.kernel.registry import Plugin, register
-from balsamspool.kernel.settings import Section
 from balsamspool.plugins.admission import AdmissionPlugin
 from balsamspool.plugins.backend import BackendPlugin
 from balsamspool.plugins.configuration import Configuration, ConfigurationPlugin
@@ -50,6 +47,7 @@
     HandshakeLimits,
     OpeningPolicy,
 )
+from balsamspool.plugins.frontend.settings import FrontendSettings
 from balsamspool.plugins.frontend.tls import quic_configuration
 from balsamspool.plugins.membership import MembershipPlugin, Signal
 from balsamspool.plugins.membership.signals import SignalState
@@ -68,30 +66,6 @@
 # Time in which the connections that a stopping process closes send their last packets.
 STOP_SECONDS = 1.0
 
-Seconds = Annotated[float, Meta(gt=0)]
-
-
-class FrontendSettings(Section, frozen=True):
-    """Settings of the front end.
-
-    Attributes:
-        certificate: Path of the certificate chain in PEM form.
-        private_key: Path of the private key in PEM form.
-        idle_seconds: Time in seconds without a packet after which a connection closes.
-        handshake_seconds: Time within which a handshake must complete in seconds.
-        max_handshakes: Number of handshakes in progress from which opening packets are
-            dropped.
-        retry_handshakes: Number of handshakes in progress from which callers must
-            first prove their address with a Retry token.
-    """
-
-    certificate: str
-    private_key: str
-    idle_seconds: Seconds = 60.0
-    handshake_seconds: Seconds = 5.0
-    max_handshakes: Annotated[int, Meta(ge=1)] = 256
-    retry_handshakes: Annotated[int, Meta(ge=0)] = 64
-
 
 @register(
     "frontend",
--- a/balsamspool/plugins/serving/keyed.py
+++ b/balsamspool/plugins/serving/keyed.py
@@ -1,9 +1,8 @@
 """Runs requests with request keys at most once."""
 
 import asyncio
-from asyncio import CancelledError, Queue, Task
+from asyncio import CancelledError, Task
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import assert_never
 
 import msgspec
@@ -19,12 +18,10 @@
 )
 from balsamspool.plugins.admission.key_codec import KeyCodec, RequestKey
 from balsamspool.plugins.admission.keys import (
-    MAX_ANSWER_BYTES,
     Delegated,
     Done,
     Duplicate,
     First,
-    KeptAnswer,
     KeyRecord,
     KeyState,
     KeyTable,
@@ -36,6 +33,7 @@
 )
 from balsamspool.plugins.configuration import RequestRoute, Service
 from balsamspool.plugins.mesh.message import PeerAddress
+from balsamspool.plugins.serving.answer_pipe import AnswerPipe
 from balsamspool.plugins.serving.body import MAX_KEYED_BODY_BYTES, read_body
 from balsamspool.plugins.serving.codes import (
     CANCELLED,
@@ -47,123 +45,17 @@
 from balsamspool.requests import relay
 from balsamspool.requests.answer import ResponseWriter
 from balsamspool.requests.relay import Relay
-from balsamspool.requests.request import Headers, Request
+from balsamspool.requests.request import Request
 
 KEY_PATH = "/.well-known/balsamspool/request-key"
 KEY_FIELD = "idempotency-key"
 DELEGATION_FIELD = "balsamspool-delegation"
-# Maximum number of parts of an answer that are buffered for a slow caller.
-MAX_PIPE_PARTS = 4
 # Numbers of the result codes of mesh and relay. An issuer that refuses a request with
 # such a code has not looked up the request's key, so an earlier request with the same
 # key may have run.
 _RELAY_CODE_NUMBERS = range(1800, 1900)
 
 
-@dataclass(frozen=True, slots=True)
-class _Head:
-    status: int
-    headers: Headers
-
-
-@dataclass(frozen=True, slots=True)
-class _Data:
-    data: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class _End:
-    pass
-
-
-@dataclass(frozen=True, slots=True)
-class _Failure:
-    error: ResultError
-
-
-class AnswerPipe(ResponseWriter):
-    """Passes an answer to its caller until detached, and keeps a small answer."""
-
-    __slots__ = ("_attached", "_body", "_head", "_parts")
-
-    def __init__(self) -> None:
-        self._parts: Queue[_Head | _Data | _End | _Failure] = Queue(MAX_PIPE_PARTS)
-        self._attached = True
-        self._head: _Head | None = None
-        # The part of the body that has been written, or None once the body is too large
-        # to be kept.
-        self._body: bytearray | None = bytearray()
-
-    @property
-    def started(self) -> bool:
-        """Whether the status has been passed on."""
-        return self._head is not None
-
-    @property
-    def result(self) -> Done | Ran:
-        """State of the request after its complete answer has been written."""
-        assert self._head is not None
-        if self._body is None:
-            return Ran(self._head.status)
-        head = self._head
-        return Done(KeptAnswer(head.status, head.headers, bytes(self._body)))
-
-    async def start(self, status: int, headers: Headers) -> None:
-        """Pass on status and header fields."""
-        self._head = _Head(status, headers)
-        await self._put(self._head)
-
-    async def write(self, data: bytes) -> None:
-        """Pass on a part of the body; waits while the caller reads slowly."""
-        if self._body is not None:
-            self._body += data
-            if len(self._body) > MAX_ANSWER_BYTES:
-                self._body = None
-        await self._put(_Data(data))
-
-    async def finish(self) -> None:
-        """Do nothing; ``end`` marks the answer as complete after it is recorded."""
-
-    async def abort(self, error: ResultError) -> None:
-        """Pass on the error that left the answer incomplete."""
-        await self.end(error)
-
-    async def end(self, error: ResultError | None) -> None:
-        """Pass on the end of the answer, or the error that left it incomplete."""
-        await self._put(_Failure(error) if error else _End())
-
-    def detach(self) -> None:
-        """Pass on no more parts, so that the request continues without its caller."""
-        self._attached = False
-        while not self._parts.empty():
-            self._parts.get_nowait()
-
-    async def copy_to(self, writer: ResponseWriter) -> None:
-        """Write the answer as it arrives.
-
-        Args:
-            writer: Where the answer goes.
-
-        Raises:
-            ResultError: If the answer is incomplete.
-        """
-        while True:
-            match await self._parts.get():
-                case _Head(status, headers):
-                    await writer.start(status, headers)
-                case _Data(data):
-                    await writer.write(data)
-                case _End():
-                    await writer.finish()
-                    return
-                case _Failure(error):
-                    raise error
-
-    async def _put(self, part: _Head | _Data | _End | _Failure) -> None:
-        if self._attached:
-            await self._parts.put(part)
-
-
 class KeyedRequests:
     """Runs requests that must not repeat.
 
