Emulate the large fleet: 59 entries, 136 hosts, 6 failure domains

Cause: the emulator stopped at 54 hosts, below the size at which a lost flow was never reset (searches ended at 96 hosts).

Change: large_workload for load and check; tests play a power failure and count calls.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -11,6 +11,7 @@
     Trial,
     Workload,
     grown_workload,
+    large_workload,
     run_trial,
     small_workload,
 )
@@ -33,6 +34,7 @@
         troubles: int = CHECK_TROUBLES,
         seconds: float = CHECK_SECONDS,
         log: bool = False,
+        fleet: str = "small",
     ) -> None:
         """Run seeds with random troubles and print the broken promises.
 
@@ -42,11 +44,12 @@
             troubles: Troubles in each run.
             seconds: Length of each run. No trouble begins in the last 12 seconds.
             log: Print the log lines of all processes.
+            fleet: ``small``, ``grown`` or ``large``, as for ``load``.
         """
         _set_logging(log)
         failed = 0
         for seed in range(first, first + seeds):
-            trial = run_trial(small_workload(seconds, CHECK_SCALE), seed, troubles)
+            trial = run_trial(_workload(fleet, CHECK_SCALE, seconds), seed, troubles)
             failed += bool(trial.violations)
             for violation in trial.violations[:5]:
                 sys.stdout.write(
@@ -68,7 +71,7 @@
         """Run a fleet under load and print the results that callers saw.
 
         Args:
-            fleet: ``small`` (11 backend servers) or ``grown`` (54).
+            fleet: ``small`` (11 backend servers), ``grown`` (54) or ``large`` (136).
             scale: Demand relative to that of the small fleet.
             seconds: Length of each run.
             seeds: Number of runs, with the seeds from 1 on.
@@ -126,8 +129,10 @@
             return small_workload(seconds, scale or 1.0)
         case "grown":
             return grown_workload(seconds, scale or 4.5)
+        case "large":
+            return large_workload(seconds, scale or 3.7)
         case _:
-            raise ValueError(f"fleet {fleet!r} is neither small nor grown")
+            raise ValueError(f"fleet {fleet!r} is not small, grown or large")
 
 
 def _set_logging(shown: bool) -> None:
--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -113,6 +113,20 @@
     return Workload(plan, scale, seconds, time_factor=1.8)
 
 
+def large_workload(seconds: float, scale: float = 3.7) -> Workload:
+    """Return a workload for services of 109 and 27 servers behind 59 entries."""
+    plan = FleetPlan(
+        ("a", "b", "c", "d", "e", "f"),
+        59,
+        (
+            ServicePlan("portal", 109, 1, (0.7, 0.7, 1.7)),
+            ServicePlan("records", 27, 1),
+        ),
+        links=(200.0, 20.0, 20.0),
+    )
+    return Workload(plan, scale, seconds, time_factor=2.6)
+
+
 def run_trial(
     workload: Workload, seed: int, troubles: list[Trouble] | int = 0
 ) -> Trial:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -8,11 +8,11 @@
 from balsamspool.plugins.datagram_entry import plugin as entry_plugin
 from balsamspool.plugins.datagram_entry import search as search_module
 from balsamspool.plugins.datagram_entry.search import FlowSearch
-from emulator.checks import check
-from emulator.experiment import run_trial, small_workload
+from emulator.checks import MIN_ANSWERED_SHARE, answered_share, check
+from emulator.experiment import large_workload, run_trial, small_workload
 from emulator.history import History, Run
 from emulator.segment import SegmentCodec
-from emulator.troubles import DrainServer, RollingRestart
+from emulator.troubles import DrainServer, PowerOff, RollingRestart
 
 WORKLOAD = small_workload(30.0, 0.3)
 TROUBLES = 8
@@ -64,6 +64,35 @@
         self.assertEqual(first.counters, second.counters)
 
 
+class LargeFleetTest(EmulatorCase):
+    """59 entries and 136 hosts; the demand is low, so that a run takes seconds."""
+
+    SECONDS = 14.0
+
+    def test_flows_that_a_power_failure_ended_are_reset(self):
+        """Guards against callers that wait for their deadline after a power failure.
+
+        No host of a service of 109 holds the flows, and each caller has 2.6 s.
+        """
+        failure = [PowerOff(at=4.0, seconds=0.6)]
+        trial = run_trial(large_workload(self.SECONDS, 1.0), 1, failure)
+        self.assertEqual(trial.violations, [])
+        outcomes = trial.history.outcomes
+        begin = min(outcome.started for outcome in outcomes)
+        after = answered_share(trial.history, begin + 6.0, begin + self.SECONDS)
+        self.assertGreater(after, MIN_ANSWERED_SHARE)
+
+    def test_calls_to_the_service_do_not_grow_with_the_entries(self):
+        """Guards against a watch of each entry."""
+        calls = {}
+        for seconds in (4.0, 14.0):
+            trial = run_trial(large_workload(seconds, 0.3), 1)
+            self.assertEqual(trial.violations, [])
+            calls[seconds] = trial.summary.calls
+        # In 10 s, each of six readers may make a call every 1.2 s.
+        self.assertLess(calls[14.0] - calls[4.0], 6 * 10 / 1.2 + 12)
+
+
 class PlantedFaultTest(EmulatorCase):
     """Guards against checks that never fail, by planting a fault for each one."""
 
