Bound the cost of the catalog and of reports at 4,100 hosts

Each applied record was compared with all listed servers (quadratic in a full read), an entry asked four remote hosts of each service for reports (2,360 of 590 services), and a reader encoded the same records once for each follower.

Change: servers are indexed by address, remote hosts are at most 32 besides those that hold flows, encoded records are kept for the next follower that asks from the same revision.

--- a/balsamspool/placement/interest.py
+++ b/balsamspool/placement/interest.py
@@ -18,6 +18,9 @@
 MAX_LOCAL_HOSTS = 512
 # Number of hosts of each service in other failure domains that report to one entry.
 REMOTE_SAMPLE = 4
+# Maximum number of hosts of all services in other failure domains, besides those that
+# hold flows of the entry.
+MAX_REMOTE_HOSTS = 32
 # Number of agents to which all entries of a failure domain announce themselves.
 MEETING_AGENTS = 3
 
@@ -68,9 +71,14 @@
     for server in listed:
         if server.failure_domain != failure_domain:
             remote_servers.setdefault(server.service, []).append(server)
-    for servers in remote_servers.values():
-        sample = rank_equal(own_address.encode(), servers)[:REMOTE_SAMPLE]
-        remote.update(server.address for server in sample)
+    key = own_address.encode()
+    sample = [
+        server
+        for servers in remote_servers.values()
+        for server in rank_equal(key, servers)[:REMOTE_SAMPLE]
+    ]
+    for server in rank_equal(key, sample)[:MAX_REMOTE_HOSTS]:
+        remote.add(server.address)
     return ReportingHosts(set(sorted(local)[:MAX_LOCAL_HOSTS]), remote)
 
 
--- a/balsamspool/plugins/catalog/delta.py
+++ b/balsamspool/plugins/catalog/delta.py
@@ -10,7 +10,7 @@
 # Level of compression. Route tables repeat their field values, and a higher level takes
 # longer than the time that it saves on the link of a small instance.
 COMPRESSION_LEVEL = 1
-# Maximum size of a decompressed message, well above a catalog of 10,000 records.
+# Maximum size of decompressed records, well above a catalog of 10,000 records.
 MAX_BYTES = 16 << 20
 
 
@@ -35,13 +35,36 @@
     outage_age: float | None = None
 
 
+class _Message(Struct, array_like=True):
+    revision: int
+    complete: bool
+    records: bytes  # compressed
+    age: float | None
+    outage_age: float | None
+
+
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(CatalogDelta)
+_decoder = msgspec.msgpack.Decoder(_Message)
+_records_decoder = msgspec.msgpack.Decoder(tuple[Record, ...])
 
 
-def encode_delta(delta: CatalogDelta) -> bytes:
-    """Encode a delta."""
-    return zlib.compress(_encoder.encode(delta), COMPRESSION_LEVEL)
+def encode_records(records: tuple[Record, ...]) -> bytes:
+    """Encode the records of a delta, which is the costly part of a message."""
+    return zlib.compress(_encoder.encode(records), COMPRESSION_LEVEL)
+
+
+def encode_delta(delta: CatalogDelta, records: bytes | None = None) -> bytes:
+    """Encode a delta.
+
+    Args:
+        delta: The delta.
+        records: Its encoded records, None to encode them.
+    """
+    encoded = encode_records(delta.records) if records is None else records
+    message = _Message(
+        delta.revision, delta.complete, encoded, delta.age, delta.outage_age
+    )
+    return _encoder.encode(message)
 
 
 def decode_delta(data: bytes) -> CatalogDelta:
@@ -50,11 +73,18 @@
     Raises:
         ValueError: If the data is not a delta, or is too large.
     """
+    message = _decoder.decode(data)
     decompressor = zlib.decompressobj()
     try:
-        message = decompressor.decompress(data, MAX_BYTES)
+        records = decompressor.decompress(message.records, MAX_BYTES)
     except zlib.error as error:
-        raise ValueError(f"not a compressed message: {error}") from error
+        raise ValueError(f"the records cannot be decompressed: {error}") from error
     if not decompressor.eof:
-        raise ValueError("the message is cut off or too large")
-    return _decoder.decode(message)
+        raise ValueError("the records are cut off or too large")
+    return CatalogDelta(
+        message.revision,
+        message.complete,
+        _records_decoder.decode(records),
+        message.age,
+        message.outage_age,
+    )
--- a/balsamspool/plugins/catalog/peers.py
+++ b/balsamspool/plugins/catalog/peers.py
@@ -1,6 +1,5 @@
 """Plug-in that passes the catalog between processes over HTTP."""
 
-import asyncio
 import logging
 from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qs
@@ -13,7 +12,12 @@
 from balsamspool.minihttp.client import HttpConnection
 from balsamspool.minihttp.server import Page, PageServer
 from balsamspool.plugins.catalog.codes import CATALOG_PEER_UNAVAILABLE
-from balsamspool.plugins.catalog.delta import CatalogDelta, decode_delta, encode_delta
+from balsamspool.plugins.catalog.delta import (
+    CatalogDelta,
+    decode_delta,
+    encode_delta,
+    encode_records,
+)
 from balsamspool.plugins.catalog.events import PEER_LOST, PEER_REGAINED
 
 _logger = logging.getLogger(__name__)
@@ -46,6 +50,9 @@
         self._connections: dict[str, HttpConnection] = {}
         self._lost_peers: set[str] = set()
         self._answer: AnswerChanges | None = None
+        # The records that were encoded last, by the revisions that they lead to and
+        # from.
+        self._encoded: tuple[tuple[int, int], bytes] | None = None
         self._server = PageServer(self._page)
 
     async def stop(self) -> None:
@@ -122,6 +129,12 @@
         delta = await self._answer(after, min(max(0.0, wait), MAX_WAIT_SECONDS))
         if delta is None:
             return Page(204, b"")
-        # Encoding a large route table takes milliseconds, so other tasks run before.
-        await asyncio.sleep(0)
-        return Page(200, encode_delta(delta), "application/octet-stream")
+        body = encode_delta(delta, self._encode_records(delta, after))
+        return Page(200, body, "application/octet-stream")
+
+    def _encode_records(self, delta: CatalogDelta, after: int) -> bytes:
+        """Return the encoded records, which many peers request at the same moment."""
+        key = (delta.revision, after)
+        if self._encoded is None or self._encoded[0] != key:
+            self._encoded = (key, encode_records(delta.records))
+        return self._encoded[1]
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -45,6 +45,7 @@
         "_created_revisions",
         "_recently_removed",
         "_delayed_removals",
+        "_names_by_address",
         "_outage_end",
         "_ready_cache",
         "_ready_domains",
@@ -60,6 +61,8 @@
     def __init__(self) -> None:
         self._routes = RouteHistory()
         self._servers: dict[str, BackendServer] = {}
+        # Name of the backend server that is listed at each address.
+        self._names_by_address: dict[str, str] = {}
         self._revisions: dict[str, int] = {}
         # Revision at which each listed backend server was first listed.
         self._created_revisions: dict[str, int] = {}
@@ -282,7 +285,10 @@
             self._remove_now(other.name, self._revisions[other.name], time)
         self._delayed_removals.pop(server.name, None)
         self._recently_removed.pop(server.name, None)
+        if before is not None and before.address != server.address:
+            self._forget_address(before)
         self._servers[server.name] = server
+        self._names_by_address[server.address] = server.name
         self._on_change()
         if before is None or before.state is not server.state:
             SERVER_CHANGED.log(
@@ -296,10 +302,10 @@
 
     def _other_server_at_address(self, server: BackendServer) -> BackendServer | None:
         """Return another listed backend server at the same address, or None."""
-        for other in self._servers.values():
-            if other.address == server.address and other.name != server.name:
-                return other
-        return None
+        name = self._names_by_address.get(server.address)
+        if name is None or name == server.name:
+            return None
+        return self._servers.get(name)
 
     def _remove_or_delay(self, name: str, revision: int, time: float) -> None:
         server = self._servers.get(name)
@@ -344,6 +350,7 @@
 
     def _remove_now(self, name: str, revision: int, time: float) -> None:
         server = self._servers.pop(name)
+        self._forget_address(server)
         self._created_revisions.pop(name, None)
         self._delayed_removals.pop(name, None)
         self._revisions[name] = max(revision, self._revisions.get(name, 0))
@@ -357,6 +364,10 @@
             revision=revision,
         )
 
+    def _forget_address(self, server: BackendServer) -> None:
+        if self._names_by_address.get(server.address) == server.name:
+            del self._names_by_address[server.address]
+
     def _on_change(self) -> None:
         self._version += 1
         self._ready_cache.clear()
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from time import perf_counter
 from unittest import TestCase
 
 from balsamspool.kernel.clock import now
@@ -145,6 +146,25 @@
         self.assertNotIn("i-old", names(self.view.listed("portal")))
         self.assertIn("i-new", names(self.view.listed("portal")))
 
+    def test_a_full_read_takes_time_in_proportion_to_the_servers(self):
+        """Guards against a comparison of each of 4,100 servers with all others.
+
+        Ten times the servers may take twenty times the time, but not a hundred times.
+        """
+        few, many = (
+            min(self.seconds(count) for _ in range(3)) for count in (410, 4_100)
+        )
+        self.assertLess(many, 20 * few)
+
+    def seconds(self, count):
+        """Return the seconds in which a view applies a number of servers."""
+        servers = [server(n, address=f"10.{n >> 8}.{n & 255}.1") for n in range(count)]
+        view = CatalogView()
+        started = perf_counter()
+        for record in published(1, *servers):
+            view.apply(record, 0.0)
+        return perf_counter() - started
+
     def test_an_address_listed_for_another_service_is_removed_from_the_first(self):
         """Guards against packets of one service that reach another service."""
         self.view.apply(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,8 +1,15 @@
 """Where a new flow opens, and which hosts are queried for an unknown flow."""
 
+import random
 from collections import Counter
 from unittest import TestCase
 
+from balsamspool.placement.interest import (
+    MAX_REMOTE_HOSTS,
+    MEETING_AGENTS,
+    announce_targets,
+    reporting_hosts,
+)
 from balsamspool.placement.load import LoadBoard, LoadReport
 from balsamspool.placement.lookup import LOOKUP_LIMIT, order_lookup
 from balsamspool.placement.opening import CHOICES, order_choices
@@ -165,3 +172,43 @@
         targets = (Target("a", 90), Target("b", 10))
         counts = Counter(choose_target(key, targets).service for key in KEYS)
         self.assertAlmostEqual(counts["b"] / len(KEYS), 0.1, delta=0.05)
+
+
+class InterestTest(TestCase):
+    def hosts(self, count, services, domains="abcdefgh", flow_hosts=()):
+        listed = [
+            server(
+                number,
+                f"s-{number % services}",
+                address=f"10.{number >> 8}.{number & 255}.1",
+                failure_domain=domains[number % len(domains)],
+            )
+            for number in range(count)
+        ]
+        return reporting_hosts(listed, [], flow_hosts, "a", "10.9.9.9")
+
+    def test_reports_do_not_grow_with_the_fleet(self):
+        """Guards against control traffic that grows with entries times hosts.
+
+        4,100 hosts of 590 services in 8 failure domains may cost an entry 9 KB/s.
+        """
+        found = self.hosts(4_100, 590)
+        self.assertLessEqual(len(found.local), 4_100 / 8 + 1)
+        self.assertLessEqual(len(found.remote), MAX_REMOTE_HOSTS)
+
+    def test_hosts_with_flows_of_the_entry_report(self):
+        """Guards against a dead host in another failure domain that nobody notices."""
+        found = self.hosts(80, 2, flow_hosts=["10.0.1.1", "10.0.0.1"])
+        self.assertIn("10.0.1.1", found.remote)
+        self.assertIn("10.0.0.1", found.local)
+
+    def test_entries_of_a_failure_domain_meet_at_the_same_agents(self):
+        """Guards against entries that never learn of one another."""
+        listed = [server(n, failure_domain="ab"[n % 2]) for n in range(40)]
+        targets = [
+            announce_targets(listed, LoadBoard(), "a", random.Random(n))
+            for n in range(9)
+        ]
+        common = set.intersection(*targets)
+        self.assertEqual(len(common), MEETING_AGENTS)
+        self.assertTrue(all(len(t - common) == 1 for t in targets))
