Reset lost flows at once after a failure whose servers were replaced

Cause: an entry that starts waits 2.2 s before it resets a lost flow if its history shows removals without draining, as these may come from an outage of the store.

Change: the removals are explained if as many backend servers started under new names and none was listed again under its own name, which is what an outage looks like.

--- a/balsamspool/plugins/catalog/completeness.py
+++ b/balsamspool/plugins/catalog/completeness.py
@@ -19,12 +19,12 @@
 class Completeness:
     """Tracks outages during which catalog entries may have expired."""
 
-    __slots__ = ("_removals_planned", "_first_answer", "_outage_end")
+    __slots__ = ("_removals_explained", "_first_answer", "_outage_end")
 
     def __init__(self) -> None:
         self._first_answer: float | None = None
         self._outage_end: float | None = None
-        self._removals_planned = False
+        self._removals_explained = False
 
     def record_answer(self, time: float) -> None:
         """Record an answer of the publishing service.
@@ -45,9 +45,9 @@
             self._outage_end = time
 
     @property
-    def removals_planned(self) -> bool:
-        """Whether all removals before the first answer are known to be planned."""
-        return self._removals_planned
+    def removals_explained(self) -> bool:
+        """Whether no removal before the first answer hints at an outage."""
+        return self._removals_explained
 
     def record_history(self, changes: Changes | None) -> None:
         """Record the changes before the first answer, None if they are not known.
@@ -55,7 +55,7 @@
         Catalog entries that were removed without draining first may have expired in an
         outage before this process started.
         """
-        self._removals_planned = changes is not None and not unplanned_removals(changes)
+        self._removals_explained = changes is not None and explains_removals(changes)
 
     def seconds_until_complete(self, time: float) -> float:
         """Return the seconds until the catalog lists every live backend server.
@@ -66,7 +66,7 @@
         if self._first_answer is None:
             return RELISTING_SECONDS
         since = self._outage_end if self._outage_end is not None else -math.inf
-        if not self._removals_planned:
+        if not self._removals_explained:
             since = max(since, self._first_answer)
         return max(0.0, since + RELISTING_SECONDS - time)
 
@@ -81,6 +81,31 @@
         )
 
 
+def explains_removals(changes: Changes) -> bool:
+    """Return whether no removal of a backend server hints at an outage.
+
+    If the backend servers failed, as many others started in their place, under new
+    names. If their entries expired in an outage, they are listed again under their own
+    names, so one that has been listed again already is a sign of an outage.
+    """
+    unplanned = unplanned_removals(changes)
+    if not unplanned:
+        return True
+    started: set[str] = set()
+    removed: set[str] = set()
+    relisted = False
+    for record in changes.records:
+        match record:
+            case ServerPublished(revision, server, created):
+                relisted = relisted or server.name in removed
+                if created == revision:
+                    started.add(server.name)
+            case ServerRemoved(_, name):
+                removed.add(name)
+    replaced = len(started) - len(removed - unplanned)
+    return not relisted and replaced >= len(unplanned)
+
+
 def unplanned_removals(changes: Changes) -> set[str]:
     """Return the names of backend servers that were removed without draining first."""
     draining: set[str] = set()
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -13,6 +13,7 @@
 )
 from balsamspool.plugins.catalog.completeness import (
     Completeness,
+    explains_removals,
     unplanned_removals,
 )
 from balsamspool.plugins.catalog.delta import (
@@ -230,6 +231,38 @@
         self.assertFalse(state.is_complete(5.0 + RELISTING_SECONDS / 2))
         self.assertTrue(state.is_complete(5.0 + RELISTING_SECONDS))
 
+    def test_servers_that_failed_and_were_replaced_explain_their_removal(self):
+        """Guards against resets that come 2 s late after a power failure.
+
+        All instances lost power (tankline, trouble-1): their backend servers start
+        again under new names, and the entries of the earlier ones expire.
+        """
+        started = [ServerPublished(n, server(n), n) for n in range(10, 14)]
+        expired = [ServerRemoved(20 + n, f"i-{n}") for n in range(1, 5)]
+        self.assertTrue(explains_removals(Changes(30, (*started, *expired))))
+        self.assertFalse(explains_removals(Changes(30, (*started[:3], *expired))))
+
+    def test_planned_replacements_explain_no_failure(self):
+        """Guards against a live server that counts as replaced by a planned one."""
+        planned = (
+            ServerPublished(10, server(10), 10),
+            ServerPublished(11, server(1, state=DRAINING), 2),
+            ServerRemoved(12, "i-1"),
+        )
+        expired = ServerRemoved(13, "i-2")
+        self.assertTrue(explains_removals(Changes(30, planned)))
+        self.assertFalse(explains_removals(Changes(30, (*planned, expired))))
+
+    def test_a_server_that_is_listed_again_is_a_sign_of_an_outage(self):
+        """Guards against a reset of a flow whose host is about to be listed again."""
+        records = (
+            *(ServerPublished(n, server(n), n) for n in range(10, 14)),
+            ServerRemoved(20, "i-1"),
+            ServerRemoved(21, "i-2"),
+            ServerPublished(22, server(1), 22),
+        )
+        self.assertFalse(explains_removals(Changes(30, records)))
+
     def test_the_list_stays_incomplete_if_the_history_is_lost(self):
         """Guards against treating a lost history as a history without removals."""
         state = Completeness()
