Reuse connections between entries, and use one connection a call to the store

The HTTP client asked the parser whether the connection stays open after the response was complete, when the parser has forgotten its length, and closed it each time.

Change: the question is asked when the headers are complete. Calls to the store keep a connection of their own, now on purpose: an open connection may go silent while new ones work.

Measured: the new test of test_broken_answers (3 requests, 1 connection) fails before.

--- a/balsamspool/minihttp/client.py
+++ b/balsamspool/minihttp/client.py
@@ -18,29 +18,44 @@
 
 
 class Response(Struct):
-    """An HTTP response, filled in by the parser.
+    """An HTTP response.
 
     Attributes:
         status: HTTP status.
         body: Body.
-        complete: Whether the whole response has arrived.
-        surplus: Whether bytes of a further response have arrived, which nobody
-            requested.
     """
 
     status: int = 0
     body: bytearray = msgspec.field(default_factory=bytearray)
-    complete: bool = False
-    surplus: bool = False
+
+
+class _ResponseReader:
+    """Reads one response from the octets of a connection."""
+
+    __slots__ = ("complete", "keep_alive", "parser", "response", "surplus")
+
+    def __init__(self) -> None:
+        self.parser = HttpResponseParser(self)
+        self.response = Response()
+        self.complete = False
+        self.keep_alive = False
+        # Whether octets of a further response have arrived, which nobody requested.
+        self.surplus = False
 
     def on_message_begin(self) -> None:
         """Record the start of a response."""
         self.surplus = self.complete
 
+    def on_headers_complete(self) -> None:
+        """Record the status."""
+        if not self.surplus:
+            self.response.status = self.parser.get_status_code()
+            self.keep_alive = self.parser.should_keep_alive()
+
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
         if not self.surplus:
-            self.body += data
+            self.response.body += data
 
     def on_message_complete(self) -> None:
         """Record that the response is complete."""
@@ -50,12 +65,11 @@
 class _Stream(asyncio.Protocol):
     """One TCP connection, which expects a response only while a request waits."""
 
-    __slots__ = ("_arrived", "_parser", "_response", "_transport")
+    __slots__ = ("_arrived", "_reader", "_transport")
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
-        self._parser: HttpResponseParser | None = None
-        self._response: Response | None = None
+        self._reader: _ResponseReader | None = None
         self._arrived: asyncio.Future[None] | None = None
 
     @property
@@ -69,22 +83,21 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse a part of the response."""
-        parser, response, arrived = self._parser, self._response, self._arrived
-        if parser is None or response is None or arrived is None or arrived.done():
-            # Nobody waits for these bytes. They may be a second copy of an earlier
+        reader, arrived = self._reader, self._arrived
+        if reader is None or arrived is None or arrived.done():
+            # Nobody waits for these octets. They may be a second copy of an earlier
             # response, which would be taken for the response to the next request.
             self.abort()
             return
         try:
-            parser.feed_data(data)
+            reader.parser.feed_data(data)
         except HttpParserError as error:
             arrived.set_exception(OSError(f"response is not HTTP: {error}"))
             return
-        if response.complete:
-            response.status = parser.get_status_code()
-            if response.surplus or not parser.should_keep_alive():
-                self.abort()
+        if reader.complete:
             arrived.set_result(None)
+            if reader.surplus or not reader.keep_alive:
+                self.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the request that waits."""
@@ -102,15 +115,14 @@
     async def exchange(self, request: bytes) -> Response:
         """Send a request and wait for the whole response."""
         assert self._transport is not None
-        response = self._response = Response()
-        self._parser = HttpResponseParser(response)
+        reader = self._reader = _ResponseReader()
         self._arrived = asyncio.get_running_loop().create_future()
         self._transport.write(request)
         try:
             await self._arrived
         finally:
-            self._parser = self._response = self._arrived = None
-        return response
+            self._reader = self._arrived = None
+        return reader.response
 
 
 class HttpConnection:
@@ -119,13 +131,16 @@
     Args:
         address: IPv4 address of the server.
         port: Port of the server.
+        reuse: Whether further requests use the same connection. A connection of its own
+            for each request finds a server to which an open connection went silent.
     """
 
-    __slots__ = ("_address", "_port", "_stream")
+    __slots__ = ("_address", "_port", "_reuse", "_stream")
 
-    def __init__(self, address: str, port: int) -> None:
+    def __init__(self, address: str, port: int, reuse: bool = True) -> None:
         self._address = address
         self._port = port
+        self._reuse = reuse
         self._stream: _Stream | None = None
 
     async def get(self, target: str, seconds: float) -> Response:
@@ -144,11 +159,14 @@
         try:
             async with asyncio.timeout(seconds):
                 stream = await self._open()
-                return await stream.exchange(request)
+                response = await stream.exchange(request)
         except BaseException:
             # A late response must not be taken for the response to the next request.
             self.close()
             raise
+        if not self._reuse:
+            self.close()
+        return response
 
     def close(self) -> None:
         """Abort the connection and discard the data in transit."""
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -63,6 +63,17 @@
             self.assertEqual(await self.get(connection), b"two")
             connection.close()
 
+    async def test_a_connection_carries_many_requests(self):
+        """Guards against a connection for each request of a follower."""
+        for reuse, connections in ((True, 1), (False, 3)):
+            async with run_raw_server() as server:
+                server.scripts = [[answer(b"a")], [answer(b"")], [CHUNKED]]
+                connection = HttpConnection("127.0.0.1", server.port, reuse)
+                bodies = [await self.get(connection) for _ in range(3)]
+                self.assertEqual(bodies, [b"a", b"", BODY])
+                self.assertEqual(server.connections, connections)
+                connection.close()
+
     async def test_octets_that_are_not_http_fail(self):
         """Guards against a malformed answer that ends the process."""
         for data in (b"\x00" * 40, b"HTTP/9.9 ???\r\n\r\n", b"\r\n\r\n\r\n" * 9):
