Wait for silent peers before a stale platform is trusted

If the peers were paused or slow for longer and the platform served an old text, the old text was in force again. Reproduced by a schedule: peers stopped for 3.5 s around the restart fails every time.

Change: a start waits for the first answer of a peer for up to 5 s and repeats its question. A peer that has no text says so, so a new fleet does not wait.

--- a/balsamspool/plugins/configuration/exchange.py
+++ b/balsamspool/plugins/configuration/exchange.py
@@ -40,6 +40,10 @@
 REPLIES_PER_SECOND = 4.0
 REPLY_BURST = 8.0
 
+# Digest in the answer of a process that has no text to another one that has none. It
+# tells an answer from a question, so that answers are not answered.
+NO_TEXT = "none"
+
 _POLL_SECONDS = 0.5
 
 
@@ -152,6 +156,7 @@
     """
 
     __slots__ = (
+        "_answered",
         "_budget",
         "_changed_at",
         "_gathered_offers",
@@ -187,22 +192,34 @@
         self._changed_at: float | None = None
         self._seen_pauses = 0
         self._gathered_offers: list[tuple[PeerAddress, Any]] | None = None
+        # Peers that answered while offers were gathered.
+        self._answered: set[PeerAddress] = set()
         self._message_received = asyncio.Event()
         mesh.subscribe(types.offer, self._on_offer)
         mesh.subscribe(types.request, self._on_request)
         mesh.subscribe(types.reply, self._on_reply)
 
-    async def fetch_newest(self) -> None:
-        """Fetch the text of the highest revision from peers; give up after a second."""
-        peers = self._peers.members
-        if not peers:
+    async def fetch_newest(self, patience: float = 0.0) -> None:
+        """Fetch the text of the highest revision from peers.
+
+        Args:
+            patience: Time in seconds to wait for peers if none of them answers. A peer
+                that is paused or starts answers late.
+        """
+        if not self._peers.members:
             return
-        deadline = Deadline.after(FETCH_SECONDS)
-        self._gathered_offers = []
-        self._offer_to_all()
-        await self._wait_until(self._all_answered, Deadline.after(OFFER_WAIT_SECONDS))
+        silence = Deadline.after(patience)
+        self._gathered_offers, self._answered = [], set()
+        while True:
+            self._offer_to_all()
+            await self._wait_until(
+                self._all_answered, Deadline.after(OFFER_WAIT_SECONDS)
+            )
+            if self._answered or silence.expired:
+                break
         offers = sorted(self._gathered_offers, key=lambda item: -item[1].revision)
         self._gathered_offers = None
+        deadline = Deadline.after(FETCH_SECONDS - OFFER_WAIT_SECONDS)
         for peer, offer in offers:
             if offer.revision <= self._owner.text_state().revision or deadline.expired:
                 return
@@ -267,8 +284,7 @@
             self._offer_to(peer)
 
     def _all_answered(self) -> bool:
-        answers = self._gathered_offers or []
-        return {peer for peer, _ in answers} >= set(self._peers.members)
+        return self._answered >= set(self._peers.members)
 
     async def _wait_until(
         self, condition: Callable[[], bool], deadline: Deadline
@@ -287,6 +303,9 @@
 
     def _on_offer(self, message: Message) -> None:
         offer = message.body
+        gathering = self._gathered_offers is not None
+        if gathering:
+            self._answered.add(message.sender)
         match react(self._owner.text_state(), offer.revision, offer.digest):
             case RequestText() if self._gathered_offers is not None:
                 self._gathered_offers.append((message.sender, offer))
@@ -299,7 +318,9 @@
             case Conflicting():
                 self._owner.record_conflict(offer.revision, offer.digest)
             case NoReaction():
-                pass
+                if offer == self._types.offer(0, "") and not gathering:
+                    # The peer may wait for an answer before it trusts the platform.
+                    self._mesh.send(message.sender, self._types.offer(0, NO_TEXT))
         self._message_received.set()
 
     def _remember_offer(self, peer: PeerAddress, offer: Any) -> None:
--- a/balsamspool/plugins/configuration/plugin.py
+++ b/balsamspool/plugins/configuration/plugin.py
@@ -46,6 +46,9 @@
 _logger = logging.getLogger(__name__)
 
 VALUE_NAME = "configuration"
+# Time for which a process that starts waits for the first answer of a peer before it
+# trusts the platform alone. Peers that are merely paused answer within it.
+SILENT_PEERS_SECONDS = 5.0
 
 OnConfiguration = Callable[[Configuration], None]
 
@@ -228,7 +231,7 @@
     async def _run(self) -> None:
         # The platform may hold an outdated text, so peers are queried before the
         # platform is watched.
-        await self._exchange.fetch_newest()
+        await self._exchange.fetch_newest(SILENT_PEERS_SECONDS)
         platform = self._kernel.plugin(PlatformPlugin)
         platform.watch(VALUE_NAME, lambda: self._store.seen_revision, self._on_value)
         await self._exchange.run(lambda: self._kernel.pauses)
--- a/tests/test_configuration_fleet.py
+++ b/tests/test_configuration_fleet.py
@@ -85,6 +85,26 @@
             await asyncio.sleep(4)
             self.assertLess(fleet.platform.calls - calls, 40)
 
+    async def test_silent_peers_are_awaited_before_a_stale_platform_is_trusted(self):
+        """Guards against an old text that returns because all peers were paused."""
+        async with run_fleet([PORTAL]) as fleet:
+            entry, *others = [*fleet.entries.values(), *fleet.agents.values()]
+            revision = await fleet.publish_text()
+            for host in others:
+                await self.wait_revision(fleet, host, revision)
+            await entry.stop()
+            fleet.platform.hidden_revisions["configuration"] = 1
+            await fleet.platform.wake()
+            self.add_seeds(entry, others)
+            for host in others:
+                host.send_signal(signal.SIGSTOP)
+            restarted = asyncio.create_task(fleet.restart(entry))
+            await asyncio.sleep(3.5)
+            for host in others:
+                host.send_signal(signal.SIGCONT)
+            await restarted
+            self.assertEqual(revision_of(await fleet.status(entry)), revision)
+
     async def test_rotated_keys_reach_a_process_with_older_settings(self):
         """Guards against key rotation that locks out processes or breaks requests."""
         async with run_fleet([PORTAL]) as fleet:
