--- a/balsamspool/placement/interest.py
+++ b/balsamspool/placement/interest.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Collection, Iterable, Sequence
 from itertools import chain
+from typing import Protocol
 
 from msgspec import Struct
 
@@ -25,10 +26,12 @@
 MEETING_AGENTS = 3
 
 
-class Serving(Located):
+class Serving(Located, Protocol):
     """A backend server of a service."""
 
-    service: str
+    @property
+    def service(self) -> str:
+        """Name of the service."""
 
 
 class ReportingHosts(Struct, frozen=True):
--- a/balsamspool/plugins/catalog/follower.py
+++ b/balsamspool/plugins/catalog/follower.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import random
-from typing import TYPE_CHECKING
 
 from balsamspool.kernel.backoff import Backoff
 from balsamspool.kernel.clock import now
@@ -20,6 +19,7 @@
 )
 from balsamspool.plugins.catalog.feed import CatalogFeed
 from balsamspool.plugins.catalog.model import Changes, Snapshot
+from balsamspool.plugins.catalog.peers import CatalogPeers
 from balsamspool.plugins.catalog.source import CatalogSource
 from balsamspool.plugins.catalog.upstream import (
     CHANGE_BATCH_SECONDS,
@@ -31,9 +31,6 @@
 )
 from balsamspool.plugins.catalog.view import CatalogView
 
-if TYPE_CHECKING:
-    from balsamspool.plugins.catalog.peers import CatalogPeers
-
 _logger = logging.getLogger(__name__)
 
 FIRST_RETRY_SECONDS = 0.2
@@ -81,7 +78,7 @@
     def __init__(
         self,
         source: CatalogSource,
-        peers: "CatalogPeers",
+        peers: CatalogPeers,
         peer_port: int | None,
         view: CatalogView,
         feed: CatalogFeed,
--- a/balsamspool/plugins/catalog/upstream.py
+++ b/balsamspool/plugins/catalog/upstream.py
@@ -105,7 +105,7 @@
 
 
 class _ReceivedList(Struct, frozen=True):
-    list: ReaderList
+    content: ReaderList
     received: float
 
 
@@ -237,7 +237,7 @@
 
     def _is_behind(self, revision: int, time: float) -> bool:
         """Return whether another entry has known a newer revision for a while."""
-        newest = max(r.list.newest_revision for r in self._lists.values())
+        newest = max(r.content.newest_revision for r in self._lists.values())
         if revision >= newest:
             self._newer_since = math.inf
             return False
@@ -263,4 +263,4 @@
         ]
         if not current:
             return None
-        return max(current, key=lambda r: (r.list.entries, r.received)).list
+        return max(current, key=lambda r: (r.content.entries, r.received)).content
--- a/balsamspool/plugins/datagram_entry/search.py
+++ b/balsamspool/plugins/datagram_entry/search.py
@@ -60,8 +60,8 @@
     __slots__ = (
         "_board",
         "_catalog",
-        "_failure_domain",
         "_codec",
+        "_failure_domain",
         "_flow_missing",
         "_flows",
         "_forwarder",
@@ -190,22 +190,6 @@
         else:
             self._on_not_held(packet, flow, returned.hops)
 
-    def _on_not_held(self, packet: Packet, flow: EntryFlow, hops: int) -> None:
-        """Handle a packet whose flow none of the queried hosts holds."""
-        asked_all = self._asked_all_services(packet, flow)
-        if not asked_all and self._catalog.refresher.history_read:
-            # The flow may have opened under a route table that this process has not
-            # seen, at a host of a service that was not queried.
-            self._drop_unknown(packet, hops, "services-unknown")
-        elif (
-            asked_all
-            and self._catalog_read_since_missing(flow)
-            and self._catalog.complete
-        ):
-            self.reset_lost(packet, "held-nowhere")
-        else:
-            self._await_catalog(packet, flow)
-
     def reset_lost(self, packet: Packet, reason: str) -> None:
         """Reset a flow that no host holds any more."""
         key = packet.flow_from_caller
@@ -223,6 +207,22 @@
             catalog_version=self._catalog.view.version,
         )
 
+    def _on_not_held(self, packet: Packet, flow: EntryFlow, hops: int) -> None:
+        """Handle a packet whose flow none of the queried hosts holds."""
+        asked_all = self._asked_all_services(packet, flow)
+        if not asked_all and self._catalog.refresher.history_read:
+            # The flow may have opened under a route table that this process has not
+            # seen, at a host of a service that was not queried.
+            self._drop_unknown(packet, hops, "services-unknown")
+        elif (
+            asked_all
+            and self._catalog_read_since_missing(flow)
+            and self._catalog.complete
+        ):
+            self.reset_lost(packet, "held-nowhere")
+        else:
+            self._await_catalog(packet, flow)
+
     def _continue_missing(self, packet: Packet, flow: EntryFlow) -> None:
         """Keep a missing flow waiting, or search again if the catalog has changed."""
         if flow.catalog_version != self._catalog.view.version:
@@ -369,10 +369,9 @@
     def _queried_all_listed(self, packet: Packet, flow: EntryFlow) -> bool:
         """Return whether the last search queried every host that is listed now."""
         view = self._catalog.view
-        services = view.services_at(*service_endpoint(packet))
         return all(
             socket.inet_aton(server.address) in flow.queried
-            for service in services
+            for service in view.services_at(*service_endpoint(packet))
             for server in view.listed(service)
         )
 
--- a/tests/test_configuration_fleet.py
+++ b/tests/test_configuration_fleet.py
@@ -31,6 +31,22 @@
         settings["configuration"] = {"peers": peers}
         host.settings_path.write_text(json.dumps(settings))
 
+    async def stop_and_hide_the_text(self, fleet):
+        """Publish a text, stop an entry, and let the platform serve an older text.
+
+        Returns:
+            The entry, the other processes, and the revision of the text.
+        """
+        entry, *others = [*fleet.entries.values(), *fleet.agents.values()]
+        revision = await fleet.publish_text()
+        for host in others:
+            await self.wait_revision(fleet, host, revision)
+        await entry.stop()
+        fleet.platform.hidden_revisions["configuration"] = 1
+        await fleet.platform.wake()
+        self.add_seeds(entry, others)
+        return entry, others, revision
+
     async def test_process_starts_while_the_platform_is_down(self):
         """Guards against a fleet that cannot replace instances in an outage."""
         async with run_fleet([PORTAL]) as fleet:
@@ -71,14 +87,7 @@
     async def test_stale_platform_does_not_reach_a_new_process(self):
         """Guards against a start that accepts an old text from a stale platform."""
         async with run_fleet([PORTAL]) as fleet:
-            entry, *others = [*fleet.entries.values(), *fleet.agents.values()]
-            revision = await fleet.publish_text()
-            for host in others:
-                await self.wait_revision(fleet, host, revision)
-            await entry.stop()
-            fleet.platform.hidden_revisions["configuration"] = 1
-            await fleet.platform.wake()
-            self.add_seeds(entry, others)
+            entry, others, revision = await self.stop_and_hide_the_text(fleet)
             await fleet.restart(entry)
             self.assertEqual(revision_of(await fleet.status(entry)), revision)
             calls = fleet.platform.calls
@@ -88,14 +97,7 @@
     async def test_silent_peers_are_awaited_before_a_stale_platform_is_trusted(self):
         """Guards against an old text that returns because all peers were paused."""
         async with run_fleet([PORTAL]) as fleet:
-            entry, *others = [*fleet.entries.values(), *fleet.agents.values()]
-            revision = await fleet.publish_text()
-            for host in others:
-                await self.wait_revision(fleet, host, revision)
-            await entry.stop()
-            fleet.platform.hidden_revisions["configuration"] = 1
-            await fleet.platform.wake()
-            self.add_seeds(entry, others)
+            entry, others, revision = await self.stop_and_hide_the_text(fleet)
             for host in others:
                 host.send_signal(signal.SIGSTOP)
             restarted = asyncio.create_task(fleet.restart(entry))
