--- a/scripts/regression.py
+++ b/scripts/regression.py
@@ -30,10 +30,10 @@
 
 
 DEPLOYMENTS = (
-    Deployment("further/tankline-ktm", HUNT_DAYS),
+    Deployment("sites/kloofrand-lb", HUNT_DAYS),
+    Deployment("sites/kmrhs-booking", HUNT_DAYS),
     Deployment("grown/kloofrand-lb-grown", LARGE_HUNT_DAYS),
     Deployment("grown/kmrhs-booking-grown", LARGE_HUNT_DAYS),
-    Deployment("further-grown/tankline-ktm-grown", LARGE_HUNT_DAYS),
     Deployment("large/kloofrand-lb-large", LARGE_HUNT_DAYS),
 )
 
