Log what an entry knows when it resets or searches for a flow

Cause: users report resets of flows whose backend server was sound. A reset line named only a reason and the age of the catalog, so a host that was given up, a search that missed the holder and a wrong belief looked alike.

Change: 2418 names the believed host, since when it was confirmed, its state and the age of its report, how many hosts were queried and answered, and which were left out. 2405 counts the searches of a flow and the time without a host; this outlives a dropped packet (2408). New lines: 2420 flow-released, 2421 flow-awaits-catalog, 2422 host-reports-again (a host reports after its flows were given up). 2406 also names a belief that it replaces, and a slow search. New figures: resets by reason, flows without a host, histograms of the time until the host confirmed or until the reset. No decision changes.

--- a/balsamspool/datagram/events.py
+++ b/balsamspool/datagram/events.py
@@ -101,3 +101,22 @@
     logging.ERROR,
     "Handling a datagram failed with an unexpected error; later ones are handled.",
 )
+FLOW_RELEASED = log_event(
+    2420,
+    "flow-released",
+    logging.INFO,
+    "An agent says that its backend server no longer holds a flow; the entry forgets "
+    "the host of the flow.",
+)
+FLOW_AWAITS_CATALOG = log_event(
+    2421,
+    "flow-awaits-catalog",
+    logging.INFO,
+    "No queried host holds a flow; its packets wait until the catalog has been read.",
+)
+HOST_REPORTS_AGAIN = log_event(
+    2422,
+    "host-reports-again",
+    logging.WARNING,
+    "A host reports whose flows this entry reset because the host seemed to be gone.",
+)
--- a/balsamspool/plugins/datagram_entry/flow.py
+++ b/balsamspool/plugins/datagram_entry/flow.py
@@ -11,6 +11,8 @@
         hosts: Addresses of the agents that may hold the flow, the most likely first, 4
             octets each.
         confirmed: Whether the first of ``hosts`` confirmed that it holds the flow.
+        confirmed_at: Event loop time in seconds at which it first confirmed that, None
+            if ``confirmed`` is not set.
         searched_at: Event loop time in seconds at which the last search for the flow
             began, None without a search.
         catalog_version: Version of the catalog when that search began.
@@ -33,6 +35,7 @@
     service: int
     hosts: tuple[bytes, ...]
     confirmed: bool = False
+    confirmed_at: float | None = None
     searched_at: float | None = None
     catalog_version: int = 0
     exhaustive: bool = False
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -6,7 +6,6 @@
 
 from balsamspool.datagram._codec import decode, service_number
 from balsamspool.datagram.events import (
-    FLOW_FOUND,
     FLOW_IGNORED,
     FLOW_MOVED,
     FLOW_PLACED,
@@ -41,6 +40,7 @@
 from balsamspool.placement.opening import Choice, order_choices
 from balsamspool.placement.rendezvous import choose_target
 from balsamspool.plugins.catalog import CatalogPlugin, Route
+from balsamspool.plugins.datagram_entry.decision_log import HOST_GONE, DecisionLog
 from balsamspool.plugins.datagram_entry.flow import EntryFlow
 from balsamspool.plugins.datagram_entry.forwarder import (
     PACKETS,
@@ -91,6 +91,7 @@
         self._codec = kernel.plugin(PacketCodec)
         self._catalog = kernel.plugin(CatalogPlugin)
         self._board = LoadBoard()
+        self._log = DecisionLog(self._catalog, self._board, kernel.counters)
         self._flows: RecentCache[EntryFlow] = RecentCache(MAX_KNOWN_FLOWS)
         self._caller_socket: BatchSocket
         self._peer_socket: BatchSocket
@@ -126,6 +127,7 @@
             self._codec,
             self._forwarder,
             self._kernel.counters,
+            self._log,
             self._failure_domain,
         )
         self._subscriptions = Subscriptions(
@@ -150,6 +152,7 @@
         return {
             "flows": len(self._flows),
             "avoided": [s.name for s in servers if self._board.avoided(s.address)],
+            **self._log.status(),
         }
 
     def _on_catalog(self) -> None:
@@ -191,7 +194,7 @@
         if flow is None:
             self._search.search(packet)
         elif flow.confirmed and self._is_gone(flow.hosts[0]):
-            self._search.reset_lost(packet, "host-gone")
+            self._search.reset_lost(packet, HOST_GONE)
         elif flow.confirmed:
             self._forwarder.forward(packet, flow.service, flow.hosts, unconfirmed=False)
         else:
@@ -219,6 +222,7 @@
         hosts = tuple(socket.inet_aton(c.server.address) for c in choices)
         flow = EntryFlow(service_number(target.service), hosts)
         self._flows.put(key, flow)
+        self._log.reopened(key)
         self._placed.value += 1
         self._board.record_placed(choices[0].server.address)
         self._forwarder.forward(packet, flow.service, hosts, unconfirmed=True)
@@ -291,9 +295,11 @@
                     HOST_AVOIDED.log(
                         _logger, address=sender[0], responsive=load.responsive
                     )
+                self._log.reported(sender[0], load)
             case FlowLocated(key):
                 self._on_located(key, sender[0])
             case FlowEnded(key):
+                self._log.released(key, self._flows.get(key), sender[0])
                 self._flows.discard(key)
             case PacketReturned() as returned:
                 self._search.on_returned(returned, sender[0])
@@ -305,12 +311,14 @@
     def _on_located(self, key: bytes, agent: str) -> None:
         flow = self._flows.get(key)
         self._subscriptions.record_flow_at(agent)
+        self._log.located(key, flow, agent)
         host = socket.inet_aton(agent)
         if flow is None:
-            self._flows.put(key, EntryFlow(ANY_SERVICE, (host,), confirmed=True))
+            flow = EntryFlow(ANY_SERVICE, (host,), True, now())
+            self._flows.put(key, flow)
             return
-        if flow.hosts[0] != host:
-            FLOW_FOUND.log(_logger, flow=flow_id(key), address=agent)
+        if not flow.confirmed or flow.hosts[0] != host:
+            flow.confirmed_at = now()
         flow.hosts = (host,)
         flow.confirmed = True
         if flow.searched_at is not None and self._is_of_another_service(agent, flow):
--- a/balsamspool/plugins/datagram_entry/search.py
+++ b/balsamspool/plugins/datagram_entry/search.py
@@ -1,20 +1,13 @@
 """Finds the hosts of unknown flows, and resets flows that no host holds."""
 
 import asyncio
-import logging
 import socket
 
 from balsamspool.datagram._codec import service_number
-from balsamspool.datagram.events import (
-    FLOW_RESET,
-    FLOW_SEARCHED,
-    FLOW_UNKNOWN,
-)
 from balsamspool.datagram.messages import ANY_SERVICE, PacketReturned
 from balsamspool.datagram.packet import (
     Packet,
     PacketCodec,
-    flow_id,
     service_endpoint,
 )
 from balsamspool.kernel.clock import now
@@ -24,6 +17,11 @@
 from balsamspool.placement.lookup import CHAIN_HOSTS, LOOKUP_LIMIT, order_lookup
 from balsamspool.placement.ranking import by_failure_domain
 from balsamspool.plugins.catalog import BackendServer, BackendState, CatalogPlugin
+from balsamspool.plugins.datagram_entry.decision_log import (
+    HELD_NOWHERE,
+    NOT_HELD,
+    DecisionLog,
+)
 from balsamspool.plugins.datagram_entry.flow import EntryFlow
 from balsamspool.plugins.datagram_entry.forwarder import (
     PACKETS,
@@ -31,8 +29,6 @@
     Forwarder,
 )
 
-_logger = logging.getLogger(__name__)
-
 # Maximum number of flows that wait until the catalog has been read again.
 MAX_MISSING_FLOWS = 4_096
 # Delays before the retries of a search. The entry retries on its own because an agent
@@ -54,6 +50,7 @@
         codec: Layout of packets.
         forwarder: Sends packets.
         counters: Counters of the process.
+        log: Logs what is decided for a flow.
         failure_domain: Failure domain of the entry.
     """
 
@@ -65,6 +62,7 @@
         "_flow_missing",
         "_flows",
         "_forwarder",
+        "_log",
         "_malformed",
         "_missing_flows",
         "_resets",
@@ -82,6 +80,7 @@
         codec: PacketCodec,
         forwarder: Forwarder,
         counters: CounterSet,
+        log: DecisionLog,
         failure_domain: str,
     ) -> None:
         self._catalog = catalog
@@ -89,6 +88,7 @@
         self._flows = flows
         self._codec = codec
         self._forwarder = forwarder
+        self._log = log
         self._failure_domain = failure_domain
         # One packet of each flow that waits until the catalog has been read again.
         self._missing_flows: dict[bytes, Packet] = {}
@@ -129,7 +129,7 @@
         hosts = tuple(dict.fromkeys(socket.inet_aton(s.address) for s in found))
         if not hosts:
             self._unknown.value += 1
-            FLOW_UNKNOWN.log(_logger, flow=flow_id(key), services=list(services))
+            self._log.unknown(key, 0, "no-host")
             return
         number = service_number(services[0]) if len(services) == 1 else ANY_SERVICE
         flow = EntryFlow(
@@ -149,7 +149,9 @@
             # Only packets that carry data or end the flow are retried. A lost
             # acknowledgement without data needs no retry.
             self._schedule_retry(packet, flow, 0)
-        FLOW_SEARCHED.log(_logger, flow=flow_id(key), hosts=[s.name for s in found[:4]])
+        self._log.searched(
+            key, services, len(listed), len(departed), len(others), found
+        )
 
     def continue_search(self, packet: Packet, flow: EntryFlow) -> None:
         """Send a further packet of a flow whose host is not confirmed."""
@@ -176,6 +178,7 @@
             return
         self._returned.value += 1
         key = packet.flow_from_caller
+        self._log.returned(key, agent, returned.hops, returned.skipped)
         flow = self._flows.get(key)
         if flow is not None:
             flow.unsure = flow.unsure or returned.unsure
@@ -193,19 +196,15 @@
     def reset_lost(self, packet: Packet, reason: str) -> None:
         """Reset a flow that no host holds any more."""
         key = packet.flow_from_caller
+        flow = self._flows.get(key)
         self._flows.discard(key)
         self._missing_flows.pop(key, None)
         if packet.resets:
+            self._log.dropped(key)
             return
         self._resets.value += 1
         self._forwarder.reset(packet)
-        FLOW_RESET.log(
-            _logger,
-            flow=flow_id(key),
-            reason=reason,
-            catalog_age=self._catalog.age,
-            catalog_version=self._catalog.view.version,
-        )
+        self._log.reset(packet, flow, reason)
 
     def _on_not_held(self, packet: Packet, flow: EntryFlow, hops: int) -> None:
         """Handle a packet whose flow none of the queried hosts holds."""
@@ -219,7 +218,7 @@
             and self._catalog_read_since_missing(flow)
             and self._catalog.complete
         ):
-            self.reset_lost(packet, "held-nowhere")
+            self.reset_lost(packet, HELD_NOWHERE)
         else:
             self._await_catalog(packet, flow)
 
@@ -297,7 +296,7 @@
         elif returned.skipped:
             self._drop_unknown(packet, returned.hops, "not-all-asked")
         else:
-            self.reset_lost(packet, "not-held")
+            self.reset_lost(packet, NOT_HELD)
 
     def _catalog_read_since_missing(self, flow: EntryFlow) -> bool:
         """Return whether the catalog was read again before the last search.
@@ -315,6 +314,7 @@
         """Request a read of the catalog, which may list hosts that were not queried."""
         if flow.missing_since is None:
             flow.missing_since = now()
+            self._log.awaits_catalog(packet.flow_from_caller)
         if len(self._missing_flows) < MAX_MISSING_FLOWS:
             self._missing_flows[packet.flow_from_caller] = packet
         self._catalog.refresher.request()
@@ -342,7 +342,7 @@
             elif not self._asked_all_services(packet, flow):
                 self._drop_unknown(packet, 0, "services-unknown")
             elif self._queried_all_listed(packet, flow):
-                self.reset_lost(packet, "held-nowhere")
+                self.reset_lost(packet, HELD_NOWHERE)
             else:
                 self.search(packet, flow.missing_since)
 
@@ -393,4 +393,4 @@
         if flow is None or not flow.confirmed:
             self._flows.discard(key)
         self._unknown.value += 1
-        FLOW_UNKNOWN.log(_logger, flow=flow_id(key), hops=hops, reason=reason)
+        self._log.unknown(key, hops, reason)
