Log at the agent which flows entries search for or look for elsewhere

Cause: only the agent knows whether its backend server holds a flow, and its log had no line when a held flow's packets came back after a pause, when a server sent data for a flow that was passed on, or when an entry's belief in this host was wrong.

Change: 2423 flow-resumed, 2424 flow-active-after-return and 2425 flow-not-held, each at most a few times per flow and from a bounded table; 2407 says when the server last sent. balsamspool_datagram_returns counts returned packets by reason. process-started names the address, so that logs of entries and agents can be joined. The base of the agent's tests moved to tests/datagram_agent_case.py.

--- a/balsamspool/datagram/events.py
+++ b/balsamspool/datagram/events.py
@@ -120,3 +120,24 @@
     logging.WARNING,
     "A host reports whose flows this entry reset because the host seemed to be gone.",
 )
+FLOW_RESUMED = log_event(
+    2423,
+    "flow-resumed",
+    logging.INFO,
+    "An entry that searches sent a packet of a flow that the backend server holds, "
+    "after a pause or after one side had ended the flow.",
+)
+FLOW_ACTIVE_AFTER_RETURN = log_event(
+    2424,
+    "flow-active-after-return",
+    logging.INFO,
+    "The backend server sent a packet of a flow that the agent had passed on, returned "
+    "or reset.",
+)
+FLOW_NOT_HELD = log_event(
+    2425,
+    "flow-not-held",
+    logging.INFO,
+    "A packet of a flow was passed on or returned although its entry believes that the "
+    "flow is held here, or its search goes on for longer than a second.",
+)
--- a/balsamspool/kernel/counters.py
+++ b/balsamspool/kernel/counters.py
@@ -5,7 +5,7 @@
 """
 
 from bisect import bisect_left
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from typing import TYPE_CHECKING
 
 from msgspec import Struct
@@ -83,6 +83,38 @@
         return [*buckets, ("+Inf", total + self._counts[-1])]
 
 
+class CounterFamily:
+    """Counters of one metric, each created when its label occurs for the first time.
+
+    Args:
+        counters: Counters of the process.
+        name: Name of the metric without the suffix ``_total``.
+        help_text: One sentence for operators.
+        labels: Values of the label ``kind`` that are exported from the start. There may
+            be others, but only a few.
+    """
+
+    __slots__ = ("_counters", "_help", "_members", "_name")
+
+    def __init__(
+        self, counters: "CounterSet", name: str, help_text: str, labels: Iterable[str]
+    ) -> None:
+        self._counters = counters
+        self._name = name
+        self._help = help_text
+        self._members = {
+            label: counters.counter(name, help_text, label) for label in labels
+        }
+
+    def add(self, label: str) -> None:
+        """Count one occurrence with a label."""
+        member = self._members.get(label)
+        if member is None:
+            member = self._counters.counter(self._name, self._help, label)
+            self._members[label] = member
+        member.value += 1
+
+
 class CounterSet:
     """The counters and histograms of a process."""
 
--- a/balsamspool/kernel/lifecycle.py
+++ b/balsamspool/kernel/lifecycle.py
@@ -260,7 +260,8 @@
         self.spawn(self._watch_pauses(), "pause watch")
         if self._settings_file is not None:
             self.spawn(self._watch_settings(self._settings_file), "settings watch")
-        PROCESS_STARTED.log(_logger, role=self._identity.role.value)
+        identity = self._identity
+        PROCESS_STARTED.log(_logger, role=identity.role.value, address=identity.address)
 
     async def drain(self) -> None:
         """Let all plug-ins finish their work in progress."""
--- a/balsamspool/plugins/datagram_agent/flows.py
+++ b/balsamspool/plugins/datagram_agent/flows.py
@@ -23,6 +23,9 @@
     Attributes:
         origin: Address of the entry that sent the last packet, 4 octets.
         last_packet: Event loop time of the last packet in seconds.
+        last_from_caller: Event loop time of the last packet of the caller in seconds.
+        last_from_server: Event loop time of the last packet of the backend server in
+            seconds, None before the first.
         unconfirmed: Whether the entry has not been notified yet that this host holds
             the flow.
         accepted: Whether the backend server accepted the flow.
@@ -38,6 +41,8 @@
 
     origin: bytes
     last_packet: float
+    last_from_caller: float = 0.0
+    last_from_server: float | None = None
     unconfirmed: bool = False
     accepted: bool = False
     held: bool = False
--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -12,8 +12,6 @@
     service_number,
 )
 from balsamspool.datagram.events import (
-    FLOW_ACCEPTED,
-    FLOW_LOST,
     OPENING_DROPPED,
     OPENING_PASSED_ON,
 )
@@ -41,6 +39,7 @@
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.kernel.settings import split_endpoint
 from balsamspool.plugins.datagram_agent.entries import EntryRegister
+from balsamspool.plugins.datagram_agent.flow_watch import FlowWatch
 from balsamspool.plugins.datagram_agent.flows import (
     IDLE_SECONDS,
     FlowTable,
@@ -100,6 +99,7 @@
         self._started = 0.0
         self._entries = EntryRegister()
         counters = kernel.counters
+        self._watch = FlowWatch(counters)
         self._malformed = counters.counter(
             "balsamspool_datagram_malformed", "Datagrams that could not be read"
         )
@@ -107,10 +107,7 @@
         help_text = "Packets by what was done with them"
         self._delivered = counters.counter(packets, help_text, "delivered")
         self._to_callers = counters.counter(packets, help_text, "to-caller")
-        self._returned = counters.counter(packets, help_text, "given-back")
         self._passed_on = counters.counter(packets, help_text, "passed-on")
-        self._to_entries = counters.counter(packets, help_text, "returned-to-entry")
-        self._resets = counters.counter(packets, help_text, "reset")
         self._openings = counters.counter(packets, help_text, "opening")
         self._answer_time = counters.histogram(
             "balsamspool_datagram_answer_seconds",
@@ -228,8 +225,10 @@
     def _deliver(self, forward: Forward, packet: Packet) -> None:
         time = now()
         flow = self._flows.get_or_create(packet.flow_from_caller, forward.origin, time)
+        if forward.unconfirmed:
+            self._watch.on_search(forward, packet, flow)
         flow.origin = forward.origin
-        flow.last_packet = time
+        flow.last_packet = flow.last_from_caller = time
         if forward.unconfirmed:
             flow.unconfirmed = not self._confirm_held(packet, flow)
         if packet.length and flow.accepted:
@@ -283,7 +282,9 @@
             return
         key = packet.flow_to_caller
         flow = self._flows.get(key)
-        if flow is not None:
+        if flow is None:
+            self._watch.on_server_packet(key, packet)
+        else:
             self._record_answer(key, flow, packet, time)
         self._to_callers.value += 1
         caller = (address_of(packet.destination), self._caller_port)
@@ -294,10 +295,10 @@
     def _record_answer(
         self, key: bytes, flow: HostFlow, packet: Packet, time: float
     ) -> None:
-        flow.last_packet = time
+        flow.last_packet = flow.last_from_server = time
         if not flow.accepted:
             flow.accepted = True
-            FLOW_ACCEPTED.log(_logger, flow=flow_id(key), entry=address_of(flow.origin))
+            self._watch.on_accepted(key, flow, packet)
         if packet.length:
             seconds = self._flows.record_answer(flow, time)
             if seconds is not None:
@@ -308,16 +309,18 @@
             # server holds the flow: the server also resets a flow that opened at
             # another host.
             return
-        flow.held = True
+        if not flow.held:
+            flow.held = True
+            self._watch.on_server_packet(key, packet)
         if flow.unconfirmed:
             flow.unconfirmed = False
             self._notify_entry(flow.origin, FlowLocated(key))
 
     def _on_returned(self, packet: Packet) -> None:
-        self._returned.value += 1
         key = packet.flow_from_caller
         flow = self._flows.get(key)
         forward = self._find_forward(packet.tag)
+        self._watch.on_server_return(packet, flow)
         if flow is not None and flow.held and not packet.opens:
             self._reset_lost(key, flow, packet)
             return
@@ -328,9 +331,7 @@
 
     def _reset_lost(self, key: bytes, flow: HostFlow, packet: Packet) -> None:
         """Reset a flow that the backend server held and no longer holds."""
-        self._resets.value += 1
-        if not (flow.caller_ended or flow.server_ended):
-            FLOW_LOST.log(_logger, flow=flow_id(key), entry=address_of(flow.origin))
+        self._watch.on_lost(key, flow)
         caller = (address_of(packet.source), self._caller_port)
         self._peer_socket.send((self._codec.reset(packet),), caller)
         self._notify_entry(flow.origin, FlowEnded(key))
@@ -342,6 +343,7 @@
         """Send a packet to the next host, or back to its entry if there is none."""
         hops = forward.hops + 1
         key = packet.flow_from_caller
+        self._watch.on_pass(forward, packet, self._flows.get(key), reason)
         if not forward.alternatives or hops > MAX_HOPS:
             self._return_or_drop(forward, packet, reason)
             return
@@ -377,7 +379,7 @@
                 _logger, flow=flow_id(packet.flow_from_caller), reason=reason
             )
             return
-        self._to_entries.value += 1
+        self._watch.on_returned_to_entry(reason)
         head = returned_head(forward.hops + 1, forward.skipped, forward.unsure)
         parts = [head, *self._codec.encode(packet, bytes(4))]
         entry = (socket.inet_ntoa(forward.origin), self._address[1])
--- a/balsamspool/plugins/datagram_entry/decision_log.py
+++ b/balsamspool/plugins/datagram_entry/decision_log.py
@@ -17,7 +17,7 @@
 )
 from balsamspool.datagram.packet import Packet, flow_id
 from balsamspool.kernel.clock import now
-from balsamspool.kernel.counters import Counter, CounterSet
+from balsamspool.kernel.counters import CounterFamily, CounterSet
 from balsamspool.placement.load import LoadBoard, LoadReport
 from balsamspool.plugins.catalog import BackendServer, CatalogPlugin
 from balsamspool.plugins.datagram_entry.flow import EntryFlow
@@ -77,10 +77,8 @@
         self._report = ResetReport(catalog, board)
         self._unlocated = UnlocatedFlows(counters)
         self._given_up: dict[str, _GivenUpHost] = {}
-        self._resets: dict[str, Counter] = {
-            reason: counters.counter(RESETS, RESETS_HELP, reason)
-            for reason in (HOST_GONE, NOT_HELD, HELD_NOWHERE)
-        }
+        reasons = (HOST_GONE, NOT_HELD, HELD_NOWHERE)
+        self._resets = CounterFamily(counters, RESETS, RESETS_HELP, reasons)
 
     def status(self) -> dict[str, object]:
         """Return how many flows have no host, and for how long at most."""
@@ -204,9 +202,9 @@
         """
         key = packet.flow_from_caller
         unlocated = self._unlocated.record_reset(key)
-        self._resets[reason].value += 1
+        self._resets.add(reason)
         belief = self._report.belief(flow)
-        if reason == HOST_GONE:
+        if reason == HOST_GONE and belief["confirmed"]:
             self._watch(belief["address"], belief["host"])
         FLOW_RESET.log(
             _logger,
--- a/balsamspool/plugins/datagram_entry/reset_report.py
+++ b/balsamspool/plugins/datagram_entry/reset_report.py
@@ -111,17 +111,24 @@
 
 
 def search_fields(unlocated: UnlocatedFlow | None) -> dict[str, Any]:
-    """Return what the searches for a flow have found so far."""
+    """Return what the searches for a flow have found so far.
+
+    Args:
+        unlocated: The searches, None without one.
+    """
     if unlocated is None:
         return {"searches": 0}
-    return {
+    fields: dict[str, Any] = {
         "searches": unlocated.searches,
         "seconds": seconds_since(unlocated.since),
         "queried": len(unlocated.servers),
         "answered": unlocated.answered,
-        "skips": unlocated.skips,
-        "unanswered": unlocated.unanswered(MAX_NAMES),
     }
+    if unlocated.skips:
+        fields["skips"] = unlocated.skips
+    if unanswered := unlocated.unanswered(MAX_NAMES):
+        fields["unanswered"] = unanswered
+    return fields
 
 
 def seconds_since(time: float) -> float:
--- a/tests/test_datagram_agent.py
+++ b/tests/test_datagram_agent.py
@@ -12,76 +12,21 @@
     Report,
     Subscribe,
 )
-from balsamspool.datagram.settings import DatagramAgentSettings
-from balsamspool.kernel.identity import Role
-from balsamspool.plugins.datagram_agent import DatagramAgentPlugin, flows, plugin
-from tests._clock import PausedClockTestCase
+from balsamspool.plugins.datagram_agent import flows, plugin
+from tests.datagram_agent_case import BACKEND, ENTRY, NEXT, AgentCase
 from tests.datagram_fakes import (
     ACK,
-    BOUNCED,
     CALLER,
     CODEC,
     FIN,
     RST,
     SYN,
-    FakeKernel,
-    FakeSocket,
     answer,
     packet,
 )
 
-ENTRY = "10.0.1.1"
-NEXT = "10.0.0.2"
-BACKEND = ("10.0.0.1", 8165)
-SETTINGS = DatagramAgentSettings(
-    address="10.0.0.1:8172",
-    service="portal",
-    backend="10.0.0.1:8165",
-    outbound="10.0.0.1:8162",
-)
-
-
-class AgentTest(PausedClockTestCase):
-    async def asyncSetUp(self):
-        sections = {"datagram-agent": SETTINGS}
-        self.kernel = FakeKernel(Role.DATAGRAM_AGENT, "10.0.0.1", sections)
-        self.agent = DatagramAgentPlugin(self.kernel)
-        await self.agent.start()
-        self.peers = FakeSocket.opened["10.0.0.1", 7720]
-        self.backend = FakeSocket.opened["10.0.0.1", 8162]
-
-    async def asyncTearDown(self):
-        await self.kernel.stop()
-
-    def forward(self, data, alternatives=(NEXT,), unconfirmed=True, service="portal"):
-        message = Forward(
-            service_number(service),
-            socket.inet_aton(ENTRY),
-            0,
-            unconfirmed,
-            False,
-            tuple(socket.inet_aton(a) for a in alternatives),
-            data,
-        )
-        self.peers.receive(forward_head(message) + data, (ENTRY, 7720))
-
-    def reply(self, data):
-        self.backend.receive(data, BACKEND)
-
-    def return_last_packet(self):
-        """Return the last packet to the agent, as the backend server does."""
-        data, address = self.backend.take()[-1]
-        self.assertEqual(address, BACKEND)
-        self.reply(bytes((data[0] | BOUNCED,)) + data[1:])
-
-    def open_flow(self):
-        self.forward(packet(SYN))
-        self.reply(answer(SYN | ACK))
-        self.forward(packet(ACK, b"request"))
-        self.reply(answer(ACK, b"answer"))
-        self.peers.take()
-        self.backend.take()
 
+class AgentTest(AgentCase):
     async def test_packets_pass_unchanged_both_ways(self):
         """Guards against a changed packet that its receiver rejects as forged."""
         self.forward(packet(SYN, ack=1))
--- a/tests/test_datagram_decisions.py
+++ b/tests/test_datagram_decisions.py
@@ -124,7 +124,7 @@
         fields = self.line("flow-reset")
         self.assertEqual(fields["reason"], "held-nowhere")
         self.assertEqual((fields["host"], fields["confirmed"]), (None, False))
-        self.assertEqual((fields["queried"], fields["unanswered"]), (4, []))
+        self.assertEqual((fields["queried"], fields["answered"]), (4, 4))
         self.assertEqual((fields["listed"], fields["removed"]), (4, 1))
         self.assertEqual(fields["not_queried"], ["i-3"])
         self.assertIn("removed-silent:1", fields["left_out"])
