Report resets and searches that look wrong

Cause: a run with thousands of resets gave no hint which of them hit a sound backend server.

Change: balsamspool-ctl report lists resets of flows whose host stayed active, reported again or went on to accept flows under the same name, with the cause that the lines point to (give-up, search, belief, returned), and searches of over 2 s with who answered. At most 20 rows each.

--- a/balsamspool/commands/report.py
+++ b/balsamspool/commands/report.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 from balsamspool.commands.codes import ARGUMENT_INVALID, ExitCode
-from balsamspool.commands.log_lines import read_lines
+from balsamspool.commands.flow_faults import FlowFaults, find_flow_faults
+from balsamspool.commands.log_lines import LogLine, read_lines
 from balsamspool.commands.output import print_line, print_table
 from balsamspool.commands.registry import command
 from balsamspool.commands.run_summary import (
@@ -20,12 +21,17 @@
 
 # Maximum number of rows in a table of changes. The table shows the slowest changes.
 MAX_ROWS = 5
+# Maximum number of rows in a table of flows.
+MAX_FLOWS = 20
 
 
 @command("report")
 async def report(*logs: str, plots: str = "") -> int:
     """Summarize a run: flows, openings passed on, resets, spread of changes, counters.
 
+    Resets of flows whose backend server seems to have been sound, and searches that
+    lasted over 2 s, are listed with what the logs show about their cause.
+
     Args:
         *logs: Log files, or directories with files that end in .log. The counters of
             metrics pages, whose files end in .prom, are summed.
@@ -38,11 +44,13 @@
         )
     pages = _metrics_pages(logs)
     log_paths = [name for name in logs if not name.endswith(METRICS_SUFFIX)]
-    summary = summarize(read_lines(log_paths))
+    lines = read_lines(log_paths)
+    summary = summarize(lines)
     add_metrics(summary, pages)
     if summary.started is None and not summary.counters:
         return ExitCode.NOT_MET
     _print(summary)
+    _print_faults(find_flow_faults(lines))
     if plots:
         _draw(summary, Path(plots))
     return ExitCode.OK
@@ -107,6 +115,41 @@
     print_table((f"{title}, slowest of {len(spreads)}", "lines", "seconds"), rows)
 
 
+def _print_faults(faults: FlowFaults) -> None:
+    if faults.resets:
+        rows = [
+            (
+                _format_time(found.line),
+                found.line.flow,
+                found.line.instance,
+                found.cause,
+                found.evidence,
+            )
+            for found in faults.resets[:MAX_FLOWS]
+        ]
+        title = f"suspected wrong resets, first of {len(faults.resets)}"
+        print_line("")
+        print_table((title, "flow", "entry", "cause", "evidence"), rows)
+    if faults.searches:
+        rows = [
+            (
+                _format_time(found.line),
+                found.line.flow,
+                found.line.instance,
+                f"{found.seconds:.3f}",
+                found.evidence,
+            )
+            for found in faults.searches[:MAX_FLOWS]
+        ]
+        title = f"long searches, longest of {len(faults.searches)}"
+        print_line("")
+        print_table((title, "flow", "entry", "seconds", "evidence"), rows)
+
+
+def _format_time(line: LogLine) -> str:
+    return line.time.strftime("%H:%M:%S.%f")[:-3]
+
+
 def _format_key(key: object) -> str:
     return " ".join(map(str, key)) if isinstance(key, tuple) else str(key)
 
