Let no silent host keep the packets of a flow from its own host

Cause: an entry that does not know the host of a flow passes a packet along the hosts that may hold it. A host that does not answer, lost power a moment ago and is still listed, stops the packet, and each further packet took the same way: (1) acknowledgements, which are not retried, so all packets of a download; (2) packets of a flow whose opening passed this entry, which was never searched; (3) in a service with more than twelve hosts, a silent one among the first twelve kept the search there, because the others were queried only once all twelve had returned the packet.

Change: a packet that follows an unanswered one by 0.1 s goes to each likely host separately, whatever it carries. After 0.55 s the flow is searched, also if its opening passed this entry, and a search that follows an unanswered one includes the remaining hosts, in chains whose direction alternates. Each way that one silent host can block is left before the second retransmission.

--- a/balsamspool/plugins/datagram_entry/flow.py
+++ b/balsamspool/plugins/datagram_entry/flow.py
@@ -13,8 +13,11 @@
         confirmed: Whether the first of ``hosts`` confirmed that it holds the flow.
         confirmed_at: Event loop time in seconds at which it first confirmed that, None
             if ``confirmed`` is not set.
+        passed_at: Event loop time in seconds at which a packet after the opening was
+            first passed along ``hosts``, None if there was none.
         searched_at: Event loop time in seconds at which the last search for the flow
             began, None without a search.
+        unanswered: Number of successive searches without a result before the last one.
         catalog_version: Version of the catalog when that search began.
         exhaustive: Whether ``queried`` contains every host that was listed then.
         unsure: Whether an agent of another service returned a packet of the flow
@@ -36,7 +39,9 @@
     hosts: tuple[bytes, ...]
     confirmed: bool = False
     confirmed_at: float | None = None
+    passed_at: float | None = None
     searched_at: float | None = None
+    unanswered: int = 0
     catalog_version: int = 0
     exhaustive: bool = False
     unsure: bool = False
--- a/balsamspool/plugins/datagram_entry/search.py
+++ b/balsamspool/plugins/datagram_entry/search.py
@@ -38,6 +38,9 @@
 # Age of a search after which the next packet of the flow starts a new search. It is
 # longer than the delays of all retries together.
 SEARCH_RESTART_SECONDS = 0.55
+# Longest time between two retransmissions of a packet. If the packets before the
+# present one are older, the flow was idle and they did not remain without an answer.
+RETRANSMISSION_SECONDS = 2.0
 
 
 class FlowSearch:
@@ -101,8 +104,25 @@
         self._malformed = counters.counter(PACKETS, PACKETS_HELP, "returned-malformed")
         catalog.refresher.subscribe(self._resolve_missing)
 
-    def search(self, packet: Packet, missing_since: float | None = None) -> None:
-        """Send a packet of an unknown flow along the hosts that may hold it."""
+    def search(
+        self,
+        packet: Packet,
+        missing_since: float | None = None,
+        separately: bool = False,
+        unanswered: int = 0,
+    ) -> None:
+        """Send a packet of an unknown flow to the hosts that may hold it.
+
+        Args:
+            packet: The packet.
+            missing_since: Event loop time in seconds at which the first search for the
+                flow ended without finding a host, None if no search has ended like
+                that.
+            separately: Whether to send a copy to each likely host, instead of one
+                packet that is passed from host to host.
+            unanswered: Number of successive searches before this one that had no
+                result.
+        """
         key = packet.flow_from_caller
         view = self._catalog.view
         services = view.services_at(*service_endpoint(packet))
@@ -135,7 +155,9 @@
         flow = EntryFlow(
             number,
             hosts[:CHAIN_HOSTS],
+            passed_at=now(),
             searched_at=now(),
+            unanswered=unanswered,
             catalog_version=view.version,
             exhaustive=len(found) >= len(listed),
             missing_since=missing_since,
@@ -144,7 +166,13 @@
         )
         self._searched.value += 1
         self._flows.put(key, flow)
-        self._forwarder.forward(packet, number, flow.hosts, unconfirmed=True)
+        if separately:
+            self._query_separately(packet, flow)
+        else:
+            self._forwarder.forward(packet, number, flow.hosts, unconfirmed=True)
+        if unanswered and flow.remaining_hosts:
+            # A likely host that does not answer must not hide the remaining hosts.
+            self._query_remaining(packet, flow)
         if packet.length or packet.ends:
             # Only packets that carry data or end the flow are retried. A lost
             # acknowledgement without data needs no retry.
@@ -157,16 +185,22 @@
         """Send a further packet of a flow whose host is not confirmed."""
         if packet.flow_from_caller in self._missing_flows:
             self._continue_missing(packet, flow)
-        elif (
-            flow.searched_at is not None
-            and now() - flow.searched_at > SEARCH_RESTART_SECONDS
-        ):
+            return
+        waited = now() - flow.passed_at if flow.passed_at is not None else 0.0
+        idle = waited > RETRANSMISSION_SECONDS
+        if waited > SEARCH_RESTART_SECONDS and not (idle and flow.searched_at is None):
             # The set of listed or silent hosts may have changed since the last search.
-            self.search(packet, flow.missing_since)
+            self._search_again(packet, flow, idle)
         elif flow.widened:
             self._flow_missing.value += 1
-        elif flow.awaited_agents is not None:
-            self._query_awaited(packet, flow)
+        elif flow.passed_at is None or idle:
+            flow.passed_at = now()
+            flow.awaited_agents = None
+            self._forwarder.forward(packet, flow.service, flow.hosts, unconfirmed=True)
+        elif waited > SEARCH_RETRY_SECONDS[0] or flow.awaited_agents is not None:
+            # An acknowledgement is not retried, and neither is any packet that followed
+            # an opening. The next one must not stop at the same host again.
+            self._query_separately(packet, flow)
         else:
             self._forwarder.forward(packet, flow.service, flow.hosts, unconfirmed=True)
 
@@ -263,24 +297,37 @@
             # small instance.
             return
         self._retried.value += 1
-        if flow.awaited_agents is None:
-            flow.awaited_agents = {socket.inet_ntoa(host) for host in flow.hosts}
-        self._query_awaited(packet, flow)
+        self._query_separately(packet, flow)
         self._schedule_retry(packet, flow, retries)
 
+    def _search_again(self, packet: Packet, flow: EntryFlow, idle: bool) -> None:
+        """Search again for a flow whose packets have had no result for a while."""
+        if idle:
+            self.search(packet, flow.missing_since)
+        else:
+            unanswered = 0 if flow.searched_at is None else flow.unanswered + 1
+            self.search(packet, flow.missing_since, True, unanswered)
+
     def _query_remaining(self, packet: Packet, flow: EntryFlow) -> None:
         """Query the hosts that are unlikely to hold a flow, in several short chains."""
-        flow.hosts, flow.remaining_hosts = flow.remaining_hosts, ()
+        remaining, flow.remaining_hosts = flow.remaining_hosts, ()
+        if flow.unanswered and flow.unanswered % 2 == 0:
+            # A host that does not answer hides those after it in its chain, so the
+            # chains of every second search run in the opposite direction.
+            remaining = remaining[::-1]
         flow.widened = True
-        flow.awaited_agents = set()
-        for start in range(0, len(flow.hosts), CHAIN_HOSTS):
-            chain = flow.hosts[start : start + CHAIN_HOSTS]
-            flow.awaited_agents.add(socket.inet_ntoa(chain[-1]))
+        awaited = flow.awaited_agents or set()
+        for start in range(0, len(remaining), CHAIN_HOSTS):
+            chain = remaining[start : start + CHAIN_HOSTS]
+            awaited.add(socket.inet_ntoa(chain[-1]))
             self._forwarder.forward(packet, flow.service, chain, unconfirmed=True)
+        flow.awaited_agents = awaited
 
-    def _query_awaited(self, packet: Packet, flow: EntryFlow) -> None:
-        """Send a packet to each agent that has not returned it yet."""
-        for agent in sorted(flow.awaited_agents or ()):
+    def _query_separately(self, packet: Packet, flow: EntryFlow) -> None:
+        """Send a packet to each likely host that has not returned the packet yet."""
+        if flow.awaited_agents is None:
+            flow.awaited_agents = {socket.inet_ntoa(host) for host in flow.hosts}
+        for agent in sorted(flow.awaited_agents):
             host = (socket.inet_aton(agent),)
             self._forwarder.forward(packet, flow.service, host, unconfirmed=True)
 
