Count a returned packet only for the search that sent it

Cause: a search that passes one packet along all hosts took any returned packet as the answer of all of them. An agent that is slow returns the second copy that it got in an earlier search, when the entry has read the catalog and searches again because a host was listed meanwhile: the flow was reset before that host had answered. Likewise one copy of the last agent of a chain spoke for the whole chain.

Evidence: two schedules on the paused clock in test_datagram_search; the first got a reset before, the second ended the search after copies that had passed one agent of twelve.

Change: a returned packet counts if it passed as many agents as its copy had to, which the packet says already (hops). The layout of messages is unchanged.

--- a/balsamspool/plugins/datagram_entry/flow.py
+++ b/balsamspool/plugins/datagram_entry/flow.py
@@ -27,8 +27,9 @@
         queried: Addresses of all agents that the last search covers, including those in
             ``remaining_hosts`` when it began.
         awaited_agents: Agents that have not returned their copy of the packet yet, if
-            the search sent several copies. The search has failed when the set is empty.
-            None while a single packet is passed along all of ``hosts``.
+            the search sent several copies, each with the number of agents that its copy
+            passes. The search has failed when there is none left. None while a single
+            packet is passed along all of ``hosts``.
         widened: Whether the search has failed at the likely hosts and now queries the
             hosts that were in ``remaining_hosts``.
         missing_since: Event loop time in seconds at which the first search ended
@@ -47,6 +48,6 @@
     unsure: bool = False
     remaining_hosts: tuple[bytes, ...] = ()
     queried: frozenset[bytes] = frozenset()
-    awaited_agents: set[str] | None = None
+    awaited_agents: dict[str, int] | None = None
     widened: bool = False
     missing_since: float | None = None
--- a/balsamspool/plugins/datagram_entry/search.py
+++ b/balsamspool/plugins/datagram_entry/search.py
@@ -218,7 +218,7 @@
             flow.unsure = flow.unsure or returned.unsure
         if flow is not None and flow.confirmed:
             self._on_returned_confirmed(packet, flow, returned, agent)
-        elif flow is not None and self._awaits_others(flow, returned, agent):
+        elif flow is not None and not self._ends_search(flow, returned, agent):
             return
         elif flow is None or not self._queried_all(flow, returned):
             self._drop_unknown(packet, returned.hops, "not-all-asked")
@@ -316,17 +316,17 @@
             # chains of every second search run in the opposite direction.
             remaining = remaining[::-1]
         flow.widened = True
-        awaited = flow.awaited_agents or set()
+        awaited = flow.awaited_agents or {}
         for start in range(0, len(remaining), CHAIN_HOSTS):
             chain = remaining[start : start + CHAIN_HOSTS]
-            awaited.add(socket.inet_ntoa(chain[-1]))
+            awaited[socket.inet_ntoa(chain[-1])] = len(chain)
             self._forwarder.forward(packet, flow.service, chain, unconfirmed=True)
         flow.awaited_agents = awaited
 
     def _query_separately(self, packet: Packet, flow: EntryFlow) -> None:
         """Send a packet to each likely host that has not returned the packet yet."""
         if flow.awaited_agents is None:
-            flow.awaited_agents = {socket.inet_ntoa(host) for host in flow.hosts}
+            flow.awaited_agents = dict.fromkeys(map(socket.inet_ntoa, flow.hosts), 1)
         for agent in sorted(flow.awaited_agents):
             host = (socket.inet_aton(agent),)
             self._forwarder.forward(packet, flow.service, host, unconfirmed=True)
@@ -422,15 +422,19 @@
             for server in view.listed(service)
         )
 
-    def _awaits_others(
+    def _ends_search(
         self, flow: EntryFlow, returned: PacketReturned, agent: str
     ) -> bool:
-        """Return whether other queried agents have not returned the packet yet."""
+        """Return whether all queried agents have returned a packet.
+
+        A copy of an earlier search, which a slow agent returns late, passed other
+        agents and does not speak for the agents of this search.
+        """
         if flow.awaited_agents is None:
-            return False
-        if not returned.skipped:
-            flow.awaited_agents.discard(agent)
-        return bool(flow.awaited_agents)
+            return returned.hops == len(flow.hosts)
+        if not returned.skipped and returned.hops == flow.awaited_agents.get(agent):
+            del flow.awaited_agents[agent]
+        return not flow.awaited_agents
 
     def _drop_unknown(self, packet: Packet, hops: int, reason: str) -> None:
         key = packet.flow_from_caller
--- a/tests/test_datagram_search.py
+++ b/tests/test_datagram_search.py
@@ -196,6 +196,43 @@
         message, address = self.forwarded()
         self.assertEqual(1 + len(message.alternatives), len(self.servers) + 1)
 
+    async def test_a_copy_that_a_slow_agent_returns_ends_no_later_search(self):
+        """Guards against a reset of a flow whose host was listed a moment ago."""
+        self.receive(DATA)
+        await asyncio.sleep(0.3)
+        self.peers.take()
+        for address in sorted(self.reporting):
+            self.return_packet(DATA, address, 1)
+        self.source.records += published(20, server(9))
+        self.source.revision = 20
+        await asyncio.sleep(0.05)
+        message, _ = self.forwarded()
+        self.assertEqual(1 + len(message.alternatives), len(self.servers) + 1)
+        # The slow agent returns the second copy that it got in the search before.
+        self.return_packet(DATA, "10.0.0.5", 1)
+        self.assertEqual(self.resets(), [])
+        self.return_packet(DATA, "10.0.0.5", len(self.servers) + 1)
+        self.assertEqual(len(self.resets()), 1)
+
+    async def test_a_copy_of_an_agent_does_not_speak_for_a_whole_chain(self):
+        """Guards against a reset of a flow whose host is in the middle of a chain."""
+        more = [server(n) for n in range(6, 41)]
+        self.reporting |= {s.address for s in more}
+        self.source.publish(*published(50, *more))
+        self.source.records += published(50, *more)
+        await asyncio.sleep(3)
+        self.peers.take()
+        self.receive(DATA)
+        message, address = self.forwarded()
+        likely = [address, *map(socket.inet_ntoa, message.alternatives)]
+        self.return_packet(DATA, likely[-1], len(likely))
+        reads = self.source.updates
+        for message, _ in self.peers.take_forwards():
+            last = socket.inet_ntoa(message.alternatives[-1])
+            self.return_packet(DATA, last, 1)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.source.updates, reads)
+
     async def test_no_reset_if_a_host_was_not_queried(self):
         """Guards against a reset of a flow at a host that is only silent."""
         for _ in range(3):
