Ask a backend server before a confirmed flow is given up

Cause: a copy of an opening that came after a change of the route marked the flow with the number of the new service, although it had opened at a host of the earlier one. An agent that restarts then knows no flow, sees the number of another service, and returns the packet without asking its backend server. It says that it is unsure; for a confirmed flow the entry did not look at that and reset it.

Evidence: two schedules on the paused clock in test_datagram_entry, both failed before.

Change: a flow whose opening was sent to two services is of any service, also after its host is known, and a packet that came back from an unsure agent is sent again as of any service, so that the backend server decides.

--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -214,13 +214,13 @@
         choices = order_choices(
             key, target.service, servers, self._board, now(), self._failure_domain
         )
+        number = service_number(target.service)
         known_flow = self._flows.get(key)
         if known_flow is not None and packet.attempt:
-            known_flow.service = service_number(target.service)
-            self._forward_copy(packet, known_flow, choices)
+            self._forward_copy(packet, known_flow, number, choices)
             return
         hosts = tuple(socket.inet_aton(c.server.address) for c in choices)
-        flow = EntryFlow(service_number(target.service), hosts)
+        flow = EntryFlow(number, hosts)
         self._flows.put(key, flow)
         self._log.reopened(key)
         self._placed.value += 1
@@ -229,7 +229,7 @@
         self._log_placed(key, route, choices)
 
     def _forward_copy(
-        self, packet: Packet, flow: EntryFlow, choices: list[Choice]
+        self, packet: Packet, flow: EntryFlow, service: int, choices: list[Choice]
     ) -> None:
         """Forward a copy of an opening packet, to another host if none is confirmed."""
         key = packet.flow_from_caller
@@ -242,7 +242,11 @@
         # A host that received an earlier copy of the packet may still answer, so the
         # hosts in `tried` stay at the head of the list for later packets of the flow.
         flow.hosts = (*tried, *fresh)[:MAX_ALTERNATIVES]
-        self._forwarder.forward(packet, flow.service, tuple(fresh), unconfirmed=True)
+        if flow.service != service:
+            # The route was directed to another service since the first copy, whose host
+            # may still open the flow.
+            flow.service = ANY_SERVICE
+        self._forwarder.forward(packet, service, tuple(fresh), unconfirmed=True)
         FLOW_MOVED.log(
             _logger,
             flow=flow_id(key),
@@ -321,7 +325,7 @@
             flow.confirmed_at = now()
         flow.hosts = (host,)
         flow.confirmed = True
-        if flow.searched_at is not None and self._is_of_another_service(agent, flow):
+        if self._is_of_another_service(agent, flow):
             # The flow may have opened at this host under an earlier route table. If its
             # packets carried the number of another service, the agent of the host would
             # deliver them only while the agent knows the flow.
--- a/balsamspool/plugins/datagram_entry/search.py
+++ b/balsamspool/plugins/datagram_entry/search.py
@@ -340,6 +340,11 @@
             # The packet was sent before the host of its flow was confirmed, so it is
             # sent again, to that host.
             self._forwarder.forward(packet, flow.service, flow.hosts, unconfirmed=False)
+        elif returned.unsure:
+            # The agent did not ask its backend server, because the packet carried the
+            # number of another service and the agent does not know the flow.
+            flow.service = ANY_SERVICE
+            self._forwarder.forward(packet, flow.service, flow.hosts, unconfirmed=False)
         elif returned.skipped:
             self._drop_unknown(packet, returned.hops, "not-all-asked")
         else:
--- a/tests/test_datagram_entry.py
+++ b/tests/test_datagram_entry.py
@@ -4,7 +4,12 @@
 from collections import Counter
 
 from balsamspool.datagram._codec import encode_small
-from balsamspool.datagram.messages import FlowEnded, FlowLocated, Subscribe
+from balsamspool.datagram.messages import (
+    ANY_SERVICE,
+    FlowEnded,
+    FlowLocated,
+    Subscribe,
+)
 from balsamspool.kernel.errors import ResultError
 from balsamspool.placement.load import GONE_SECONDS
 from balsamspool.plugins.catalog import CatalogPlugin
@@ -121,6 +126,39 @@
         self.return_packet(DATA, agent, 1)
         self.assertEqual(len(self.resets()), 1)
 
+    async def test_a_flow_is_kept_if_its_agent_did_not_ask_the_backend_server(self):
+        """Guards against a reset after a new route and a restart of the agent.
+
+        A copy of the opening came under a route table that directs the route to another
+        service, but the flow had opened at the first host.
+        """
+        self.receive(packet(SYN))
+        _, agent = self.forwarded()
+        records = [server(n, "records") for n in range(8, 10)]
+        self.source.publish(
+            *published(60, *records), routes(62, route("records"), version=2)
+        )
+        await asyncio.sleep(0.3)
+        self.peers.take()
+        self.receive(packet(SYN, ack=1))
+        self.peers.take()
+        self.peers.receive(encode_small(FlowLocated(KEY)), (agent, 7720))
+        self.receive(DATA)
+        message, address = self.forwarded()
+        self.assertEqual((message.service, address), (ANY_SERVICE, agent))
+
+    async def test_an_agent_that_is_unsure_does_not_end_a_flow(self):
+        """Guards against a reset by an agent that does not know flows of its server."""
+        agent = self.open_flow()
+        self.receive(DATA)
+        self.forwarded()
+        self.return_packet(DATA, agent, 1, unsure=True)
+        self.assertEqual(self.resets(), [])
+        message, address = self.forwarded()
+        self.assertEqual((message.service, address), (ANY_SERVICE, agent))
+        self.return_packet(DATA, agent, 1)
+        self.assertEqual(len(self.resets()), 1)
+
     async def test_a_late_return_does_not_end_a_confirmed_flow(self):
         """Guards against a reset because of an earlier search for the same flow."""
         self.receive(DATA)
