Keep the flows of a leaving host whose entry expired in an outage

Cause: the removal of a host that had announced that it was leaving was taken for the end of that host, also when its entry had only expired while the store was down. Such a host serves its flows for seconds more. From then on half a second of silence, a restart of its agent, gave up its flows, and searches left it out.

Evidence: a schedule on the paused clock in test_datagram_entry (host drains, store down for 9 s, agent silent for 1 s) got a reset before.

Change: a removal within the effect of an outage does not count as the announced end. The host is given up after 3 s of silence, like any host that did not announce anything. New flows avoid it as before.

--- a/balsamspool/plugins/catalog/removals.py
+++ b/balsamspool/plugins/catalog/removals.py
@@ -26,16 +26,28 @@
     Attributes:
         server: The backend server.
         removed: Event loop time of its removal in seconds.
+        expired: Whether its catalog entry may have expired in an outage of the
+            publishing service.
     """
 
     server: BackendServer
     removed: float
+    expired: bool = False
 
     @property
     def planned(self) -> bool:
         """Whether it announced that it was leaving."""
         return self.server.state is BackendState.DRAINING
 
+    @property
+    def left(self) -> bool:
+        """Whether it announced that it was leaving, and was removed when it had left.
+
+        A backend server that is leaving still serves its flows for a while. Its entry
+        expires in an outage like any other.
+        """
+        return self.planned and not self.expired
+
     @property
     def until(self) -> float:
         """Event loop time in seconds until which flows may still belong to it."""
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -168,14 +168,17 @@
             self._listed_cache[service] = found
         return found
 
-    def recently_removed_from(self, service: str) -> tuple[BackendServer, ...]:
+    def recently_removed_from(self, service: str) -> tuple[RemovedServer, ...]:
         """Return the backend servers of a service that were removed a short time ago.
 
         The entry of a backend server expires if the server cannot reach the publishing
         service. Such a server still holds its flows.
         """
-        servers = (removed.server for removed in self._recently_removed.values())
-        return tuple(server for server in servers if server.service == service)
+        return tuple(
+            removed
+            for removed in self._recently_removed.values()
+            if removed.server.service == service
+        )
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call a function after each change of routes or backend servers."""
@@ -325,8 +328,7 @@
         self._remove_now(name, revision, time)
 
     def _may_be_relisted(self, server: BackendServer, time: float) -> bool:
-        outage = self._outage_end
-        if outage is not None and time - outage < OUTAGE_EFFECT_SECONDS:
+        if self._may_have_expired(time):
             return True
         ready = self.ready(server.service)
         unplanned = self._count_recent_unplanned_removals(server.service, time)
@@ -337,6 +339,11 @@
         # because no other backend server could be used instead.
         return unlisted >= max(1.0, MASS_REMOVAL_SHARE * (len(ready) + unplanned))
 
+    def _may_have_expired(self, time: float) -> bool:
+        """Return whether a removal may be an effect of an outage of the service."""
+        outage = self._outage_end
+        return outage is not None and time - outage < OUTAGE_EFFECT_SECONDS
+
     def _count_recent_unplanned_removals(self, service: str, time: float) -> int:
         """Count backend servers of a service that were removed without draining."""
         since = time - RELISTING_SECONDS
@@ -354,7 +361,8 @@
         self._created_revisions.pop(name, None)
         self._delayed_removals.pop(name, None)
         self._revisions[name] = max(revision, self._revisions.get(name, 0))
-        self._recently_removed[name] = RemovedServer(server, time)
+        expired = self._may_have_expired(time)
+        self._recently_removed[name] = RemovedServer(server, time, expired)
         self._on_change()
         SERVER_REMOVED.log(
             _logger,
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -268,7 +268,7 @@
         if self._board.load(address) is None:
             # The host has been asked for reports since its removal, and has sent none.
             return now() - removed.removed > GONE_SECONDS
-        if removed.planned:
+        if removed.left:
             return self._board.silent(address)
         return self._board.seems_gone(address)
 
--- a/balsamspool/plugins/datagram_entry/reset_report.py
+++ b/balsamspool/plugins/datagram_entry/reset_report.py
@@ -98,7 +98,7 @@
         view = self._catalog.view
         services = view.services_at(*service_endpoint(packet))
         listed = [s for service in services for s in view.listed(service)]
-        removed = [s for n in services for s in view.recently_removed_from(n)]
+        removed = [r.server for n in services for r in view.recently_removed_from(n)]
         fields: dict[str, Any] = {"listed": len(listed), "removed": len(removed)}
         if unlocated is not None:
             covered = {server.address for server in unlocated.servers}
--- a/balsamspool/plugins/datagram_entry/search.py
+++ b/balsamspool/plugins/datagram_entry/search.py
@@ -16,7 +16,7 @@
 from balsamspool.placement.load import LoadBoard
 from balsamspool.placement.lookup import CHAIN_HOSTS, LOOKUP_LIMIT, order_lookup
 from balsamspool.placement.ranking import by_failure_domain
-from balsamspool.plugins.catalog import BackendServer, BackendState, CatalogPlugin
+from balsamspool.plugins.catalog import BackendServer, CatalogPlugin, RemovedServer
 from balsamspool.plugins.datagram_entry.decision_log import (
     HELD_NOWHERE,
     NOT_HELD,
@@ -131,7 +131,9 @@
         for service in services:
             listed.extend(view.listed(service))
             departed.extend(
-                s for s in view.recently_removed_from(service) if self._still_reports(s)
+                removed.server
+                for removed in view.recently_removed_from(service)
+                if self._still_reports(removed)
             )
         found = order_lookup(
             key,
@@ -267,13 +269,14 @@
         # failed.
         self._catalog.refresher.request()
 
-    def _still_reports(self, server: BackendServer) -> bool:
+    def _still_reports(self, removed: RemovedServer) -> bool:
         """Return whether the agent of a removed backend server still reports."""
-        if self._board.load(server.address) is None:
+        address = removed.server.address
+        if self._board.load(address) is None:
             return False
-        if server.state is BackendState.DRAINING:
-            return not self._board.silent(server.address)
-        return not self._board.seems_gone(server.address)
+        if removed.left:
+            return not self._board.silent(address)
+        return not self._board.seems_gone(address)
 
     def _schedule_retry(self, packet: Packet, flow: EntryFlow, retries: int) -> None:
         if retries < len(SEARCH_RETRY_SECONDS):
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -113,7 +113,8 @@
     def test_a_removed_server_is_remembered_for_its_flows(self):
         """Guards against open flows that are not searched for at their host."""
         self.view.apply(ServerRemoved(20, "i-1"), 0.0)
-        self.assertEqual(names(self.view.recently_removed_from("portal")), ["i-1"])
+        (removed,) = self.view.recently_removed_from("portal")
+        self.assertEqual((removed.server.name, removed.left), ("i-1", False))
         self.view.expire(REMOVED_RETENTION_SECONDS + 1)
         self.assertEqual(self.view.recently_removed_from("portal"), ())
 
--- a/tests/test_datagram_entry.py
+++ b/tests/test_datagram_entry.py
@@ -1,6 +1,7 @@
 """Entry of opaque flows: where packets are forwarded, and when a flow is reset."""
 
 import asyncio
+import socket
 from collections import Counter
 
 from balsamspool.datagram._codec import encode_small
@@ -168,6 +169,34 @@
         self.assertEqual(self.resets(), [])
         self.assertEqual(self.forwarded()[1], "10.0.0.4")
 
+    async def test_a_leaving_host_whose_entry_expired_keeps_its_flows(self):
+        """Guards against a reset of a flow at a host that drains during an outage.
+
+        The entry of the host expires while the store is down. The agent restarts, and
+        is silent for a second.
+        """
+        agent = self.open_flow()
+        number = int(agent.rpartition(".")[2])
+        leaving = server(number, state=BackendState.DRAINING)
+        self.source.publish(ServerPublished(50, leaving))
+        await asyncio.sleep(0.5)
+        self.source.failure = ResultError(CATALOG_UNAVAILABLE, "503")
+        await asyncio.sleep(9)
+        self.source.failure = None
+        self.source.publish(ServerRemoved(51, leaving.name))
+        await asyncio.sleep(0.5)
+        self.reporting.discard(agent)
+        await asyncio.sleep(1.0)
+        self.receive(DATA)
+        self.assertEqual(self.resets(), [])
+        self.assertIn(agent, {a for _, a in self.peers.take_forwards()})
+        # An entry that does not know the flow queries the host too.
+        self.peers.receive(encode_small(FlowEnded(KEY)), (agent, 7720))
+        self.receive(DATA)
+        message, first = self.forwarded()
+        queried = [first, *map(socket.inet_ntoa, message.alternatives)]
+        self.assertIn(agent, queried)
+
     async def test_a_flow_of_a_host_that_left_is_reset_if_the_host_is_silent(self):
         """Guards against idle feeds that hang after a planned host replacement."""
         agent = self.open_flow()
