--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -247,6 +247,17 @@
         self.assertTrue(explains_removals(Changes(30, (*started, *expired))))
         self.assertFalse(explains_removals(Changes(30, (*started[:3], *expired))))
 
+    def test_servers_that_started_and_expired_replace_none(self):
+        """Guards against a reset of a flow whose host is about to be listed again.
+
+        The servers started a short time before the outage in which they expired, so the
+        history contains their start.
+        """
+        started = [ServerPublished(n, server(n), n) for n in range(1, 5)]
+        expired = [ServerRemoved(20 + n, f"i-{n}") for n in range(1, 5)]
+        self.assertFalse(explains_removals(Changes(30, (*started, *expired))))
+        self.assertFalse(explains_removals(Changes(30, (*started, *expired[:2]))))
+
     def test_planned_replacements_explain_no_failure(self):
         """Guards against a live server that counts as replaced by a planned one."""
         planned = (
