Retry acknowledgements whose predecessors had no result

Cause: an acknowledgement is never retried, so the next chance after the agent had started again was the next retransmission of the host, 1.6 s later. Data was retried three times.

Evidence: a schedule on the paused clock in test_datagram_stalled (agent away for 1.6 s) failed before.

Change: an acknowledgement that follows unanswered packets is retried like data, at the agents that have not returned it. A single one is still searched only once.

--- a/balsamspool/plugins/datagram_entry/search.py
+++ b/balsamspool/plugins/datagram_entry/search.py
@@ -175,9 +175,9 @@
         if unanswered and flow.remaining_hosts:
             # A likely host that does not answer must not hide the remaining hosts.
             self._query_remaining(packet, flow)
-        if packet.length or packet.ends:
-            # Only packets that carry data or end the flow are retried. A lost
-            # acknowledgement without data needs no retry.
+        if packet.length or packet.ends or separately:
+            # A lost acknowledgement without data needs no retry, unless the ones before
+            # it have had no result either.
             self._schedule_retry(packet, flow, 0)
         self._log.searched(
             key, services, len(listed), len(departed), len(others), found
--- a/tests/test_datagram_stalled.py
+++ b/tests/test_datagram_stalled.py
@@ -74,6 +74,18 @@
         self.assertIn(self.holder, self.reached)
         self.assertEqual(self.resets(), [])
 
+    async def test_acknowledgements_reach_a_host_whose_agent_restarts(self):
+        """Guards against packets that reach only other hosts during a planned restart.
+
+        The agent of the flow's host is away for longer than the first retransmissions.
+        """
+        self.receive(ACKNOWLEDGEMENT)
+        self.holder = self.chain()[-1]
+        self.dead = {self.holder}
+        asyncio.get_running_loop().call_later(1.6, self.dead.clear)
+        await self.retransmit(ACKNOWLEDGEMENT)
+        self.assertIn(self.holder, self.reached)
+
     async def test_a_flow_is_searched_if_the_hosts_of_its_opening_are_silent(self):
         """Guards against a flow that stays with hosts that only this entry chose.
 
