Answer no copy of an opening packet by a reset

Cause: an entry that does not know a route yet, or no host for it, resets each opening packet, also the copies. A caller sends a copy when it has no answer after 200 ms; an earlier copy may have opened the flow through an entry that knows the route already, and the reset then meets an open flow.

Evidence: by reading, and a test in test_datagram_entry that failed before.

Change: only the first opening packet is answered by a reset. Copies are dropped and logged as ignored, which is what a caller without a route may expect.

--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -273,9 +273,14 @@
         return self._board.seems_gone(address)
 
     def _reject(self, packet: Packet, reason: str) -> None:
-        """Answer an opening packet by a reset, or drop it if the catalog is old."""
+        """Answer an opening packet by a reset, or drop it.
+
+        It is dropped if the catalog is old, or if it is a copy.
+        """
         flow = flow_id(packet.flow_from_caller)
-        if not self._catalog.fresh:
+        if packet.attempt or not self._catalog.fresh:
+            # An earlier copy of the packet may have opened the flow through an entry
+            # that knows the route.
             self._ignored.value += 1
             FLOW_IGNORED.log(
                 _logger, flow=flow, reason=reason, age_seconds=self._catalog.age
--- a/tests/test_datagram_entry.py
+++ b/tests/test_datagram_entry.py
@@ -78,6 +78,20 @@
         self.receive(other)
         self.assertEqual(self.resets(), [])
 
+    async def test_a_copy_of_an_opening_is_not_rejected(self):
+        """Guards against a reset of a flow that an earlier copy has opened meanwhile.
+
+        The entry that received the earlier copy knew the route already.
+        """
+        other = packet(SYN, destination=("198.18.0.9", 443), ack=1)
+        self.receive(other)
+        self.assertEqual(self.resets(), [])
+        leaving = [server(n, state=BackendState.DRAINING) for n in range(1, 6)]
+        self.source.publish(*published(50, *leaving))
+        await asyncio.sleep(0.5)
+        self.receive(packet(SYN, ack=1))
+        self.assertEqual(self.resets(), [])
+
     async def test_a_service_without_hosts_is_rejected_at_once(self):
         """Guards against callers that wait for a service that has no host."""
         leaving = [server(n, state=BackendState.DRAINING) for n in range(1, 6)]
