Search a flow again that was idle for longer than flows may be

Cause: an entry kept the host of a flow without limit. If the flow ended at other entries and its caller used the port for a new flow, which opened elsewhere, the entry sent packets of the new flow to the earlier host, which returned them, and reset the flow.

Evidence: by reading, and a test in test_datagram_entry that failed before.

Change: an entry that has not seen a packet of a flow for the idle time of the route table searches the flow like an unknown one.

--- a/balsamspool/plugins/datagram_entry/flow.py
+++ b/balsamspool/plugins/datagram_entry/flow.py
@@ -13,6 +13,8 @@
         confirmed: Whether the first of ``hosts`` confirmed that it holds the flow.
         confirmed_at: Event loop time in seconds at which it first confirmed that, None
             if ``confirmed`` is not set.
+        used_at: Event loop time in seconds at which the last packet was sent to the
+            confirmed host.
         passed_at: Event loop time in seconds at which a packet after the opening was
             first passed along ``hosts``, None if there was none.
         searched_at: Event loop time in seconds at which the last search for the flow
@@ -40,6 +42,7 @@
     hosts: tuple[bytes, ...]
     confirmed: bool = False
     confirmed_at: float | None = None
+    used_at: float = 0.0
     passed_at: float | None = None
     searched_at: float | None = None
     unanswered: int = 0
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -191,11 +191,12 @@
             self._on_opening(packet)
             return
         flow = self._flows.get(packet.flow_from_caller)
-        if flow is None:
+        if flow is None or (flow.confirmed and self._is_outdated(flow)):
             self._search.search(packet)
         elif flow.confirmed and self._is_gone(flow.hosts[0]):
             self._search.reset_lost(packet, HOST_GONE)
         elif flow.confirmed:
+            flow.used_at = now()
             self._forwarder.forward(packet, flow.service, flow.hosts, unconfirmed=False)
         else:
             self._search.continue_search(packet, flow)
@@ -255,6 +256,15 @@
             tried=[socket.inet_ntoa(host) for host in tried],
         )
 
+    def _is_outdated(self, flow: EntryFlow) -> bool:
+        """Return whether a flow may have ended since its last packet here.
+
+        Its packets may have passed other entries, and its caller may use the port for a
+        new flow, which is open at another host.
+        """
+        table = self._catalog.view.table
+        return table is not None and now() - flow.used_at > table.idle_seconds
+
     def _is_gone(self, host: bytes) -> bool:
         """Return whether a host has left or failed, and holds no flow any more.
 
@@ -323,9 +333,10 @@
         self._log.located(key, flow, agent)
         host = socket.inet_aton(agent)
         if flow is None:
-            flow = EntryFlow(ANY_SERVICE, (host,), True, now())
+            flow = EntryFlow(ANY_SERVICE, (host,), True, now(), now())
             self._flows.put(key, flow)
             return
+        flow.used_at = now()
         if not flow.confirmed or flow.hosts[0] != host:
             flow.confirmed_at = now()
         flow.hosts = (host,)
--- a/tests/test_datagram_entry.py
+++ b/tests/test_datagram_entry.py
@@ -134,6 +134,24 @@
         await asyncio.sleep(0.3)
         self.assertGreaterEqual(len(peers.take_forwards()), 2)
 
+    async def test_a_flow_that_was_idle_for_long_is_searched(self):
+        """Guards against a reset of a new flow from a port that was used before.
+
+        The caller opened the new flow through another entry, at another host.
+        """
+        agent = self.open_flow()
+        for _ in range(3):
+            await asyncio.sleep(14)
+            self.peers.take()
+            self.receive(DATA)
+            self.assertEqual(self.forwarded()[1], agent)
+        await asyncio.sleep(16)
+        self.peers.take()
+        self.receive(DATA)
+        message, _ = self.forwarded()
+        self.assertTrue(message.unconfirmed)
+        self.assertEqual(1 + len(message.alternatives), len(self.servers))
+
     async def test_a_flow_that_its_host_returns_is_reset(self):
         """Guards against callers that wait for a host that has restarted."""
         agent = self.open_flow()
