--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -110,7 +110,7 @@
         self.assertIn("drain", found)
 
     def test_a_reset_of_an_open_flow_is_noticed(self):
-        def search(self, packet, missing_since=None):
+        def search(self, packet, *args):
             self.reset_lost(packet, "planted")
 
         restarts = [RollingRestart(at=1.0, gap=0.5)]
