Keep the age of a backend server whose catalog entry expired

Cause: a new entry does not know route tables older than the store's history. It therefore asks hosts of other services too, but left out those whose catalog entry was created after the oldest table that it knows. An entry that expires in an outage is created again when the outage ends, so a host that is older than the table looked newer. A flow that it held under an earlier table was found nowhere and was reset.

Change: the age of a host is that of its first listing since its start: a host that is listed again with the same start keeps its age, the history shows such hosts to a new entry, and a host listed before the history begins counts as older, as nobody can tell.

Measured: four of the five new tests fail before the change and all pass after it.

--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -1,7 +1,7 @@
 """State of the published catalog as one process knows it."""
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 
 from balsamspool.placement.ranking import by_failure_domain
 from balsamspool.plugins.catalog.events import (
@@ -10,6 +10,7 @@
     SERVER_REMOVAL_DELAYED,
     SERVER_REMOVED,
 )
+from balsamspool.plugins.catalog.listing_age import ListingAges
 from balsamspool.plugins.catalog.model import (
     BackendServer,
     BackendState,
@@ -42,7 +43,7 @@
     """Routes and backend servers, each at its newest known revision."""
 
     __slots__ = (
-        "_created_revisions",
+        "_ages",
         "_recently_removed",
         "_delayed_removals",
         "_names_by_address",
@@ -64,8 +65,7 @@
         # Name of the backend server that is listed at each address.
         self._names_by_address: dict[str, str] = {}
         self._revisions: dict[str, int] = {}
-        # Revision at which each listed backend server was first listed.
-        self._created_revisions: dict[str, int] = {}
+        self._ages = ListingAges()
         self._delayed_removals: dict[str, DelayedRemoval] = {}
         self._recently_removed: dict[str, RemovedServer] = {}
         self._outage_end: float | None = None
@@ -136,7 +136,7 @@
             server
             for name, server in self._servers.items()
             if server.service not in services
-            and self._created_revisions[name] < self._routes.oldest_revision
+            and self._ages.may_precede(name, self._routes.oldest_revision)
         ]
 
     def ready(self, service: str) -> tuple[BackendServer, ...]:
@@ -203,9 +203,10 @@
         if self._outage_end is None or time > self._outage_end:
             self._outage_end = time
 
-    def learn_history(self, records: Iterable[Record]) -> None:
-        """Learn earlier route tables from the records before the first read."""
+    def learn_history(self, records: Sequence[Record]) -> None:
+        """Learn earlier route tables and entries from records before the first read."""
         self._routes.learn(records)
+        self._ages.learn(records)
 
     def apply(self, record: Record, time: float) -> None:
         """Apply a record unless a newer one of the same name is known.
@@ -220,8 +221,7 @@
                     self._on_change()
             case ServerPublished(revision, server, created):
                 if revision > self._revisions.get(server.name, 0):
-                    self._created_revisions[server.name] = created
-                    self._apply_server(server, revision, time)
+                    self._apply_server(server, revision, created, time)
             case ServerRemoved(revision, name):
                 if revision > self._revisions.get(name, 0):
                     self._remove_or_delay(name, revision, time)
@@ -270,10 +270,13 @@
         ]
         for name in expired:
             del self._recently_removed[name]
+            self._ages.forget(name)
         if expired:
             self._on_change()
 
-    def _apply_server(self, server: BackendServer, revision: int, time: float) -> None:
+    def _apply_server(
+        self, server: BackendServer, revision: int, created: int, time: float
+    ) -> None:
         before = self._servers.get(server.name)
         self._revisions[server.name] = revision
         other = self._other_server_at_address(server)
@@ -290,6 +293,7 @@
         self._recently_removed.pop(server.name, None)
         if before is not None and before.address != server.address:
             self._forget_address(before)
+        self._ages.record(server, created)
         self._servers[server.name] = server
         self._names_by_address[server.address] = server.name
         self._on_change()
@@ -358,7 +362,6 @@
     def _remove_now(self, name: str, revision: int, time: float) -> None:
         server = self._servers.pop(name)
         self._forget_address(server)
-        self._created_revisions.pop(name, None)
         self._delayed_removals.pop(name, None)
         self._revisions[name] = max(revision, self._revisions.get(name, 0))
         expired = self._may_have_expired(time)
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -291,10 +291,11 @@
 class KnownServicesTest(TestCase):
     """Guards against a reset of a flow that an earlier service of its route holds."""
 
-    def view(self, created):
+    def view(self, created, **fields):
         view = CatalogView()
         view.apply(ServerPublished(5, server(1), 2), 0.0)
-        view.apply(ServerPublished(6, server(2, "records"), created), 0.0)
+        records = server(2, "records", **fields)
+        view.apply(ServerPublished(6, records, created), 0.0)
         view.apply(routes(10), 0.0)
         return view
 
@@ -323,6 +324,48 @@
     def test_an_unknown_age_counts_as_older(self):
         self.assertEqual(len(self.view(created=0).unknown_holders(*SERVICE, 1.0)), 1)
 
+    def test_a_server_that_is_listed_again_keeps_its_age(self):
+        """Its catalog entry expired in an outage after the route was redirected."""
+        view = self.view(created=3)
+        self.list_again(view, server(2, "records"))
+        self.assertEqual(names(view.unknown_holders(*SERVICE, 1.0)), ["i-2"])
+
+    def test_a_server_that_starts_again_under_its_name_holds_none(self):
+        view = self.view(created=3, started_ms=7)
+        self.list_again(view, server(2, "records", started_ms=9))
+        self.assertEqual(view.unknown_holders(*SERVICE, 1.0), [])
+
+    def test_the_history_shows_that_a_server_was_listed_again(self):
+        for started_ms, holders in ((7, ["i-2"]), (9, [])):
+            view = self.view(created=30, started_ms=started_ms)
+            earlier = server(2, "records", started_ms=7)
+            view.learn_history(
+                [
+                    ServerPublished(20, earlier, 4),
+                    ServerRemoved(25, "i-2"),
+                ]
+            )
+            found = view.unknown_holders(*SERVICE, 1.0)
+            self.assertEqual(names(found), holders)
+
+    def test_a_server_that_the_history_removes_first_may_be_older(self):
+        view = self.view(created=30)
+        view.learn_history(
+            [ServerRemoved(25, "i-2"), ServerPublished(30, server(2, "records"), 30)]
+        )
+        self.assertEqual(names(view.unknown_holders(*SERVICE, 1.0)), ["i-2"])
+
+    def test_a_server_listed_before_the_history_begins_may_be_older(self):
+        view = self.view(created=30)
+        view.learn_history([ServerPublished(40, server(3), 40)])
+        self.assertEqual(names(view.unknown_holders(*SERVICE, 1.0)), ["i-2"])
+
+    def list_again(self, view, backend_server):
+        view.apply(ServerRemoved(11, backend_server.name), 0.0)
+        view.expire(RELISTING_SECONDS)
+        self.assertEqual(view.ready(backend_server.service), ())
+        view.apply(ServerPublished(12, backend_server, 12), RELISTING_SECONDS)
+
     def test_the_age_is_passed_on_to_peers(self):
         records = (routes(10), ServerPublished(12, server(2, "records"), 10))
         delta = CatalogDelta(12, True, records, 0.0)
