Ask the host itself if its agent is unsure about a flow

Cause: an entry that does not know earlier route tables passes a packet of an unknown flow to hosts of other services with the number of the present service. The agent there delivers it only if it knows the flow. An agent that has just restarted knows none, passes the packet on and says that it is unsure. The entry then dropped the packet and began the same search with the next one, which again reached all hosts but the one that holds the flow.

Change: if a search ends with an agent that was unsure, the packet goes to the hosts of other services once more without a number, so their agents deliver it. A host returns a packet of a flow that it does not hold, so the search ends with a sure answer.

Measured: the new test fails before the change (no further packet) and passes after it. Found by reading.

--- a/balsamspool/plugins/datagram_entry/search.py
+++ b/balsamspool/plugins/datagram_entry/search.py
@@ -244,6 +244,9 @@
 
     def _on_not_held(self, packet: Packet, flow: EntryFlow, hops: int) -> None:
         """Handle a packet whose flow none of the queried hosts holds."""
+        if flow.unsure and flow.service != ANY_SERVICE:
+            self._query_unsure(packet, flow)
+            return
         asked_all = self._asked_all_services(packet, flow)
         if not asked_all and self._catalog.refresher.history_read:
             # The flow may have opened under a route table that this process has not
@@ -326,6 +329,23 @@
             self._forwarder.forward(packet, flow.service, chain, unconfirmed=True)
         flow.awaited_agents = awaited
 
+    def _query_unsure(self, packet: Packet, flow: EntryFlow) -> None:
+        """Query the hosts whose agents may not know all flows.
+
+        Such an agent did not pass the packet to its backend server, because the packet
+        carried the number of another service. Without a number, the agent does so, and
+        the backend server returns the packet unless it holds the flow.
+        """
+        holders = self._unknown_holders(packet)
+        flow.service = ANY_SERVICE
+        flow.unsure = False
+        flow.remaining_hosts = tuple(socket.inet_aton(s.address) for s in holders)
+        flow.queried |= frozenset(flow.remaining_hosts)
+        if flow.remaining_hosts:
+            self._query_remaining(packet, flow)
+        else:
+            self._on_not_held(packet, flow, 0)
+
     def _query_separately(self, packet: Packet, flow: EntryFlow) -> None:
         """Send a packet to each likely host that has not returned the packet yet."""
         if flow.awaited_agents is None:
--- a/tests/test_datagram_search.py
+++ b/tests/test_datagram_search.py
@@ -332,6 +332,22 @@
         self.answer_as_not_held("10.0.0.9")
         self.assertEqual(self.resets(), [])
 
+    async def test_a_packet_reaches_the_host_of_an_agent_that_is_unsure(self):
+        """Guards against a flow whose own host is never asked after a restart."""
+        other = ServerPublished(50, server(9, "records"), created=0)
+        self.source.publish(other, routes(60, version=2))
+        await asyncio.sleep(1)
+        self.peers.take()
+        self.receive(DATA)
+        self.peers.take()
+        self.return_packet(DATA, "10.0.0.9", 6, unsure=True)
+        message, address = self.forwarded()
+        # The agent passes the packet to its backend server, whatever its service is.
+        self.assertEqual((message.service, address), (ANY_SERVICE, "10.0.0.9"))
+        self.return_packet(DATA, "10.0.0.9", 1)
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(self.resets()), 1)
+
     async def test_a_flow_that_no_service_holds_is_reset(self):
         """Guards against callers that wait because an entry missed a route table.
 
