Give up the flows of a remote host only after two missing reports

Cause: an entry gives up the flows of a host that left the catalog without draining after 3 s of silence, but hosts of other failure domains report every 2 s: one lost report makes 4 s. A host whose catalog entry expired or was overwritten still holds its flows.

Change: the silence must be longer than 2.5 report periods too, which is 5 s for remote hosts and 3 s for all others as before.

Measured: the new test fails before the change and passes after it. Found by reading.

--- a/balsamspool/placement/load.py
+++ b/balsamspool/placement/load.py
@@ -10,9 +10,10 @@
 SILENT_PERIODS = 4.0
 SILENT_SLACK_SECONDS = 0.1
 
-
-# Silence after which the flows of a host that is no longer listed are given up.
+# Silence after which the flows of a host that is no longer listed are given up. A host
+# that reports seldom is given up later, because a single report may have been lost.
 GONE_SECONDS = 3.0
+GONE_PERIODS = 2.5
 # Time for which the load of a whole service is kept. Hosts report about as often.
 SERVICE_LOAD_SECONDS = 0.1
 
@@ -169,7 +170,8 @@
         load = self._hosts.get(address)
         if load is None:
             return False
-        return self._last_received - load.received > GONE_SECONDS
+        limit = max(GONE_SECONDS, GONE_PERIODS * load.report.period)
+        return self._last_received - load.received > limit
 
     def _compute_service_load(
         self,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -140,6 +140,15 @@
         self.assertFalse(board.silent(SERVERS[1].address))
         self.assertFalse(board.silent("10.9.9.9"))
 
+    def test_a_lost_report_of_a_host_that_reports_seldom_is_no_silence(self):
+        """Guards against giving up the flows of a remote host for one lost report."""
+        seldom = LoadReport(0, 0.0, 0, True, period=2.0)
+        board = board_of([seldom, report()], time=1.0)
+        board.record(SERVERS[1].address, report(), 5.1)
+        self.assertFalse(board.seems_gone(SERVERS[0].address))
+        board.record(SERVERS[1].address, report(), 6.1)
+        self.assertTrue(board.seems_gone(SERVERS[0].address))
+
 
 class LookupTest(TestCase):
     def test_an_open_flow_is_found_by_the_first_choices(self):
