Give positions in the catalog's history a type with an era

The store can be restored from an older copy and then uses revisions again, so a bare revision does not identify a change. Revision orders positions by era and number. Messages carry it as one integer, equal to the old layout in era 0. Requests between entries have a new path, so that processes of earlier versions, which would take a position for a bare revision, answer 404 and both sides read the store themselves. Backend servers carry the sequence number of their report.

Nothing reads an era yet; the decisions are unchanged.

--- a/balsamspool/datagram/messages.py
+++ b/balsamspool/datagram/messages.py
@@ -98,7 +98,8 @@
 
     Attributes:
         failure_domain: Number of its failure domain.
-        revision: Revision of the catalog up to which it knows all changes.
+        revision: Position in the history of the catalog up to which it knows all
+            changes, as an integer that grows with the position.
         reaches_service: Whether it can read the service that publishes the catalog.
     """
 
@@ -114,7 +115,7 @@
         readers: Addresses of the first entries of the failure domain in the order in
             which they are to read, 4 octets each.
         entries: Number of entries of the failure domain.
-        newest_revision: Newest revision that any entry announced.
+        newest_revision: Newest position that any entry announced.
     """
 
     readers: tuple[bytes, ...]
--- a/balsamspool/plugins/catalog/delta.py
+++ b/balsamspool/plugins/catalog/delta.py
@@ -6,6 +6,11 @@
 from msgspec import Struct
 
 from balsamspool.plugins.catalog.model import Record
+from balsamspool.plugins.catalog.revision import (
+    Revision,
+    decode_revision,
+    encode_revision,
+)
 
 # Level of compression. Route tables repeat their field values, and a higher level takes
 # longer than the time that it saves on the link of a small instance.
@@ -28,7 +33,7 @@
             without an outage.
     """
 
-    revision: int
+    revision: Revision
     complete: bool
     records: tuple[Record, ...]
     age: float | None
@@ -36,16 +41,16 @@
 
 
 class _Message(Struct, array_like=True):
-    revision: int
+    revision: Revision
     complete: bool
     records: bytes  # compressed
     age: float | None
     outage_age: float | None
 
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(_Message)
-_records_decoder = msgspec.msgpack.Decoder(tuple[Record, ...])
+_encoder = msgspec.msgpack.Encoder(enc_hook=encode_revision)
+_decoder = msgspec.msgpack.Decoder(_Message, dec_hook=decode_revision)
+_records_decoder = msgspec.msgpack.Decoder(tuple[Record, ...], dec_hook=decode_revision)
 
 
 def encode_records(records: tuple[Record, ...]) -> bytes:
--- a/balsamspool/plugins/catalog/exchange.py
+++ b/balsamspool/plugins/catalog/exchange.py
@@ -10,6 +10,7 @@
 from balsamspool.plugins.catalog.events import SNAPSHOT_TAKEN
 from balsamspool.plugins.catalog.follower import CatalogFollower
 from balsamspool.plugins.catalog.peers import CatalogPeers
+from balsamspool.plugins.catalog.revision import NO_REVISION
 from balsamspool.plugins.catalog.view import CatalogView
 
 _logger = logging.getLogger(__name__)
@@ -83,7 +84,7 @@
             request_count += 1
 
     async def _request_from(self, peer: str) -> None:
-        known = self._follower.revision or 0
+        known = self._follower.revision or NO_REVISION
         try:
             delta = await self._peers.fetch(peer, known, 0.0)
         except ResultError:
--- a/balsamspool/plugins/catalog/feed.py
+++ b/balsamspool/plugins/catalog/feed.py
@@ -6,6 +6,7 @@
 from balsamspool.plugins.catalog.delta import CatalogDelta
 from balsamspool.plugins.catalog.model import Changes, Record, Snapshot
 from balsamspool.plugins.catalog.record_log import RecordLog
+from balsamspool.plugins.catalog.revision import Revision
 
 
 class CatalogFeed:
@@ -15,7 +16,7 @@
 
     def __init__(self) -> None:
         self._log = RecordLog()
-        self._revision: int | None = None
+        self._revision: Revision | None = None
         self._service_answer: float | None = None
         self._outage_end: float | None = None
         self._changed = asyncio.Event()
@@ -40,7 +41,9 @@
         self._log.replace(snapshot)
         self._advance(snapshot.revision)
 
-    async def changes_after(self, revision: int, wait: float) -> CatalogDelta | None:
+    async def changes_after(
+        self, revision: Revision, wait: float
+    ) -> CatalogDelta | None:
         """Return what a peer does not know yet.
 
         Args:
@@ -58,7 +61,7 @@
                 pass
         return self._delta(revision)
 
-    def _delta(self, revision: int) -> CatalogDelta | None:
+    def _delta(self, revision: Revision) -> CatalogDelta | None:
         if self._revision is None:
             return None
         changed = self._log.changes_after(revision)
@@ -74,7 +77,7 @@
             outage_age=_seconds_since(self._outage_end, time),
         )
 
-    def _advance(self, revision: int) -> None:
+    def _advance(self, revision: Revision) -> None:
         if self._revision is not None and revision <= self._revision:
             return
         self._revision = revision
--- a/balsamspool/plugins/catalog/follower.py
+++ b/balsamspool/plugins/catalog/follower.py
@@ -20,6 +20,7 @@
 from balsamspool.plugins.catalog.feed import CatalogFeed
 from balsamspool.plugins.catalog.model import Changes, Snapshot
 from balsamspool.plugins.catalog.peers import CatalogPeers
+from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
 from balsamspool.plugins.catalog.source import CatalogSource
 from balsamspool.plugins.catalog.upstream import (
     CHANGE_BATCH_SECONDS,
@@ -96,7 +97,7 @@
         self._selector = selector
         self._watch_seconds = wait
         self._rng = rng
-        self._revision: int | None = None
+        self._revision: Revision | None = None
         self._last_answer: float | None = None
         self._reachable = True
         self._calls = 0
@@ -116,7 +117,7 @@
         return self._reachable
 
     @property
-    def revision(self) -> int | None:
+    def revision(self) -> Revision | None:
         """Revision up to which changes are known, None before the first snapshot."""
         return self._revision
 
@@ -255,7 +256,7 @@
     def _apply_changes(self, changes: Changes) -> None:
         for record in changes.records:
             self._view.apply(record, now())
-        self._revision = max(self._revision or 0, changes.revision)
+        self._revision = max(self._revision or NO_REVISION, changes.revision)
         self._feed.record_changes(Changes(self._revision, changes.records))
 
     def _record_service_answer(self) -> None:
--- a/balsamspool/plugins/catalog/model.py
+++ b/balsamspool/plugins/catalog/model.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
+
 
 class RouteKind(Enum):
     """Kind of the requests that a route carries."""
@@ -81,6 +83,8 @@
         state: State that it reports.
         warmup: Seconds for which it stays slow after its start.
         started_ms: Its start in Unix milliseconds, None if it does not report it.
+        sequence: Number of its report, which grows from the start of the backend server
+            on; 0 if it does not report it.
     """
 
     name: str
@@ -92,6 +96,7 @@
     state: BackendState
     warmup: float = 0.0
     started_ms: int | None = None
+    sequence: int = 0
 
 
 class RoutesPublished(Struct, frozen=True, tag=True):
@@ -102,7 +107,7 @@
         table: The routes.
     """
 
-    revision: int
+    revision: Revision
     table: RouteTable
 
 
@@ -115,9 +120,9 @@
         created: Revision at which it was first listed, 0 if unknown.
     """
 
-    revision: int
+    revision: Revision
     server: BackendServer
-    created: int = 0
+    created: Revision = NO_REVISION
 
 
 class ServerRemoved(Struct, frozen=True, tag=True):
@@ -128,7 +133,7 @@
         name: Name of the backend server.
     """
 
-    revision: int
+    revision: Revision
     name: str
 
 
@@ -141,7 +146,7 @@
         detail: What is wrong with the record.
     """
 
-    revision: int
+    revision: Revision
     name: str
     detail: str
 
@@ -157,7 +162,7 @@
         records: The records.
     """
 
-    revision: int
+    revision: Revision
     records: tuple[Record, ...]
 
 
@@ -169,5 +174,5 @@
         records: The records, empty if nothing changed.
     """
 
-    revision: int
+    revision: Revision
     records: tuple[Record, ...]
--- a/balsamspool/plugins/catalog/peers.py
+++ b/balsamspool/plugins/catalog/peers.py
@@ -19,10 +19,13 @@
     encode_records,
 )
 from balsamspool.plugins.catalog.events import PEER_LOST, PEER_REGAINED
+from balsamspool.plugins.catalog.revision import Revision, decode_revision
 
 _logger = logging.getLogger(__name__)
 
-CHANGES_PATH = "/catalog/changes"
+# The version counts the layouts of requests and answers, so that processes of different
+# versions do not misread each other.
+CHANGES_PATH = "/catalog/v2/changes"
 # Time for the answer of a peer, beyond the wait that the request asks for.
 ANSWER_SECONDS = 0.5
 # Longest wait that a peer may ask for.
@@ -32,7 +35,7 @@
 
 # Returns what changed after a revision, or None if nothing did within a time in
 # seconds.
-AnswerChanges = Callable[[int, float], Awaitable[CatalogDelta | None]]
+AnswerChanges = Callable[[Revision, float], Awaitable[CatalogDelta | None]]
 
 
 @register("catalog-peers", roles=[Role.DATAGRAM_ENTRY])
@@ -53,7 +56,7 @@
         self._answer: AnswerChanges | None = None
         # The records that were encoded last, by the revisions that they lead to and
         # from.
-        self._encoded: tuple[tuple[int, int], bytes] | None = None
+        self._encoded: tuple[tuple[Revision, Revision], bytes] | None = None
         self._server = PageServer(self._page)
 
     async def stop(self) -> None:
@@ -72,7 +75,9 @@
         self._answer = answer
         await self._server.start(*split_endpoint(endpoint))
 
-    async def fetch(self, peer: str, after: int, wait: float) -> CatalogDelta | None:
+    async def fetch(
+        self, peer: str, after: Revision, wait: float
+    ) -> CatalogDelta | None:
         """Request the changes after a revision from a peer.
 
         Args:
@@ -89,7 +94,7 @@
         # A request that waits for changes must not delay or disturb one that does not.
         key = (peer, wait > 0)
         connection = self._connection(key)
-        target = f"{CHANGES_PATH}?after={after}&wait-ms={int(wait * 1000)}"
+        target = f"{CHANGES_PATH}?after={int(after)}&wait-ms={int(wait * 1000)}"
         try:
             response = await connection.get(target, wait + ANSWER_SECONDS)
             if response.status not in (200, 204):
@@ -126,7 +131,7 @@
             return Page(404, b"")
         fields = parse_qs(query)
         try:
-            after = int(fields["after"][0])
+            after = decode_revision(Revision, int(fields["after"][0]))
             wait = int(fields.get("wait-ms", ["0"])[0]) / 1000
         except (KeyError, ValueError):
             return Page(400, b"after and wait-ms are whole numbers\n")
@@ -136,7 +141,7 @@
         body = encode_delta(delta, self._encode_records(delta, after))
         return Page(200, body, "application/octet-stream")
 
-    def _encode_records(self, delta: CatalogDelta, after: int) -> bytes:
+    def _encode_records(self, delta: CatalogDelta, after: Revision) -> bytes:
         """Return the encoded records, which many peers request at the same moment."""
         key = (delta.revision, after)
         if self._encoded is None or self._encoded[0] != key:
--- a/balsamspool/plugins/catalog/plugin.py
+++ b/balsamspool/plugins/catalog/plugin.py
@@ -16,6 +16,7 @@
 from balsamspool.plugins.catalog.follower import CatalogFollower
 from balsamspool.plugins.catalog.peers import CatalogPeers
 from balsamspool.plugins.catalog.refresher import CatalogRefresher
+from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
 from balsamspool.plugins.catalog.source import CatalogSource
 from balsamspool.plugins.catalog.upstream import (
     FollowPeer,
@@ -147,9 +148,9 @@
         return self._selector
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> Revision:
         """Revision up to which changes are known, 0 before the first read."""
-        return self._follower.revision or 0
+        return self._follower.revision or NO_REVISION
 
     @property
     def refresher(self) -> CatalogRefresher:
@@ -184,7 +185,8 @@
         return {
             "routes_version": table.version if table else None,
             "routes": len(table.routes) if table else 0,
-            "revision": self._follower.revision,
+            "era": self.revision.era,
+            "revision": self.revision.number,
             "reachable": self._follower.reachable,
             "age_seconds": self.age,
             "calls": self._follower.calls,
--- a/balsamspool/plugins/catalog/record_log.py
+++ b/balsamspool/plugins/catalog/record_log.py
@@ -8,6 +8,7 @@
     ServerRemoved,
     Snapshot,
 )
+from balsamspool.plugins.catalog.revision import Revision
 
 # Maximum number of removals that are kept. A peer that asks for changes from before the
 # oldest of them gets the whole catalog.
@@ -30,7 +31,7 @@
         # Names of the removed records, the oldest removal first.
         self._removals: dict[str, None] = {}
         # Revision after which no change is missing, None before the first snapshot.
-        self._complete_since: int | None = None
+        self._complete_since: Revision | None = None
 
     def apply(self, record: Record) -> None:
         """Keep a record unless a newer one of the same name is known."""
@@ -61,7 +62,7 @@
         if self._complete_since is None:
             self._complete_since = snapshot.revision
 
-    def changes_after(self, revision: int) -> tuple[Record, ...] | None:
+    def changes_after(self, revision: Revision) -> tuple[Record, ...] | None:
         """Return the records that changed after a revision, the oldest first.
 
         Returns:
--- a/balsamspool/plugins/catalog/refresher.py
+++ b/balsamspool/plugins/catalog/refresher.py
@@ -18,6 +18,7 @@
     REFRESH_FAILED,
 )
 from balsamspool.plugins.catalog.follower import CatalogFollower
+from balsamspool.plugins.catalog.revision import Revision
 from balsamspool.plugins.catalog.source import CatalogSource
 from balsamspool.plugins.catalog.view import CatalogView
 
@@ -119,7 +120,7 @@
         for callback in self._callbacks:
             callback()
 
-    async def _update(self) -> int:
+    async def _update(self) -> Revision:
         """Bring the view up to date and return its revision."""
         known = self._follower.revision
         if known is not None:
@@ -142,7 +143,7 @@
         )
         return snapshot.revision
 
-    async def _check_history(self, revision: int) -> None:
+    async def _check_history(self, revision: Revision) -> None:
         """Read the history from before the start of this process.
 
         It shows which catalog entries may have expired, and earlier route tables.
--- a/balsamspool/plugins/catalog/removals.py
+++ b/balsamspool/plugins/catalog/removals.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from balsamspool.plugins.catalog.model import BackendServer, BackendState
+from balsamspool.plugins.catalog.revision import Revision
 
 # A removed backend server is remembered for this long because it may still hold flows.
 REMOVED_RETENTION_SECONDS = 20.0
@@ -16,7 +17,7 @@
         until: Event loop time in seconds at which the removal takes effect.
     """
 
-    removal_revision: int
+    removal_revision: Revision
     until: float
 
 
--- a/balsamspool/plugins/catalog/route_history.py
+++ b/balsamspool/plugins/catalog/route_history.py
@@ -10,6 +10,7 @@
     RoutesPublished,
     RouteTable,
 )
+from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
 
 _logger = logging.getLogger(__name__)
 
@@ -38,10 +39,10 @@
 
     def __init__(self) -> None:
         self._table: RouteTable | None = None
-        self._revision = 0
+        self._revision = NO_REVISION
         # Revision of the oldest table that this process knows, 0 before the first. It
         # knows all tables since then.
-        self._oldest_revision = 0
+        self._oldest_revision = NO_REVISION
         self._routes: dict[Endpoint, Route] = {}
         self._past_services: dict[Endpoint, tuple[str, ...]] = {}
         # Event loop time in seconds at which the first table was received.
@@ -53,7 +54,7 @@
         return self._table
 
     @property
-    def oldest_revision(self) -> int:
+    def oldest_revision(self) -> Revision:
         """Revision since which this process knows all tables."""
         return self._oldest_revision
 
--- a/balsamspool/plugins/catalog/source.py
+++ b/balsamspool/plugins/catalog/source.py
@@ -2,6 +2,7 @@
 
 from balsamspool.kernel.registry import Plugin
 from balsamspool.plugins.catalog.model import Changes, Snapshot
+from balsamspool.plugins.catalog.revision import Revision
 
 
 class CatalogSource(Plugin):
@@ -21,7 +22,7 @@
         """
         raise NotImplementedError
 
-    async def history(self, revision: int) -> Changes | None:
+    async def history(self, revision: Revision) -> Changes | None:
         """Return the latest changes up to a revision, None if they are not kept.
 
         Raises:
@@ -29,7 +30,7 @@
         """
         raise NotImplementedError
 
-    async def changes(self, after: int) -> Changes:
+    async def changes(self, after: Revision) -> Changes:
         """Return the changes after a revision, up to the time of this call.
 
         Args:
@@ -40,7 +41,7 @@
         """
         raise NotImplementedError
 
-    async def watch(self, after: int, wait: float) -> Changes:
+    async def watch(self, after: Revision, wait: float) -> Changes:
         """Wait for changes.
 
         Args:
--- a/balsamspool/plugins/catalog/upstream.py
+++ b/balsamspool/plugins/catalog/upstream.py
@@ -15,6 +15,8 @@
 
 from msgspec import Struct
 
+from balsamspool.plugins.catalog.revision import Revision
+
 # Number of entries of a failure domain that read the service. A follower that does not
 # hear from them in time reads the service itself.
 READERS = 1
@@ -101,7 +103,7 @@
 
     readers: tuple[str, ...]
     entries: int
-    newest_revision: int
+    newest_revision: Revision
 
 
 class _ReceivedList(Struct, frozen=True):
@@ -208,7 +210,7 @@
         return self._times.reader_wait if independent else PROBE_WAIT_SECONDS
 
     def choose(
-        self, revision: int | None, last_answer: float | None, time: float
+        self, revision: Revision | None, last_answer: float | None, time: float
     ) -> Upstream:
         """Choose the upstream of the next call.
 
@@ -235,7 +237,7 @@
             return ReadService()
         return FollowPeer(first)
 
-    def _is_behind(self, revision: int, time: float) -> bool:
+    def _is_behind(self, revision: Revision, time: float) -> bool:
         """Return whether another entry has known a newer revision for a while."""
         newest = max(r.content.newest_revision for r in self._lists.values())
         if revision >= newest:
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -24,6 +24,7 @@
     Snapshot,
 )
 from balsamspool.plugins.catalog.removals import DelayedRemoval, RemovedServer
+from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
 from balsamspool.plugins.catalog.route_history import RouteHistory
 
 _logger = logging.getLogger(__name__)
@@ -64,7 +65,7 @@
         self._servers: dict[str, BackendServer] = {}
         # Name of the backend server that is listed at each address.
         self._names_by_address: dict[str, str] = {}
-        self._revisions: dict[str, int] = {}
+        self._revisions: dict[str, Revision] = {}
         self._ages = ListingAges()
         self._delayed_removals: dict[str, DelayedRemoval] = {}
         self._recently_removed: dict[str, RemovedServer] = {}
@@ -220,13 +221,13 @@
                 if self._routes.apply(record, time):
                     self._on_change()
             case ServerPublished(revision, server, created):
-                if revision > self._revisions.get(server.name, 0):
+                if revision > self._revisions.get(server.name, NO_REVISION):
                     self._apply_server(server, revision, created, time)
             case ServerRemoved(revision, name):
-                if revision > self._revisions.get(name, 0):
+                if revision > self._revisions.get(name, NO_REVISION):
                     self._remove_or_delay(name, revision, time)
             case RecordIgnored(revision, name, detail):
-                if revision > self._revisions.get(name, 0):
+                if revision > self._revisions.get(name, NO_REVISION):
                     RECORD_IGNORED.log(
                         _logger, name=name, revision=revision, detail=detail
                     )
@@ -275,7 +276,11 @@
             self._on_change()
 
     def _apply_server(
-        self, server: BackendServer, revision: int, created: int, time: float
+        self,
+        server: BackendServer,
+        revision: Revision,
+        created: Revision,
+        time: float,
     ) -> None:
         before = self._servers.get(server.name)
         self._revisions[server.name] = revision
@@ -314,10 +319,12 @@
             return None
         return self._servers.get(name)
 
-    def _remove_or_delay(self, name: str, revision: int, time: float) -> None:
+    def _remove_or_delay(self, name: str, revision: Revision, time: float) -> None:
         server = self._servers.get(name)
         if server is None:
-            self._revisions[name] = max(revision, self._revisions.get(name, 0))
+            self._revisions[name] = max(
+                revision, self._revisions.get(name, NO_REVISION)
+            )
             return
         if name in self._delayed_removals:
             return
@@ -359,11 +366,11 @@
             and removed.removed >= since
         )
 
-    def _remove_now(self, name: str, revision: int, time: float) -> None:
+    def _remove_now(self, name: str, revision: Revision, time: float) -> None:
         server = self._servers.pop(name)
         self._forget_address(server)
         self._delayed_removals.pop(name, None)
-        self._revisions[name] = max(revision, self._revisions.get(name, 0))
+        self._revisions[name] = max(revision, self._revisions.get(name, NO_REVISION))
         expired = self._may_have_expired(time)
         self._recently_removed[name] = RemovedServer(server, time, expired)
         self._on_change()
--- a/balsamspool/plugins/datagram_entry/subscriptions.py
+++ b/balsamspool/plugins/datagram_entry/subscriptions.py
@@ -18,6 +18,7 @@
 )
 from balsamspool.placement.load import LoadBoard
 from balsamspool.plugins.catalog import CatalogPlugin
+from balsamspool.plugins.catalog.revision import Revision
 from balsamspool.plugins.catalog.upstream import ReaderList
 
 SUBSCRIBE_SECONDS = 1.0
@@ -98,7 +99,7 @@
         found = ReaderList(
             tuple(socket.inet_ntoa(address) for address in readers.readers),
             readers.entries,
-            readers.newest_revision,
+            Revision(readers.newest_revision),
         )
         self._catalog.selector.record_list(agent, found, now())
 
--- a/emulator/catalog_peers.py
+++ b/emulator/catalog_peers.py
@@ -10,6 +10,7 @@
     AnswerChanges,
     CatalogPeers,
 )
+from balsamspool.plugins.catalog.revision import Revision
 from emulator.network import Network
 
 CONTROL_PORT = 8166
@@ -39,15 +40,17 @@
 
         async def handle(request: bytes) -> bytes:
             after, wait = request.split()
-            delta = await answer(int(after), float(wait))
+            delta = await answer(Revision(int(after)), float(wait))
             return encode_delta(delta) if delta is not None else b""
 
         self._endpoint = endpoint
         self._network.serve_requests(endpoint, handle)
 
-    async def fetch(self, peer: str, after: int, wait: float) -> CatalogDelta | None:
+    async def fetch(
+        self, peer: str, after: Revision, wait: float
+    ) -> CatalogDelta | None:
         """Request the changes after a revision from a peer."""
-        request = f"{after} {wait}".encode()
+        request = f"{int(after)} {wait}".encode()
         try:
             async with asyncio.timeout(wait + ANSWER_SECONDS):
                 answer = await self._network.request(request, self._address, peer)
