Move the lists of backend servers by service out of the catalog view

ServerIndex computes the same lists. The planted fault of the emulator test replaces the method at its new place; the check is the same.

--- /dev/null
+++ b/balsamspool/plugins/catalog/server_index.py
@@ -0,0 +1,53 @@
+"""Listed backend servers by service, computed when they are first requested."""
+
+from collections.abc import Mapping
+
+from balsamspool.placement.ranking import by_failure_domain
+from balsamspool.plugins.catalog.model import BackendServer, BackendState
+
+
+class ServerIndex:
+    """Backend servers by service, state and failure domain.
+
+    Args:
+        servers: Listed backend servers by name; they may change if `clear` is called.
+    """
+
+    __slots__ = ("_listed", "_ready", "_ready_domains", "_servers")
+
+    def __init__(self, servers: Mapping[str, BackendServer]) -> None:
+        self._servers = servers
+        self._ready: dict[str, tuple[BackendServer, ...]] = {}
+        self._listed: dict[str, tuple[BackendServer, ...]] = {}
+        self._ready_domains: dict[str, dict[str, list[BackendServer]]] = {}
+
+    def ready(self, service: str) -> tuple[BackendServer, ...]:
+        """Return the backend servers of a service that accept new flows."""
+        found = self._ready.get(service)
+        if found is None:
+            listed = self.listed(service)
+            found = tuple(s for s in listed if s.state is BackendState.READY)
+            self._ready[service] = found
+        return found
+
+    def ready_by_domain(self, service: str) -> dict[str, list[BackendServer]]:
+        """Return the backend servers that accept new flows, by failure domain."""
+        found = self._ready_domains.get(service)
+        if found is None:
+            found = by_failure_domain(self.ready(service))
+            self._ready_domains[service] = found
+        return found
+
+    def listed(self, service: str) -> tuple[BackendServer, ...]:
+        """Return the listed backend servers of a service, in any state."""
+        found = self._listed.get(service)
+        if found is None:
+            found = tuple(s for s in self._servers.values() if s.service == service)
+            self._listed[service] = found
+        return found
+
+    def clear(self) -> None:
+        """Forget what was computed, after a change of the backend servers."""
+        self._ready.clear()
+        self._listed.clear()
+        self._ready_domains.clear()
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -3,7 +3,6 @@
 import logging
 from collections.abc import Callable, Sequence
 
-from balsamspool.placement.ranking import by_failure_domain
 from balsamspool.plugins.catalog.events import (
     RECORD_IGNORED,
     SERVER_CHANGED,
@@ -26,6 +25,7 @@
 from balsamspool.plugins.catalog.removals import DelayedRemoval, RemovedServer
 from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
 from balsamspool.plugins.catalog.route_history import RouteHistory
+from balsamspool.plugins.catalog.server_index import ServerIndex
 
 _logger = logging.getLogger(__name__)
 
@@ -47,11 +47,9 @@
         "_ages",
         "_recently_removed",
         "_delayed_removals",
+        "_index",
         "_names_by_address",
         "_outage_end",
-        "_ready_cache",
-        "_ready_domains",
-        "_listed_cache",
         "_removed_hosts",
         "_revisions",
         "_routes",
@@ -63,6 +61,7 @@
     def __init__(self) -> None:
         self._routes = RouteHistory()
         self._servers: dict[str, BackendServer] = {}
+        self._index = ServerIndex(self._servers)
         # Name of the backend server that is listed at each address.
         self._names_by_address: dict[str, str] = {}
         self._revisions: dict[str, Revision] = {}
@@ -70,9 +69,6 @@
         self._delayed_removals: dict[str, DelayedRemoval] = {}
         self._recently_removed: dict[str, RemovedServer] = {}
         self._outage_end: float | None = None
-        self._ready_cache: dict[str, tuple[BackendServer, ...]] = {}
-        self._listed_cache: dict[str, tuple[BackendServer, ...]] = {}
-        self._ready_domains: dict[str, dict[str, list[BackendServer]]] = {}
         self._removed_hosts: dict[str, RemovedServer] | None = None
         self._version = 0
         self._subscribers: list[Callable[[], None]] = []
@@ -142,32 +138,15 @@
 
     def ready(self, service: str) -> tuple[BackendServer, ...]:
         """Return the backend servers of a service that accept new flows."""
-        found = self._ready_cache.get(service)
-        if found is None:
-            found = tuple(
-                server
-                for server in self._servers.values()
-                if server.service == service and server.state is BackendState.READY
-            )
-            self._ready_cache[service] = found
-        return found
+        return self._index.ready(service)
 
     def ready_by_domain(self, service: str) -> dict[str, list[BackendServer]]:
         """Return the backend servers that accept new flows, by failure domain."""
-        found = self._ready_domains.get(service)
-        if found is None:
-            found = self._ready_domains[service] = by_failure_domain(
-                self.ready(service)
-            )
-        return found
+        return self._index.ready_by_domain(service)
 
     def listed(self, service: str) -> tuple[BackendServer, ...]:
         """Return the listed backend servers of a service, in any state."""
-        found = self._listed_cache.get(service)
-        if found is None:
-            found = tuple(s for s in self._servers.values() if s.service == service)
-            self._listed_cache[service] = found
-        return found
+        return self._index.listed(service)
 
     def recently_removed_from(self, service: str) -> tuple[RemovedServer, ...]:
         """Return the backend servers of a service that were removed a short time ago.
@@ -388,10 +367,8 @@
 
     def _on_change(self) -> None:
         self._version += 1
-        self._ready_cache.clear()
-        self._ready_domains.clear()
+        self._index.clear()
         self._removed_hosts = None
-        self._listed_cache.clear()
         for callback in self._subscribers:
             callback()
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -4,7 +4,7 @@
 from unittest import TestCase, mock
 
 from balsamspool.plugins.catalog.model import Target
-from balsamspool.plugins.catalog.view import CatalogView
+from balsamspool.plugins.catalog.server_index import ServerIndex
 from balsamspool.plugins.datagram_entry import plugin as entry_plugin
 from balsamspool.plugins.datagram_entry import search as search_module
 from balsamspool.plugins.datagram_entry.search import FlowSearch
@@ -105,7 +105,7 @@
 
     def test_new_flows_at_a_draining_host_are_noticed(self):
         drains = [DrainServer(at=1.0 + number) for number in range(3)]
-        with mock.patch.object(CatalogView, "ready", CatalogView.listed):
+        with mock.patch.object(ServerIndex, "ready", ServerIndex.listed):
             found = self.broken_promises(small_workload(20.0, 1.0), 1, drains)
         self.assertIn("drain", found)
 
