Let the stand-in of the store go back to a copy

In a drill the store comes back from a copy some seconds old, gives its revisions out again and raises the header Store-Era. The stand-in knew none of this, and wrote the revision of the last change as the creation of an item.

It now copies and restores its state, answers every call with its era, ends waiting watches by a cut or with 410, has no history beyond its end, keeps the creation of an item, and can keep one answer back across a restore. The page size can be set.

--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,9 +1,11 @@
 """Tests of the adapter's catalog source against the stand-in of the store."""
 
+import asyncio
+import random
 from types import SimpleNamespace
 from unittest import IsolatedAsyncioTestCase
 
-from aiohttp import web
+from aiohttp import ClientSession, web
 
 from balsamspool.kernel.errors import ResultError
 from balsamspool.plugins.catalog.codes import (
@@ -12,7 +14,13 @@
 )
 from balsamspool.plugins.catalog.model import ServerPublished, ServerRemoved
 from standins.ports import ADDRESS, free_port
-from standins.store import PAGE_ITEMS, StoreStandIn
+from standins.store import (
+    ERA_HEADER,
+    PAGE_ITEMS,
+    CutWatches,
+    GoneWatches,
+    StoreStandIn,
+)
 from tests.datagram_fakes import ADAPTER  # noqa: F401  puts the adapter on the path
 
 SERVERS = 2 * PAGE_ITEMS + 3
@@ -28,7 +36,9 @@
     }
 
 
-class StoreSourceTest(IsolatedAsyncioTestCase):
+class StoreCase(IsolatedAsyncioTestCase):
+    """The adapter's source, and the stand-in with `SERVERS` servers."""
+
     async def asyncSetUp(self):
         from fleet_adapter.store import StoreSettings, StoreSource
 
@@ -36,15 +46,23 @@
         runner = web.AppRunner(self.store.application())
         await runner.setup()
         self.addAsyncCleanup(runner.cleanup)
-        port = free_port()
-        await web.TCPSite(runner, ADDRESS, port).start()
-        settings = StoreSettings(address=f"{ADDRESS}:{port}")
+        self.port = free_port()
+        await web.TCPSite(runner, ADDRESS, self.port).start()
+        settings = StoreSettings(address=f"{ADDRESS}:{self.port}")
         kernel = SimpleNamespace(settings=SimpleNamespace(section=lambda _: settings))
         self.source = StoreSource(kernel)
         self.addAsyncCleanup(self.source.stop)
         for number in range(SERVERS):
             await self.store.put(f"servers/i-{number}", entry(number))
 
+    async def calls(self, count):
+        """Wait until the store has received a number of calls."""
+        async with asyncio.timeout(5):
+            while self.store.calls < count:
+                await asyncio.sleep(0.01)
+
+
+class StoreSourceTest(StoreCase):
     async def test_all_pages_are_read(self):
         """Guards against a list that ends with the first page."""
         snapshot = await self.source.read()
@@ -75,3 +93,127 @@
         with self.assertRaises(ResultError) as raised:
             await self.source.changes(known)
         self.assertIs(raised.exception.code, CATALOG_UNAVAILABLE)
+
+    async def test_the_creation_of_an_entry_is_kept_across_its_changes(self):
+        """Guards against an entry that seems to be new after each report."""
+        await self.store.put("servers/i-1", entry(1, "draining"))
+        snapshot = await self.source.read()
+        (found,) = (r for r in snapshot.records if r.server.name == "i-1")
+        self.assertEqual(found.server.state.value, "draining")
+        self.assertEqual(snapshot.revision - found.created, SERVERS - 1)
+        self.assertEqual(snapshot.revision, found.revision)
+
+
+class RestoredStoreTest(StoreCase):
+    """The store goes back to a copy; the adapter reads on."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.copy = self.store.copy()
+
+    async def listed(self, snapshot):
+        """Return the states by name of a snapshot, and those that the store has."""
+        self.store.page_items = 2 * SERVERS
+        current = await self.source.read()
+        return (
+            {r.server.name: r.server.state for r in snapshot.records},
+            {r.server.name: r.server.state for r in current.records},
+        )
+
+    async def test_every_answer_carries_the_era(self):
+        """Guards against a stand-in whose failures hide a restore."""
+        base = f"http://{ADDRESS}:{self.port}/-"
+        paths = {
+            "/kv-range?prefix=": 200,
+            "/kv-key?key=none": 404,
+            f"/kv-watch?prefix=&after={1 << 40}&wait-ms=0": 410,
+        }
+        async with ClientSession() as session:
+            for era in ("1", "2"):
+                for path, status in paths.items():
+                    async with session.get(base + path) as answer:
+                        self.assertEqual(answer.status, status)
+                        self.assertEqual(answer.headers[ERA_HEADER], era)
+                await self.store.restore(self.copy)
+
+    async def test_a_revision_that_the_store_lost_has_no_changes(self):
+        """Guards against "nothing changed" for a revision that is beyond the end."""
+        await self.store.put("servers/i-1", entry(1, "draining"))
+        known = (await self.source.read()).revision
+        await self.store.restore(self.copy)
+        with self.assertRaises(ResultError) as raised:
+            await self.source.changes(known)
+        self.assertIs(raised.exception.code, CATALOG_HISTORY_LOST)
+
+    async def test_a_waiting_watch_ends_with_a_restore(self):
+        """Guards against a watch that waits for revisions that were lost."""
+        expected = {
+            CutWatches(): CATALOG_UNAVAILABLE,
+            GoneWatches(): CATALOG_HISTORY_LOST,
+        }
+        for watches, code in expected.items():
+            with self.subTest(watches=watches):
+                known = (await self.source.read()).revision
+                calls = self.store.calls
+                waiting = asyncio.create_task(self.source.watch(known, 5.0))
+                await self.calls(calls + 1)
+                await self.store.restore(self.copy, watches)
+                with self.assertRaises(ResultError) as raised:
+                    await waiting
+                self.assertIs(raised.exception.code, code)
+
+    async def test_lost_changes_are_written_again(self):
+        """Guards against schedules in which nothing that was lost comes back."""
+        await self.store.put("servers/i-1", entry(1, "draining"))
+        await self.store.put("servers/i-2", None)
+        await self.store.put("servers/new", entry(9))
+        before = await self.source.read()
+        lost = await self.store.restore(self.copy)
+        self.assertEqual(len(lost), 3)
+        await self.store.write_again(lost, random.Random(1))
+        states, current = await self.listed(before)
+        self.assertEqual(states, current)
+        written = self.store.copy().revision
+        await self.store.write_again(lost, random.Random(1))
+        self.assertEqual(self.store.copy().revision, written)
+
+    async def test_revisions_that_are_given_out_again_are_newer(self):
+        """Guards against a change that counts as known under its lost revision."""
+        await self.store.put("servers/i-1", entry(1, "draining"))
+        lost = (await self.source.read()).revision
+        await self.store.restore(self.copy)
+        await self.store.put("servers/i-2", entry(2, "draining"))
+        self.assertGreater((await self.source.read()).revision, lost)
+
+    async def test_pages_of_two_eras_are_not_one_list(self):
+        """Guards against a list whose first pages show what the store has lost."""
+        self.store.page_items = 10
+        await self.store.put("servers/i-0", entry(0, "draining"))
+        self.store.hold_next_answer()
+        reading = asyncio.create_task(self.source.read())
+        await self.calls(1)
+        await self.store.restore(self.copy)
+        self.store.release_answers()
+        try:
+            snapshot = await reading
+        except ResultError:
+            snapshot = await self.source.read()
+        states, current = await self.listed(snapshot)
+        self.assertEqual(states, current)
+
+    async def test_a_late_answer_of_the_lost_era_is_not_newer(self):
+        """Guards against changes that were lost but arrive after those in force."""
+        known = (await self.source.read()).revision
+        await self.store.put("servers/i-1", entry(1, "draining"))
+        calls = self.store.calls
+        self.store.hold_next_answer()
+        watching = asyncio.create_task(self.source.watch(known, 0.0))
+        await self.calls(calls + 1)
+        await self.store.restore(self.copy)
+        current = await self.source.read()
+        self.store.release_answers()
+        try:
+            late = await watching
+        except ResultError:
+            return
+        self.assertLess(late.revision, current.revision)
