Tell the histories of a restored catalog apart by their era

A position in the history was a bare revision that was taken to grow for ever. An entry that asked for changes after 59 was answered as soon as the new history had reached 59, and never saw what was written there; a reader that had not noticed kept its followers in the old history. Nothing read the store's era.

Evidence: logs of (routes-in-force, catalog-read and catalog-upstream-changed by entry).

Change: each position carries the era of the answer that it came from. A watch that is answered in another era is a lost history, an answer of an earlier era is rejected, peers compare positions, and the record log begins anew. Records of the new era are merged by content: the version of the table, the start and report number of a server. The restore counts as an outage for removals and for resets of flows.

Why it works: a number is only compared within its era, so no change hides behind a number that is known from another history, and an older copy cannot revert what is known by content.

--- a/balsamspool/minihttp/client.py
+++ b/balsamspool/minihttp/client.py
@@ -22,10 +22,12 @@
 
     Attributes:
         status: HTTP status.
+        headers: Values by the name of the header in lower case.
         body: Body.
     """
 
     status: int = 0
+    headers: dict[str, str] = msgspec.field(default_factory=dict)
     body: bytearray = msgspec.field(default_factory=bytearray)
 
 
@@ -46,6 +48,12 @@
         """Record the start of a response."""
         self.surplus = self.complete
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header."""
+        if not self.surplus:
+            key = name.decode("latin-1").lower()
+            self.response.headers[key] = value.decode("latin-1")
+
     def on_headers_complete(self) -> None:
         """Record the status."""
         if not self.surplus:
--- a/balsamspool/plugins/catalog/codes.py
+++ b/balsamspool/plugins/catalog/codes.py
@@ -16,3 +16,8 @@
 CATALOG_PEER_UNAVAILABLE = result_code(
     2304, "catalog-peer-unavailable", "A peer did not answer a request for its catalog."
 )
+CATALOG_OUTDATED = result_code(
+    2305,
+    "catalog-outdated",
+    "An answer is from before the catalog was restored from an older copy.",
+)
--- a/balsamspool/plugins/catalog/events.py
+++ b/balsamspool/plugins/catalog/events.py
@@ -92,3 +92,16 @@
     logging.INFO,
     "The catalog is now read from the publishing service, or from a peer.",
 )
+CATALOG_RESTORED = log_event(
+    2318,
+    "catalog-restored",
+    logging.WARNING,
+    "The published catalog was restored from an older copy; all of it is read again.",
+)
+SERVER_REPORT_OUTDATED = log_event(
+    2319,
+    "backend-server-report-outdated",
+    logging.INFO,
+    "A record of the restored catalog was ignored because a later report of the same "
+    "backend server is known.",
+)
--- a/balsamspool/plugins/catalog/follower.py
+++ b/balsamspool/plugins/catalog/follower.py
@@ -7,13 +7,17 @@
 from balsamspool.kernel.backoff import Backoff
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.errors import ResultError
-from balsamspool.plugins.catalog.codes import CATALOG_HISTORY_LOST
+from balsamspool.plugins.catalog.codes import (
+    CATALOG_HISTORY_LOST,
+    CATALOG_OUTDATED,
+)
 from balsamspool.plugins.catalog.completeness import Completeness
 from balsamspool.plugins.catalog.delta import CatalogDelta
 from balsamspool.plugins.catalog.events import (
     CATALOG_LOST,
     CATALOG_READ,
     CATALOG_REGAINED,
+    CATALOG_RESTORED,
     HISTORY_LOST,
     UPSTREAM_CHANGED,
 )
@@ -62,6 +66,7 @@
     __slots__ = (
         "_calls",
         "_completeness",
+        "_era",
         "_feed",
         "_last_answer",
         "_peer_port",
@@ -98,6 +103,8 @@
         self._watch_seconds = wait
         self._rng = rng
         self._revision: Revision | None = None
+        # Newest era that any answer was from, None before the first answer.
+        self._era: int | None = None
         self._last_answer: float | None = None
         self._reachable = True
         self._calls = 0
@@ -144,6 +151,8 @@
             Whether the peer knew newer changes.
         """
         known = self._revision
+        if self._is_outdated(delta.revision):
+            return False
         if known is not None and delta.revision < known:
             return False
         if delta.outage_age is not None:
@@ -158,6 +167,24 @@
             self._record_answer(now() - delta.age)
         return known is None or delta.revision > known
 
+    def enter_era(self, revision: Revision) -> None:
+        """Record the era of an answer, before the answer is applied.
+
+        A catalog that was restored lacks the latest reports of backend servers for a
+        while, as after an outage.
+
+        Raises:
+            ResultError: With code 2305 if the answer is from an earlier era.
+        """
+        if self._is_outdated(revision):
+            detail = f"revision {revision}, in era {self._era}"
+            raise ResultError(CATALOG_OUTDATED, detail)
+        era = Revision(revision).era
+        if self._era is not None and era > self._era:
+            CATALOG_RESTORED.log(_logger, restored=revision, **self._state())
+            self._record_outage(now())
+        self._era = era
+
     async def run(self) -> None:
         """Follow the catalog until cancelled."""
         backoff = Backoff(FIRST_RETRY_SECONDS, RETRY_LIMIT_SECONDS, self._rng)
@@ -236,6 +263,9 @@
             await asyncio.sleep(CHANGE_BATCH_SECONDS)
             return
         changes = await self._source.watch(self._revision, self._watch_wait())
+        if not changes.continues(self._revision):
+            detail = f"revision {self._revision}, answered at {changes.revision}"
+            raise ResultError(CATALOG_HISTORY_LOST, detail)
         self._record_service_answer()
         self._apply_changes(changes)
         if changes.records:
@@ -248,7 +278,12 @@
             return self._watch_seconds
         return min(self._watch_seconds, self._selector.longest_wait(now()))
 
+    def _is_outdated(self, revision: Revision) -> bool:
+        """Return whether a position is from before the catalog was restored."""
+        return self._era is not None and Revision(revision).era < self._era
+
     def _apply_snapshot(self, snapshot: Snapshot) -> None:
+        self.enter_era(snapshot.revision)
         self._view.replace(snapshot, now())
         self._feed.record_snapshot(snapshot)
         self._revision = snapshot.revision
--- a/balsamspool/plugins/catalog/listing_age.py
+++ b/balsamspool/plugins/catalog/listing_age.py
@@ -10,6 +10,7 @@
     ServerPublished,
     ServerRemoved,
 )
+from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
 
 
 class _Listing(Struct):
@@ -20,7 +21,7 @@
         started_ms: Its start in Unix milliseconds, None if unknown.
     """
 
-    created: int
+    created: Revision
     started_ms: int | None
 
 
@@ -36,9 +37,9 @@
     def __init__(self) -> None:
         self._listings: dict[str, _Listing] = {}
         # Revision of the first record in the history, 0 before the history is known.
-        self._history_start = 0
+        self._history_start = NO_REVISION
 
-    def record(self, server: BackendServer, created: int) -> None:
+    def record(self, server: BackendServer, created: Revision) -> None:
         """Record that a backend server is listed.
 
         Args:
@@ -68,21 +69,27 @@
                     earlier[server.name] = _merge(known, server, created)
                 case ServerRemoved(_, name) if name not in earlier:
                     # Its entry before the removal is not known.
-                    earlier[name] = _Listing(0, None)
+                    earlier[name] = _Listing(NO_REVISION, None)
         for name, found in earlier.items():
             listing = self._listings.get(name)
             if listing is not None and _may_be_same(listing, found.started_ms):
                 listing.created = min(listing.created, found.created)
 
-    def may_precede(self, name: str, revision: int) -> bool:
+    def may_precede(self, name: str, revision: Revision) -> bool:
         """Return whether a backend server may have been listed before a revision."""
         created = self._listings[name].created
         # An entry that was created before the history begins may be that of a backend
         # server that was listed again.
+        if Revision(created).era != Revision(revision).era:
+            # A catalog that was restored lists a backend server again, at a later
+            # revision.
+            return True
         return created < max(revision, self._history_start)
 
 
-def _merge(known: _Listing | None, server: BackendServer, created: int) -> _Listing:
+def _merge(
+    known: _Listing | None, server: BackendServer, created: Revision
+) -> _Listing:
     if known is not None and _may_be_same(known, server.started_ms):
         created = min(created, known.created)
     return _Listing(created, server.started_ms)
--- a/balsamspool/plugins/catalog/model.py
+++ b/balsamspool/plugins/catalog/model.py
@@ -176,3 +176,11 @@
 
     revision: Revision
     records: tuple[Record, ...]
+
+    def continues(self, after: Revision) -> bool:
+        """Return whether the changes are of the same era as a revision.
+
+        In another era, the number after which they were requested stands for another
+        change, so records are missing.
+        """
+        return Revision(self.revision).era == Revision(after).era
--- a/balsamspool/plugins/catalog/record_log.py
+++ b/balsamspool/plugins/catalog/record_log.py
@@ -39,7 +39,7 @@
         known = self._records.get(name)
         if known is not None and known.revision >= record.revision:
             return
-        self._records[name] = record
+        self._records[name] = _latest_table(known, record)
         self._removals.pop(name, None)
         if isinstance(record, ServerRemoved):
             self._removals[name] = None
@@ -59,7 +59,8 @@
                 # removal gets the revision of the snapshot.
                 self._records[name] = ServerRemoved(snapshot.revision, name)
                 self._removals[name] = None
-        if self._complete_since is None:
+        since = self._complete_since
+        if since is None or Revision(since).era < Revision(snapshot.revision).era:
             self._complete_since = snapshot.revision
 
     def changes_after(self, revision: Revision) -> tuple[Record, ...] | None:
@@ -89,6 +90,15 @@
             self._complete_since = max(self._complete_since, removal.revision)
 
 
+def _latest_table(known: Record | None, record: Record) -> Record:
+    """Return a record, with the known route table if the table in it is older."""
+    match known, record:
+        case RoutesPublished(_, table), RoutesPublished(revision, offered):
+            if offered.version < table.version:
+                return RoutesPublished(revision, table)
+    return record
+
+
 def _name_of(record: Record) -> str:
     match record:
         case RoutesPublished():
--- a/balsamspool/plugins/catalog/refresher.py
+++ b/balsamspool/plugins/catalog/refresher.py
@@ -18,6 +18,7 @@
     REFRESH_FAILED,
 )
 from balsamspool.plugins.catalog.follower import CatalogFollower
+from balsamspool.plugins.catalog.model import Changes
 from balsamspool.plugins.catalog.revision import Revision
 from balsamspool.plugins.catalog.source import CatalogSource
 from balsamspool.plugins.catalog.view import CatalogView
@@ -130,19 +131,24 @@
                 if error.code is not CATALOG_HISTORY_LOST:
                     raise
             else:
-                for record in changes.records:
-                    self._view.apply(record, now())
-                CATALOG_UPDATED.log(
-                    _logger, revision=changes.revision, records=len(changes.records)
-                )
-                return changes.revision
+                if changes.continues(known):
+                    self._apply(changes)
+                    return changes.revision
         snapshot = await self._source.read()
+        self._follower.enter_era(snapshot.revision)
         self._view.replace(snapshot, now())
         CATALOG_READ.log(
             _logger, revision=snapshot.revision, records=len(snapshot.records)
         )
         return snapshot.revision
 
+    def _apply(self, changes: Changes) -> None:
+        for record in changes.records:
+            self._view.apply(record, now())
+        CATALOG_UPDATED.log(
+            _logger, revision=changes.revision, records=len(changes.records)
+        )
+
     async def _check_history(self, revision: Revision) -> None:
         """Read the history from before the start of this process.
 
--- a/balsamspool/plugins/catalog/route_history.py
+++ b/balsamspool/plugins/catalog/route_history.py
@@ -121,10 +121,15 @@
         """
         for record in records:
             match record:
-                case RoutesPublished(revision, table) if revision < self._revision:
+                case RoutesPublished(revision, table) if (
+                    revision < self._revision or self._is_earlier(table)
+                ):
                     self._remember_services(table.routes)
                     self._oldest_revision = min(self._oldest_revision, revision)
 
+    def _is_earlier(self, table: RouteTable) -> bool:
+        return self._table is not None and table.version < self._table.version
+
     def _remember_services(self, routes: Iterable[Route]) -> None:
         """Remember the services of routes, the latest of them first."""
         for route in routes:
--- a/balsamspool/plugins/catalog/source.py
+++ b/balsamspool/plugins/catalog/source.py
@@ -9,8 +9,9 @@
     """Base class of the plug-in that reads the catalog from the publishing service.
 
     An adapter registers one subclass. It only translates; the catalog plug-in decides
-    when to call and what to do after a failure. `watch` may run at the same time as
-    one of the other calls.
+    when to call and what to do after a failure. Changes may be of a later era than the
+    revision after which they were requested. `watch` may run at the same time as one of
+    the other calls.
     """
 
     async def read(self) -> Snapshot:
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -8,6 +8,7 @@
     SERVER_CHANGED,
     SERVER_REMOVAL_DELAYED,
     SERVER_REMOVED,
+    SERVER_REPORT_OUTDATED,
 )
 from balsamspool.plugins.catalog.listing_age import ListingAges
 from balsamspool.plugins.catalog.model import (
@@ -23,6 +24,7 @@
     Snapshot,
 )
 from balsamspool.plugins.catalog.removals import DelayedRemoval, RemovedServer
+from balsamspool.plugins.catalog.report_order import is_newer_report, is_older_report
 from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
 from balsamspool.plugins.catalog.route_history import RouteHistory
 from balsamspool.plugins.catalog.server_index import ServerIndex
@@ -199,18 +201,20 @@
             case RoutesPublished():
                 if self._routes.apply(record, time):
                     self._on_change()
-            case ServerPublished(revision, server, created):
-                if revision > self._revisions.get(server.name, NO_REVISION):
-                    self._apply_server(server, revision, created, time)
-            case ServerRemoved(revision, name):
-                if revision > self._revisions.get(name, NO_REVISION):
-                    self._remove_or_delay(name, revision, time)
-            case RecordIgnored(revision, name, detail):
-                if revision > self._revisions.get(name, NO_REVISION):
-                    RECORD_IGNORED.log(
-                        _logger, name=name, revision=revision, detail=detail
+            case ServerPublished(revision, server, created) if self._is_new(
+                server.name, revision
+            ):
+                if self._is_outdated(server, revision):
+                    SERVER_REPORT_OUTDATED.log(
+                        _logger, server=server.name, revision=revision
                     )
-                    self._remove_or_delay(name, revision, time)
+                else:
+                    self._apply_server(server, revision, created, time)
+            case ServerRemoved(revision, name) if self._is_new(name, revision):
+                self._remove_or_delay(name, revision, time)
+            case RecordIgnored(revision, name, detail) if self._is_new(name, revision):
+                RECORD_IGNORED.log(_logger, name=name, revision=revision, detail=detail)
+                self._remove_or_delay(name, revision, time)
 
     def replace(self, snapshot: Snapshot, time: float) -> None:
         """Apply a snapshot and remove the backend servers that it does not list.
@@ -254,6 +258,20 @@
         if expired:
             self._on_change()
 
+    def _is_new(self, name: str, revision: Revision) -> bool:
+        return revision > self._revisions.get(name, NO_REVISION)
+
+    def _is_outdated(self, server: BackendServer, revision: Revision) -> bool:
+        """Return whether a restored catalog contains an older report than is known."""
+        known = Revision(self._revisions.get(server.name, NO_REVISION))
+        if known.era == Revision(revision).era:
+            return False
+        listed = self._servers.get(server.name)
+        if listed is not None:
+            return is_older_report(server, listed)
+        removed = self._recently_removed.get(server.name)
+        return removed is not None and not is_newer_report(server, removed.server)
+
     def _apply_server(
         self,
         server: BackendServer,
