--- a/balsamspool/plugins/datagram_entry/decision_log.py
+++ b/balsamspool/plugins/datagram_entry/decision_log.py
@@ -111,21 +111,22 @@
         omitted = left_out(listed, reporting, removed, others, len(found))
         earlier = self._unlocated.record_search(key, found, omitted)
         before = search_fields(earlier)
+        # What the search before this one covered is in its own line.
+        number = before.pop("searches") + 1
+        before.pop("queried", None)
         FLOW_SEARCHED.log(
             _logger,
             flow=flow_id(key),
             hosts=names(found),
-            search=before["searches"] + 1,
-            seconds=before.get("seconds"),
+            search=number,
             queried=len(found),
             services=list(services)[:4],
             listed=listed,
             removed=removed,
             omitted=sum(omitted.values()),
             others=others,
-            answered=before.get("answered"),
-            unanswered=before.get("unanswered"),
             catalog_version=view.version,
+            **before,
         )
 
     def returned(self, key: bytes, agent: str, hops: int, skipped: bool) -> None:
@@ -152,6 +153,9 @@
         if expected and not slow:
             return
         before = self._report.belief(flow)
+        searches = search_fields(unlocated)
+        # It does not matter any more who did not answer.
+        searches.pop("unanswered", None)
         FLOW_FOUND.log(
             _logger,
             flow=flow_id(key),
@@ -159,7 +163,7 @@
             known=flow is not None,
             previous=before["host"],
             previous_seconds=before.get("confirmed_seconds"),
-            **search_fields(unlocated),
+            **searches,
         )
 
     def reopened(self, key: bytes) -> None:
