List flows that several backend servers accepted

Cause: a flow that two servers accepted leaves no reset while the entry follows the wrong one.

Change: a third table of balsamspool-ctl report; a host that reports after a give-up is evidence without further flows too.

--- a/balsamspool/commands/flow_faults.py
+++ b/balsamspool/commands/flow_faults.py
@@ -48,6 +48,19 @@
     evidence: str
 
 
+@dataclass(frozen=True, slots=True)
+class SharedFlow:
+    """A flow that several backend servers accepted.
+
+    Attributes:
+        line: Line of the agent whose backend server accepted it last.
+        evidence: What the logs show, in words.
+    """
+
+    line: LogLine
+    evidence: str
+
+
 @dataclass(slots=True)
 class FlowFaults:
     """Flows that an entry may have handled wrongly.
@@ -55,10 +68,12 @@
     Attributes:
         resets: Suspected wrong resets, in order of time.
         searches: Long searches, the longest first.
+        shared: Flows that several backend servers accepted, in order of time.
     """
 
     resets: list[SuspectedReset] = field(default_factory=list)
     searches: list[LongSearch] = field(default_factory=list)
+    shared: list[SharedFlow] = field(default_factory=list)
 
 
 class _Run:
@@ -109,13 +124,16 @@
         Returns:
             None if it did not, or only after its agent had started again.
         """
-        instance = accepted.instance
-        later = _first_after(self._accepted[instance], time)
-        started = _first_after(self._starts[instance], accepted.time)
-        if later is None or (started is not None and started <= later):
+        later = _first_after(self._accepted[accepted.instance], time)
+        if later is None or self.started_until(accepted, later):
             return None
         return (later - time).total_seconds()
 
+    def started_until(self, accepted: LogLine, time: datetime) -> bool:
+        """Return whether the agent of a flow has started again before a time."""
+        started = _first_after(self._starts[accepted.instance], accepted.time)
+        return started is not None and started <= time
+
     def reported_again(self, address: str | None, time: datetime) -> LogLine | None:
         """Return the line that says that a host reports after it was given up."""
         for line in self._reports.get(address or "", ()):
@@ -157,8 +175,10 @@
                 if line.name == "flow-reset":
                     faults.resets.extend(_suspect(run, flow, line))
             faults.searches.extend(_long_searches(run, flow))
+            faults.shared.extend(_shared(flow))
     faults.resets.sort(key=lambda suspected: suspected.line.time)
     faults.searches.sort(key=lambda search: -search.seconds)
+    faults.shared.sort(key=lambda shared: shared.line.time)
     return faults
 
 
@@ -220,14 +240,34 @@
     if again is not None:
         found.append(f"{accepted.instance} accepted a flow {again:.1f} s later")
     report = run.reported_again(address, reset.time)
-    started_between = run.accepted_again(accepted, accepted.time) is None
-    if report is not None and not (again is None and started_between):
+    if report is not None and not run.started_until(accepted, report.time):
         flows = report.fields.get("flows")
         seconds = _seconds(reset, report)
         found.append(f"it reported {flows} flows {seconds:.1f} s later")
     return found
 
 
+def _shared(flow: list[LogLine]) -> Iterator[SharedFlow]:
+    """Yield a flow that several backend servers accepted."""
+    accepted = [line for line in flow if line.name == "flow-accepted"]
+    if len({line.instance for line in accepted}) < 2:
+        return
+    first, last = accepted[0], accepted[-1]
+    evidence = [
+        f"{line.instance} {_seconds(first, line):.3f} s after the first"
+        for line in accepted[:4]
+    ]
+    evidence += [
+        f"believed at {line.fields.get('address')}"
+        for line in flow
+        if line.name == "flow-found"
+    ][-1:]
+    refused = sum(line.name == "flow-not-held" for line in flow)
+    if refused:
+        evidence.append(f"{refused} lines of hosts that did not hold it")
+    yield SharedFlow(last, "; ".join(evidence))
+
+
 def _long_searches(run: _Run, flow: list[LogLine]) -> Iterator[LongSearch]:
     """Yield the searches of each entry for a flow that lasted long."""
     last: dict[str, LogLine] = {}
--- a/balsamspool/commands/report.py
+++ b/balsamspool/commands/report.py
@@ -30,7 +30,8 @@
     """Summarize a run: flows, openings passed on, resets, spread of changes, counters.
 
     Resets of flows whose backend server seems to have been sound, and searches that
-    lasted over 2 s, are listed with what the logs show about their cause.
+    lasted over 2 s, are listed with what the logs show about their cause, and so are
+    flows that several backend servers accepted.
 
     Args:
         *logs: Log files, or directories with files that end in .log. The counters of
@@ -145,6 +146,15 @@
         print_line("")
         print_table((title, "flow", "entry", "seconds", "evidence"), rows)
 
+    if faults.shared:
+        rows = [
+            (_format_time(found.line), found.line.flow, found.evidence)
+            for found in faults.shared[:MAX_FLOWS]
+        ]
+        title = f"flows accepted by several hosts, first of {len(faults.shared)}"
+        print_line("")
+        print_table((title, "flow", "accepted by"), rows)
+
 
 def _format_time(line: LogLine) -> str:
     return line.time.strftime("%H:%M:%S.%f")[:-3]
--- a/tests/test_flow_faults.py
+++ b/tests/test_flow_faults.py
@@ -76,6 +76,16 @@
         self.assertIn("agent-1 accepted a flow 4.0 s later", found.evidence)
         self.assertIn("report age 3.1", found.evidence)
 
+    async def test_a_report_alone_is_enough_for_a_suspicion(self):
+        """Guards against a give-up of an idle host that nobody notices (H1)."""
+        address = HOSTS["agent-1"]
+        found = self.suspected(
+            *opened(1),
+            reset(9, "host-gone", host="i-1", address=address),
+            line(12, "entry-2", "host-reports-again", address=address, flows=1),
+        )
+        self.assertIn("it reported 1 flows 3.0 s later", found.evidence)
+
     async def test_a_host_that_was_replaced_is_not_suspected(self):
         """Guards against a list full of flows that restarts really lost."""
         restarted = {"server": "i-9", "address": HOSTS["agent-1"], "state": "ready"}
@@ -181,6 +191,23 @@
         self.assertEqual(found.seconds, 4.0)
         self.assertIn("not found, last flow-unknown", found.evidence)
 
+    async def test_a_flow_that_two_hosts_accepted_is_listed(self):
+        """Guards against a flow of which two servers hold a part unseen (H3)."""
+        faults = self.find(
+            *opened(1),
+            line(1.2, "agent-2", "flow-accepted", flow=FLOW),
+            line(2, "entry-1", "flow-found", flow=FLOW, address=HOSTS["agent-2"]),
+            line(3, "agent-1", "flow-not-held", flow=FLOW, searching=False),
+            *opened(4, agent="agent-2"),
+        )
+        (found,) = faults.shared
+        for wanted in (
+            "agent-2 0.190 s after the first",
+            "believed at 10.0.0.2",
+            "1 lines of hosts that did not hold it",
+        ):
+            self.assertIn(wanted, found.evidence)
+
     async def test_the_tables_are_part_of_the_report_and_bounded(self):
         """Guards against a report that hides suspicions or prints thousands."""
         lines = []
