Let the emulated service of the catalog go back to a copy

The emulator could not play a restore: the service kept all that it had accepted, and nothing recorded what a process knew of the catalog.

The service now has an era, leaves, and comes back from its state of some seconds ago; waiting watches are cut or lose the history, a revision beyond its end has no history, and answers can be kept back across a restore. It sees plain numbers, and its answers carry the era. Backend servers number their reports; they and the operator write again what was lost, in an order drawn from the seed.

The history records the tables in force and the ready servers of each entry. New checks: a table is in force within the limit, no process goes back to an older one, and no server that left before a restore is ready again. A drain report that a restore lost does not count.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -13,6 +13,7 @@
     grown_workload,
     large_workload,
     run_trial,
+    shared_workload,
     small_workload,
 )
 from emulator.troubles import PowerOff, Trouble
@@ -35,6 +36,7 @@
         seconds: float = CHECK_SECONDS,
         log: bool = False,
         fleet: str = "small",
+        restores: int = 0,
     ) -> None:
         """Run seeds with random troubles and print the broken promises.
 
@@ -44,12 +46,14 @@
             troubles: Troubles in each run.
             seconds: Length of each run. No trouble begins in the last 12 seconds.
             log: Print the log lines of all processes.
-            fleet: ``small``, ``grown`` or ``large``, as for ``load``.
+            fleet: ``small``, ``shared``, ``grown`` or ``large``, as for ``load``.
+            restores: Restores of the catalog in each run besides.
         """
         _set_logging(log)
         failed = 0
         for seed in range(first, first + seeds):
-            trial = run_trial(_workload(fleet, CHECK_SCALE, seconds), seed, troubles)
+            workload = _workload(fleet, CHECK_SCALE, seconds)
+            trial = run_trial(workload, seed, troubles, restores)
             failed += bool(trial.violations)
             for violation in trial.violations[:5]:
                 sys.stdout.write(
@@ -71,7 +75,8 @@
         """Run a fleet under load and print the results that callers saw.
 
         Args:
-            fleet: ``small`` (11 backend servers), ``grown`` (54) or ``large`` (136).
+            fleet: ``small`` (11 backend servers), ``shared`` (the same behind entries
+                of which most follow another one), ``grown`` (54) or ``large`` (136).
             scale: Demand relative to that of the small fleet.
             seconds: Length of each run.
             seeds: Number of runs, with the seeds from 1 on.
@@ -127,12 +132,14 @@
     match fleet:
         case "small":
             return small_workload(seconds, scale or 1.0)
+        case "shared":
+            return shared_workload(seconds, scale or 1.0)
         case "grown":
             return grown_workload(seconds, scale or 4.5)
         case "large":
             return large_workload(seconds, scale or 3.7)
         case _:
-            raise ValueError(f"fleet {fleet!r} is not small, grown or large")
+            raise ValueError(f"fleet {fleet!r} is not small, shared, grown or large")
 
 
 def _set_logging(shown: bool) -> None:
--- a/emulator/backend_server.py
+++ b/emulator/backend_server.py
@@ -17,6 +17,7 @@
 OUTBOUND_PORT = 8162
 COLD_SECONDS = 2.0
 COLD_FACTOR = 1.6
+HEARTBEAT_SECONDS = 1.2
 
 
 class Healthy(Struct, frozen=True):
@@ -111,6 +112,7 @@
         self._slots = asyncio.Semaphore(plan.slots)
         self._in_progress = 0
         self._started = now()
+        self._changed_reports = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self.refused: Counter[str] = Counter()
 
@@ -119,6 +121,14 @@
         """Event loop time in seconds at which the backend server was created."""
         return self._started
 
+    def next_report(self) -> int:
+        """Return the number of the report that changes the entry now.
+
+        Heartbeats are reports too, even if they do not change the entry.
+        """
+        self._changed_reports += 1
+        return self._changed_reports + int((now() - self._started) / HEARTBEAT_SECONDS)
+
     def start(self) -> None:
         """Start serving."""
         self._socket.start()
--- a/emulator/checks.py
+++ b/emulator/checks.py
@@ -4,20 +4,22 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from msgspec import Struct
+from emulator.catalog_checks import (
+    DISTURBED_CATALOG_EXTRA_SECONDS,
+    DRAIN_GRACE_SECONDS,
+    check_catalog,
+    drain_reports,
+)
+from emulator.history import History, OpenFlow, Result
+from emulator.violation import (
+    DISTURBANCE_GRACE_SECONDS,
+    Violation,
+    catalog_disturbed,
+    find_disturbance,
+)
 
-from emulator.history import Disturbance, History, OpenFlow, Result
-
-# Time after the end of a disturbance of a machine during which violations at the
-# machine are still ignored, as they are during the disturbance.
-DISTURBANCE_GRACE_SECONDS = 4.0
-# A draining backend server may still get openings for this long after its report.
-DRAIN_GRACE_SECONDS = 3.0
 # Time within which every entry applies a published route table.
 ROUTES_APPLY_SECONDS = 3.0
-# Time added to ROUTES_APPLY_SECONDS while the service that publishes the catalog has a
-# disturbance.
-DISTURBED_CATALOG_EXTRA_SECONDS = 12.0
 # An open flow is misdirected if during STRAY_SECONDS none of its packets reach its own
 # backend server and at least MIN_STRAY_PACKETS reach other backend servers.
 STRAY_SECONDS = 2.0
@@ -29,20 +31,6 @@
 MIN_ANSWERED_SHARE = 0.99
 
 
-class Violation(Struct, frozen=True):
-    """A broken promise.
-
-    Attributes:
-        promise: Short name of the promise.
-        time: Time in seconds.
-        detail: What the history shows.
-    """
-
-    promise: str
-    time: float
-    detail: str
-
-
 def check(history: History) -> list[Violation]:
     """Return all violations in order of time."""
     found = [
@@ -52,6 +40,7 @@
         *_late_openings(history),
         *_false_resets(history),
         *_stray_packets(history),
+        *check_catalog(history),
     ]
     return sorted(found, key=lambda violation: violation.time)
 
@@ -75,8 +64,10 @@
     for opening in history.openings:
         route = opening.flow[6:]
         apply_seconds = ROUTES_APPLY_SECONDS
-        if _catalog_disturbed(
-            history, opening.sent - apply_seconds - DISTURBANCE_GRACE_SECONDS
+        since = opening.sent - apply_seconds - DISTURBANCE_GRACE_SECONDS
+        if catalog_disturbed(history, since) or any(
+            restored.covers(since - DISTURBED_CATALOG_EXTRA_SECONDS, opening.sent)
+            for restored in history.restores
         ):
             apply_seconds += DISTURBED_CATALOG_EXTRA_SECONDS
         allowed = _services_between(
@@ -102,15 +93,15 @@
 
 def _late_openings(history: History) -> Iterator[Violation]:
     """Yield openings that reached a draining backend server too late."""
-    drained = {d.server: d for d in history.drained if d.available}
+    drained = drain_reports(history)
     for opening in history.openings:
         report = drained.get(opening.server)
         if report is None or opening.time <= report.time + DRAIN_GRACE_SECONDS:
             continue
-        if _catalog_disturbed(history, report.time - DISTURBANCE_GRACE_SECONDS):
+        if catalog_disturbed(history, report.time - DISTURBANCE_GRACE_SECONDS):
             continue
         entries = {entry for _, entry in history.sent_via[opening.flow]}
-        if not _find_disturbance(history, entries, report.time, opening.time):
+        if not find_disturbance(history, entries, report.time, opening.time):
             yield Violation("drain", opening.time, f"opening at {opening.server}")
 
 
@@ -123,7 +114,7 @@
         if _was_idle(history, reset.flow, reset.time):
             continue
         machines = {flow.address, reset.sender}
-        if not _find_disturbance(history, machines, reset.time, reset.time):
+        if not find_disturbance(history, machines, reset.time, reset.time):
             detail = f"flow at {flow.server}, reset by {reset.sender}"
             yield Violation("reset", reset.time, detail)
 
@@ -140,7 +131,7 @@
             machines = {flow.address, *entries}
             if count < MIN_STRAY_PACKETS or _was_idle(history, key, start):
                 continue
-            if not _find_disturbance(history, machines, start, start + STRAY_SECONDS):
+            if not find_disturbance(history, machines, start, start + STRAY_SECONDS):
                 yield Violation("stray", start, f"{count} packets of {flow.server}")
 
 
@@ -161,24 +152,6 @@
     return not before or time - before[-1] > IDLE_SECONDS
 
 
-def _find_disturbance(
-    history: History, machines: set[str], begin: float, end: float
-) -> Disturbance | None:
-    for found in history.disturbances:
-        affected = found.machines & machines
-        if (
-            affected
-            and found.start <= end
-            and found.end + DISTURBANCE_GRACE_SECONDS >= begin
-        ):
-            return found
-    return None
-
-
-def _catalog_disturbed(history: History, since: float) -> bool:
-    return any(d.name == "catalog" and d.end >= since for d in history.disturbances)
-
-
 def answered_share(history: History, begin: float, end: float) -> float:
     """Return the share of answered requests in a span, 1 if there are none."""
     requests = [o for o in history.outcomes if begin <= o.started < end]
--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -8,12 +8,14 @@
 
 from balsamspool.kernel.clock import now
 from emulator.caller import FlowUse, RequestKind
-from emulator.checks import Violation, check, check_answered_share
+from emulator.checks import check, check_answered_share
 from emulator.clock import PausedClockLoop
 from emulator.fleet import Fleet, FleetPlan, ServicePlan
 from emulator.history import History, Result
 from emulator.traffic import Demand, Traffic, Wave
-from emulator.troubles import Trouble, apply_troubles, draw_troubles
+from emulator.trouble_runner import apply_troubles
+from emulator.troubles import Trouble, draw_restores, draw_troubles
+from emulator.violation import Violation
 
 # Time before the traffic starts, in which the reports of all agents arrive and catalog
 # entries that have timed out are listed again.
@@ -99,6 +101,22 @@
     return Workload(plan, scale, seconds)
 
 
+def shared_workload(seconds: float, scale: float = 1.0) -> Workload:
+    """Return a workload for 11 entries in two failure domains.
+
+    In each failure domain, one entry reads the catalog and the others follow it.
+    """
+    plan = FleetPlan(
+        ("a", "b"),
+        11,
+        (
+            ServicePlan("portal", 7, 2, (0.7, 0.7, 1.7)),
+            ServicePlan("records", 4, 2),
+        ),
+    )
+    return Workload(plan, scale, seconds)
+
+
 def grown_workload(seconds: float, scale: float = 4.5) -> Workload:
     """Return a workload for services of 43 and 11 backend servers behind 20 entries."""
     plan = FleetPlan(
@@ -128,7 +146,10 @@
 
 
 def run_trial(
-    workload: Workload, seed: int, troubles: list[Trouble] | int = 0
+    workload: Workload,
+    seed: int,
+    troubles: list[Trouble] | int = 0,
+    restores: int = 0,
 ) -> Trial:
     """Run a workload on a paused clock.
 
@@ -136,15 +157,18 @@
         workload: The fleet and the demand on it.
         seed: Seed of the random number generator.
         troubles: The troubles, or the number of troubles to draw.
+        restores: Number of restores of the catalog to draw besides.
 
     Returns:
         The outcome of the run.
     """
     with asyncio.Runner(loop_factory=PausedClockLoop) as runner:
-        return runner.run(_run(workload, seed, troubles))
+        return runner.run(_run(workload, seed, troubles, restores))
 
 
-async def _run(workload: Workload, seed: int, troubles: list[Trouble] | int) -> Trial:
+async def _run(
+    workload: Workload, seed: int, troubles: list[Trouble] | int, restores: int
+) -> Trial:
     rng = random.Random(seed)
     fleet = Fleet(workload.fleet, rng)
     await fleet.start()
@@ -152,9 +176,12 @@
     kinds = _kinds(fleet, workload.time_factor)
     traffic = Traffic(fleet, _demands(kinds, workload.scale), Wave(), rng)
     traffic.start()
+    last = max(1.0, workload.seconds - RECOVERY_SECONDS)
     if isinstance(troubles, int):
-        last = max(1.0, workload.seconds - RECOVERY_SECONDS)
         troubles = draw_troubles(rng, troubles, 1.0, last)
+    if restores:
+        drawn = draw_restores(rng, restores, 1.0, last)
+        troubles = sorted((*troubles, *drawn), key=lambda trouble: trouble.at)
     begin = now()
     end = begin + workload.seconds
     await apply_troubles(fleet, traffic, troubles)
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -10,22 +10,17 @@
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.identity import Role
 from balsamspool.plugins.catalog.model import (
-    BackendServer,
-    BackendState,
     Route,
     RouteTable,
     Target,
 )
-from emulator.backend_server import (
-    APP_PORT,
-    COLD_SECONDS,
-    EmulatedServer,
-    ServerPlan,
-)
+from emulator.backend_server import EmulatedServer, ServerPlan
+from emulator.catalog_history import CatalogRestored
 from emulator.catalog_service import CatalogService
-from emulator.history import Drained, History, RoutesChanged
+from emulator.history import History
 from emulator.network import Network
 from emulator.process import EmulatedProcess
+from emulator.registration import Registration
 from emulator.segment import endpoint
 
 PROBE_SECONDS = 0.5
@@ -33,9 +28,6 @@
 RESTART_SECONDS = 0.5
 # Time from the start of a process until it serves.
 START_SECONDS = 0.4
-HEARTBEAT_SECONDS = 1.2
-# The catalog drops a crashed backend server after it has missed this many heartbeats.
-MISSED_HEARTBEATS_LIMIT = 3
 IDLE_SECONDS = 15.0
 ROUTE_PORT = 443
 
@@ -111,6 +103,9 @@
         self._probe_states: dict[str, ProbeState] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._unreachable: set[str] = set()
+        self._registration = Registration(
+            self.catalog, self.history, self.servers, self.spawn, rng
+        )
 
     async def start(self) -> None:
         """Start all processes and backend servers, and publish the routes."""
@@ -160,14 +155,7 @@
             ),
             IDLE_SECONDS,
         )
-        self.catalog.publish_routes(table)
-        services = {
-            endpoint((route.address, route.port)): frozenset(
-                target.service for target in route.targets
-            )
-            for route in table.routes
-        }
-        self.history.routes.append(RoutesChanged(self.version, now(), services))
+        self._registration.publish_table(table)
 
     async def add_entry(self, failure_domain: str) -> EmulatedProcess:
         """Start an entry."""
@@ -217,29 +205,9 @@
         self.agents[name] = agent
         server.start()
         await agent.start()
-        self.list_server(server)
+        self._registration.register(server)
         return server
 
-    def list_server(self, server: EmulatedServer) -> None:
-        """Publish the current state of a backend server."""
-        plan = server.plan
-        state = BackendState.DRAINING if server.draining else BackendState.READY
-        self.catalog.publish_server(
-            BackendServer(
-                name=plan.name,
-                service=plan.service,
-                address=plan.address,
-                port=APP_PORT,
-                failure_domain=plan.failure_domain,
-                slots=plan.slots,
-                state=state,
-                warmup=0.0 if server.draining else COLD_SECONDS,
-                started_ms=int(server.started * 1000),
-            )
-        )
-        if not server.draining:
-            self.spawn(self._list_as_warm(server))
-
     async def drain_server(self, name: str, seconds: float) -> None:
         """Drain a backend server, then stop it and its agent.
 
@@ -249,9 +217,7 @@
         """
         server = self.servers[name]
         server.draining = True
-        self.list_server(server)
-        available = self.catalog.available
-        self.history.drained.append(Drained(name, now(), available))
+        self._registration.report_draining(server)
         await asyncio.sleep(seconds)
         await self.remove_server(name)
 
@@ -261,7 +227,7 @@
         if server is None:
             return
         server.stop()
-        self.catalog.remove_server(name)
+        self._registration.remove(name)
         self.spawn(self._stop_agent(self.agents.pop(name)))
 
     async def crash_server(self, name: str, returns_after: float | None) -> None:
@@ -279,7 +245,7 @@
         agent = self.agents.pop(name)
         if returns_after is None:
             await agent.kill()
-        self.spawn(self._remove_silent_server(name))
+        self.spawn(self._registration.remove_silent(name))
         if returns_after is not None:
             await asyncio.sleep(returns_after)
             await agent.kill()
@@ -311,6 +277,38 @@
         if not process.running:
             await process.start()
 
+    async def restore_catalog(self, age: float, away: float) -> None:
+        """Let the catalog leave for a while and come back from a copy.
+
+        Args:
+            age: Age of the copy in seconds at the time at which the catalog leaves.
+            away: Seconds for which it answers nobody, 0 to answer on in the next era.
+        """
+        time = now()
+        restored = CatalogRestored(time - age, time, time + away)
+        self.history.restores.append(restored)
+        if away:
+            self.catalog.leave()
+            await asyncio.sleep(away)
+        self.catalog.restore(age + away)
+        self._registration.write_again()
+
+    async def freeze(self, process: EmulatedProcess, seconds: float) -> None:
+        """Suspend a process, which then gets the answers of the catalog that it missed.
+
+        Args:
+            process: An entry.
+            seconds: Duration in seconds.
+        """
+        kernel = process.kernel
+        self.catalog.hold(process.instance)
+        self.network.disconnected.add(process.address)
+        await asyncio.sleep(seconds)
+        self.network.disconnected.discard(process.address)
+        if kernel is not None:
+            kernel.pauses += 1
+        self.catalog.release(process.instance)
+
     def in_use(self, address: str) -> bool:
         """Return whether a backend server runs at an address."""
         return any(s.plan.address == address for s in self.servers.values())
@@ -350,28 +348,15 @@
             service,
             self.network,
             self.catalog,
+            self.history,
             self.rng,
         )
 
-    async def _list_as_warm(self, server: EmulatedServer) -> None:
-        """Publish that a backend server is warm, once its cold phase has passed."""
-        await asyncio.sleep(COLD_SECONDS)
-        name = server.plan.name
-        listed = self.catalog.servers.get(name)
-        if listed is None or listed.state is BackendState.DRAINING:
-            return
-        fields = {f: getattr(listed, f) for f in listed.__struct_fields__}
-        self.catalog.publish_server(BackendServer(**(fields | {"warmup": 0.0})))
-
     async def _start_later(self, process: EmulatedProcess, seconds: float) -> None:
         await asyncio.sleep(seconds + START_SECONDS)
         if not process.running:
             await process.start()
 
-    async def _remove_silent_server(self, name: str) -> None:
-        await asyncio.sleep(MISSED_HEARTBEATS_LIMIT * HEARTBEAT_SECONDS)
-        self.catalog.remove_server(name)
-
     async def _stop_agent(self, agent: EmulatedProcess) -> None:
         await agent.terminate()
 
--- a/emulator/history.py
+++ b/emulator/history.py
@@ -6,6 +6,8 @@
 
 from msgspec import Struct, field
 
+from emulator.catalog_history import CatalogRestored, CatalogRun, ServerGone
+
 
 class Result(Enum):
     """How a request of a caller ended."""
@@ -158,13 +160,16 @@
     """Collects what callers and backend servers observe in a run."""
 
     __slots__ = (
+        "catalog_runs",
         "disturbances",
         "drained",
         "flows",
         "forged",
+        "gone",
         "openings",
         "outcomes",
         "resets",
+        "restores",
         "routes",
         "runs",
         "sent_via",
@@ -180,6 +185,9 @@
         self.drained: list[Drained] = []
         self.routes: list[RoutesChanged] = []
         self.forged: list[str] = []
+        self.gone: list[ServerGone] = []
+        self.restores: list[CatalogRestored] = []
+        self.catalog_runs: list[CatalogRun] = []
         # Time in seconds and address of the entry of each packet of a caller, by flow.
         self.sent_via: defaultdict[bytes, list[tuple[float, str]]] = defaultdict(list)
 
--- a/emulator/process.py
+++ b/emulator/process.py
@@ -6,6 +6,7 @@
 from typing import Any, TypeVar, cast
 
 from balsamspool.datagram.settings import DatagramAgentSettings, DatagramSettings
+from balsamspool.kernel.clock import now
 from balsamspool.kernel.counters import CounterSet
 from balsamspool.kernel.identity import Identity, Role
 from balsamspool.kernel.lifecycle import ProcessState, run_supervised
@@ -17,8 +18,10 @@
 from balsamspool.plugins.datagram_entry import DatagramEntryPlugin
 from emulator.backend_server import APP_PORT, OUTBOUND_PORT
 from emulator.caller import CALLER_PORT
+from emulator.catalog_history import CatalogRun
 from emulator.catalog_peers import CONTROL_PORT, EmulatedPeers
 from emulator.catalog_service import CatalogService, EmulatedSource
+from emulator.history import History
 from emulator.network import EmulatedSockets, Network
 from emulator.segment import SegmentCodec
 
@@ -111,6 +114,7 @@
         service: Service of its backend server, empty for an entry.
         network: The network.
         catalog: Service that publishes the catalog.
+        history: Records what an entry knows of the catalog.
         rng: Random number generator.
     """
 
@@ -123,6 +127,7 @@
         service: str,
         network: Network,
         catalog: CatalogService,
+        history: History,
         rng: random.Random,
     ) -> None:
         self.role = role
@@ -132,6 +137,8 @@
         self._service = service
         self._network = network
         self._catalog = catalog
+        self._history = history
+        self._catalog_run: CatalogRun | None = None
         self._rng = rng
         self.kernel: EmulatedKernel | None = None
 
@@ -151,12 +158,17 @@
     async def start(self) -> None:
         """Start the plug-ins."""
         kernel = self.kernel = self._new_kernel()
+        if self.role is Role.DATAGRAM_ENTRY:
+            self._record_catalog(kernel)
         for plugin in kernel.plugins:
             await plugin.start()
 
     async def kill(self) -> None:
         """Stop immediately, without draining."""
         kernel, self.kernel = self.kernel, None
+        if self._catalog_run is not None:
+            self._catalog_run.stopped = now()
+            self._catalog_run = None
         if kernel is not None:
             await kernel.stop()
 
@@ -170,6 +182,13 @@
         if self.kernel is kernel:
             await self.kill()
 
+    def _record_catalog(self, kernel: EmulatedKernel) -> None:
+        """Record each change of what this run of the process knows of the catalog."""
+        run = self._catalog_run = CatalogRun(self.instance, self.address, now())
+        self._history.catalog_runs.append(run)
+        view = kernel.plugin(CatalogPlugin).view
+        view.subscribe(lambda: run.record(view, now()))
+
     def _new_kernel(self) -> EmulatedKernel:
         settings = BaseProcessSettings(
             instance=self.instance,
--- a/emulator/troubles.py
+++ b/emulator/troubles.py
@@ -1,22 +1,29 @@
-"""Troubles of a run: faults and changes drawn from a seed and applied to a fleet."""
+"""Troubles of a run: faults and changes, drawn from a seed."""
 
-import asyncio
 import random
 from collections.abc import Callable
 
 from msgspec import Struct
 
-from balsamspool.kernel.clock import now
-from balsamspool.plugins.catalog.model import Target
-from emulator.backend_server import EmulatedServer, Grey, Healthy, Sluggish
-from emulator.catalog_service import Condition, Losing, Refusing, Serving, Silent, Slow
-from emulator.fleet import Fleet
-from emulator.network import Cut
-from emulator.process import EmulatedProcess
-from emulator.traffic import Traffic
-
-# A draining backend server keeps serving for this long after its report.
-DRAIN_SERVING_SECONDS = 3.5
+from emulator.backend_server import Grey, Sluggish
+from emulator.catalog_service import (
+    Condition,
+    CutWatches,
+    GoneWatches,
+    Losing,
+    Refusing,
+    Silent,
+    Slow,
+    WaitingWatches,
+)
+
+# Bounds of the age of a copy from which the catalog is restored, and of the time for
+# which it is away before.
+COPY_AGE_SECONDS = (0.5, 6.0)
+AWAY_SECONDS = (0.1, 3.0)
+# Longest pause between two restores that follow each other closely, and their share.
+SECOND_RESTORE_SECONDS = 4.0
+SECOND_RESTORE_SHARE = 0.3
 
 
 class Trouble(Struct, frozen=True, kw_only=True):
@@ -113,6 +120,22 @@
     """The service that publishes the catalog drops its history of changes."""
 
 
+class RestoreCatalog(Trouble, frozen=True):
+    """The service that publishes the catalog leaves and comes back from a copy.
+
+    What was written since is gone. Backend servers and the operator write it again.
+
+    Attributes:
+        age: Age of the copy in seconds at the time at which the service leaves.
+        away: Seconds for which the service answers nobody.
+        watches: What happens to waiting watches if the service is not away.
+    """
+
+    age: float
+    away: float
+    watches: WaitingWatches = CutWatches()
+
+
 class CutPath(Trouble, frozen=True):
     """Datagrams between an entry and a backend server are lost in one direction.
 
@@ -200,190 +223,29 @@
     return rng.choice(makers)()
 
 
-async def apply_troubles(
-    fleet: Fleet, traffic: Traffic, troubles: list[Trouble]
-) -> None:
-    """Apply each trouble at its time, while earlier troubles may still last."""
-    begin = now()
-    for trouble in troubles:
-        await asyncio.sleep(max(0.0, begin + trouble.at - now()))
-        fleet.spawn(_TroubleRunner(fleet, traffic).apply(trouble))
-
-
-class _TroubleRunner:
-    """Applies one trouble."""
-
-    def __init__(self, fleet: Fleet, traffic: Traffic) -> None:
-        self._fleet = fleet
-        self._traffic = traffic
-        self._rng = fleet.rng
-
-    async def apply(self, trouble: Trouble) -> None:
-        """Apply a trouble, and end it after its duration."""
-        fleet = self._fleet
-        match trouble:
-            case KillEntry():
-                await self._kill([self._rng.choice(fleet.entries)])
-            case KillAgent():
-                await self._kill([self._rng.choice(list(fleet.agents.values()))])
-            case KillAll():
-                await self._kill([*fleet.entries, *fleet.agents.values()])
-            case PowerOff(seconds=seconds):
-                await self._power_off(seconds)
-            case RollingRestart(gap=gap):
-                await self._restart_in_turn(gap)
-            case AddEntry():
-                await fleet.add_entry(self._rng.choice(fleet.plan.failure_domains))
-            case CrashServer(returns_after=seconds):
-                await self._crash(seconds)
-            case DrainServer():
-                await self._drain()
-            case ReplaceServer():
-                await self._replace()
-            case MisbehavingServer(condition=condition, seconds=seconds):
-                await self._misbehave(condition, seconds)
-            case CatalogTrouble(condition=condition, seconds=seconds, share=share):
-                await self._disturb_catalog(condition, seconds, share)
-            case ForgetHistory():
-                fleet.catalog.forget_history()
-            case CutPath(seconds=seconds, towards_server=towards_server):
-                await self._cut(seconds, towards_server)
-            case DisconnectServer(seconds=seconds):
-                await self._disconnect(seconds)
-            case ChangeRoutes():
-                self._change_routes()
-            case Burst(factor=factor, seconds=seconds):
-                self._traffic.rate_factor = factor
-                await asyncio.sleep(seconds)
-                self._traffic.rate_factor = 1.0
-
-    def _choose_server(self) -> EmulatedServer | None:
-        """Return a random usable server of a service with more than two usable servers.
-
-        Returns:
-            The backend server, None if no service has more than two usable servers.
-        """
-        fleet = self._fleet
-        usable = [s for s in fleet.servers.values() if not s.draining]
-        spare = [
-            s
-            for s in usable
-            if sum(o.plan.service == s.plan.service for o in usable) > 2
-        ]
-        return self._rng.choice(spare) if spare else None
-
-    async def _kill(self, processes: list[EmulatedProcess]) -> None:
-        machines = {process.address for process in processes}
-        self._fleet.history.record_disturbance(machines, 1.0, now(), "kill")
-        await asyncio.gather(*(self._fleet.restart(p) for p in processes))
-
-    async def _power_off(self, seconds: float) -> None:
-        fleet = self._fleet
-        machines = {p.address for p in (*fleet.entries, *fleet.agents.values())}
-        fleet.history.record_disturbance(machines, seconds, now(), "power")
-        await fleet.power_off(seconds)
-
-    async def _restart_in_turn(self, gap: float) -> None:
-        for entry in list(self._fleet.entries):
-            self._fleet.spawn(self._stop_and_start(entry))
-            await asyncio.sleep(gap)
-
-    async def _stop_and_start(self, entry: EmulatedProcess) -> None:
-        await entry.terminate()
-        await asyncio.sleep(0.5)
-        if not entry.running:
-            await entry.start()
-
-    async def _crash(self, seconds: float | None) -> None:
-        server = self._choose_server()
-        if server is not None:
-            machine = {server.plan.address}
-            self._fleet.history.record_disturbance(
-                machine, seconds or 4.0, now(), "crash"
-            )
-            await self._fleet.crash_server(server.plan.name, seconds)
-
-    async def _drain(self) -> None:
-        server = self._choose_server()
-        if server is not None:
-            await self._fleet.drain_server(server.plan.name, DRAIN_SERVING_SECONDS)
-
-    async def _replace(self) -> None:
-        server = self._choose_server()
-        if server is None:
-            return
-        await self._fleet.drain_server(server.plan.name, DRAIN_SERVING_SECONDS)
-        plan = server.plan
-        other = [s for s in self._fleet.plan.services if s.name != plan.service]
-        await asyncio.sleep(4.5)
-        if other and not self._fleet.in_use(plan.address):
-            await self._fleet.add_server(
-                other[0].name, plan.failure_domain, plan.slots, plan.speed, plan.address
-            )
-
-    async def _misbehave(self, condition: Grey | Sluggish, seconds: float) -> None:
-        server = self._choose_server()
-        if server is not None:
-            machine = {server.plan.address}
-            self._fleet.history.record_disturbance(
-                machine, seconds, now(), "misbehaviour"
-            )
-            server.condition = condition
-            await asyncio.sleep(seconds)
-            server.condition = Healthy()
-
-    async def _disturb_catalog(
-        self, condition: Condition, seconds: float, share: float
-    ) -> None:
-        catalog = self._fleet.catalog
-        self._fleet.history.record_disturbance(set(), seconds, now(), "catalog")
-        readers = [
-            e.instance for e in self._fleet.entries if self._rng.random() < share
-        ]
-        if share < 1.0:
-            catalog.conditions.update(dict.fromkeys(readers, condition))
-        else:
-            catalog.condition = condition
-        await asyncio.sleep(seconds)
-        for reader in readers:
-            catalog.conditions.pop(reader, None)
-        if share >= 1.0:
-            catalog.condition = Serving()
-
-    async def _cut(self, seconds: float, towards_server: bool) -> None:
-        server = self._choose_server()
-        if server is None:
-            return
-        entry = self._rng.choice(self._fleet.entries).address
-        server_address = server.plan.address
-        cut = (
-            Cut(entry, server_address) if towards_server else Cut(server_address, entry)
-        )
-        self._fleet.history.record_disturbance(
-            {entry, server_address}, seconds, now(), "cut"
+def draw_restores(
+    rng: random.Random, count: int, begin: float, end: float
+) -> list[Trouble]:
+    """Draw restores of the catalog at random.
+
+    Args:
+        rng: Random number generator.
+        count: Number of restores; some are followed closely by one more.
+        begin: Earliest time in seconds.
+        end: Latest time in seconds.
+    """
+    times = [rng.uniform(begin, end) for _ in range(count)]
+    times += [
+        time + rng.uniform(0, SECOND_RESTORE_SECONDS)
+        for time in times
+        if rng.random() < SECOND_RESTORE_SHARE
+    ]
+    return [
+        RestoreCatalog(
+            at=at,
+            age=rng.uniform(*COPY_AGE_SECONDS),
+            away=rng.choice([0.0, rng.uniform(*AWAY_SECONDS)]),
+            watches=rng.choice([CutWatches(), GoneWatches()]),
         )
-        self._fleet.network.cuts.add(cut)
-        await asyncio.sleep(seconds)
-        self._fleet.network.cuts.discard(cut)
-
-    async def _disconnect(self, seconds: float) -> None:
-        server = self._choose_server()
-        if server is None:
-            return
-        address = server.plan.address
-        self._fleet.history.record_disturbance({address}, seconds, now(), "dark")
-        self._fleet.network.disconnected.add(address)
-        await asyncio.sleep(seconds)
-        self._fleet.network.disconnected.discard(address)
-
-    def _change_routes(self) -> None:
-        fleet = self._fleet
-        names = list(fleet.routes)
-        name = self._rng.choice(names)
-        other = self._rng.choice(names)
-        weights = (self._rng.randint(1, 9), self._rng.randint(1, 9))
-        if fleet.routes[name] == (Target(name),) and other != name:
-            fleet.routes[name] = (Target(name, weights[0]), Target(other, weights[1]))
-        else:
-            fleet.routes[name] = (Target(name),)
-        fleet.publish_routes()
+        for at in times
+    ]
