Draw changes that a restore loses, and compare the lists of all entries

Each drawn restore now loses a route table and every second one a drain report, and another table follows within 1.5 s. A restore that begins while the service is away has no effect. A new check compares the listed servers of each entry with those of the service at the end of a run.

--- a/emulator/catalog_checks.py
+++ b/emulator/catalog_checks.py
@@ -1,8 +1,10 @@
 """Checks what processes knew of the catalog, above all after a restore of it."""
 
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
+from balsamspool.plugins.catalog.model import BackendServer
+from balsamspool.plugins.catalog.view import CatalogView
 from emulator.catalog_history import CatalogRun
 from emulator.history import Drained, History
 from emulator.violation import (
@@ -32,6 +34,24 @@
         yield from _offers_after_restores(history, run)
 
 
+def check_views(
+    servers: Mapping[str, BackendServer], views: Mapping[str, CatalogView], time: float
+) -> Iterator[Violation]:
+    """Yield the processes that list other backend servers than the catalog.
+
+    Args:
+        servers: Backend servers of the catalog by name.
+        views: View of each process that runs, by its instance.
+        time: Time in seconds, well after the last change.
+    """
+    expected = {(name, server.state) for name, server in servers.items()}
+    for instance, view in views.items():
+        found = {(server.name, server.state) for server in view.servers}
+        different = sorted({name for name, _ in found ^ expected})
+        if different:
+            yield Violation("listing", time, f"{instance} differs in {different}")
+
+
 def drain_reports(history: History) -> dict[str, Drained]:
     """Return the report by which each draining backend server must be known as such.
 
--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -8,6 +8,7 @@
 
 from balsamspool.kernel.clock import now
 from emulator.caller import FlowUse, RequestKind
+from emulator.catalog_checks import check_views
 from emulator.checks import check, check_answered_share
 from emulator.clock import PausedClockLoop
 from emulator.fleet import Fleet, FleetPlan, ServicePlan
@@ -189,10 +190,12 @@
     await traffic.stop(FINISH_SECONDS)
     counters = _counters(fleet)
     summary = _summary(fleet, kinds)
+    differing = list(check_views(fleet.catalog.servers, fleet.views(), now()))
     await fleet.stop()
     violations = check(fleet.history)
     if troubles:
         violations += check_answered_share(fleet.history, end - UNTROUBLED_SECONDS, end)
+    violations += differing
     return Trial(violations, summary, fleet.history, counters)
 
 
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -9,11 +9,13 @@
 
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.identity import Role
+from balsamspool.plugins.catalog import CatalogPlugin
 from balsamspool.plugins.catalog.model import (
     Route,
     RouteTable,
     Target,
 )
+from balsamspool.plugins.catalog.view import CatalogView
 from emulator.backend_server import EmulatedServer, ServerPlan
 from emulator.catalog_history import CatalogRestored
 from emulator.catalog_service import CatalogService
@@ -284,6 +286,8 @@
             age: Age of the copy in seconds at the time at which the catalog leaves.
             away: Seconds for which it answers nobody, 0 to answer on in the next era.
         """
+        if self.catalog.away:
+            return
         time = now()
         restored = CatalogRestored(time - age, time, time + away)
         self.history.restores.append(restored)
@@ -309,6 +313,14 @@
             kernel.pauses += 1
         self.catalog.release(process.instance)
 
+    def views(self) -> dict[str, CatalogView]:
+        """Return the catalog as each running entry knows it, by its instance."""
+        return {
+            entry.instance: entry.kernel.plugin(CatalogPlugin).view
+            for entry in self.entries
+            if entry.kernel is not None
+        }
+
     def in_use(self, address: str) -> bool:
         """Return whether a backend server runs at an address."""
         return any(s.plan.address == address for s in self.servers.values())
--- a/emulator/troubles.py
+++ b/emulator/troubles.py
@@ -24,6 +24,10 @@
 # Longest pause between two restores that follow each other closely, and their share.
 SECOND_RESTORE_SECONDS = 4.0
 SECOND_RESTORE_SHARE = 0.3
+# Longest time after a restore until the next table, and share of the restores that lose
+# a drain report.
+NEXT_CHANGE_SECONDS = 1.5
+DRAIN_SHARE = 0.5
 
 
 class Trouble(Struct, frozen=True, kw_only=True):
@@ -123,7 +127,8 @@
 class RestoreCatalog(Trouble, frozen=True):
     """The service that publishes the catalog leaves and comes back from a copy.
 
-    What was written since is gone. Backend servers and the operator write it again.
+    What was written since is gone. Backend servers and the operator write it again. One
+    that begins while the service is away has no effect.
 
     Attributes:
         age: Age of the copy in seconds at the time at which the service leaves.
@@ -226,26 +231,41 @@
 def draw_restores(
     rng: random.Random, count: int, begin: float, end: float
 ) -> list[Trouble]:
-    """Draw restores of the catalog at random.
+    """Draw restores of the catalog at random, with changes in the lost seconds.
 
     Args:
         rng: Random number generator.
         count: Number of restores; some are followed closely by one more.
-        begin: Earliest time in seconds.
+        begin: Earliest time of a restore in seconds.
         end: Latest time in seconds.
     """
-    times = [rng.uniform(begin, end) for _ in range(count)]
-    times += [
-        time + rng.uniform(0, SECOND_RESTORE_SECONDS)
-        for time in times
-        if rng.random() < SECOND_RESTORE_SHARE
-    ]
-    return [
-        RestoreCatalog(
-            at=at,
-            age=rng.uniform(*COPY_AGE_SECONDS),
-            away=rng.choice([0.0, rng.uniform(*AWAY_SECONDS)]),
-            watches=rng.choice([CutWatches(), GoneWatches()]),
-        )
-        for at in times
+    drawn: list[Trouble] = []
+    for _ in range(count):
+        first = _draw_restore(rng, rng.uniform(begin, end))
+        drawn += [first, *_draw_changes(rng, first)]
+        if rng.random() < SECOND_RESTORE_SHARE:
+            pause = rng.uniform(0, SECOND_RESTORE_SECONDS)
+            drawn.append(_draw_restore(rng, first.at + first.away + pause))
+    return drawn
+
+
+def _draw_restore(rng: random.Random, at: float) -> RestoreCatalog:
+    return RestoreCatalog(
+        at=at,
+        age=rng.uniform(*COPY_AGE_SECONDS),
+        away=rng.choice([0.0, rng.uniform(*AWAY_SECONDS)]),
+        watches=rng.choice([CutWatches(), GoneWatches()]),
+    )
+
+
+def _draw_changes(rng: random.Random, restore: RestoreCatalog) -> list[Trouble]:
+    """Draw changes that a restore loses, and changes that use their revisions again."""
+    returned = restore.at + restore.away
+    lost = [max(0.0, restore.at - rng.uniform(0.0, restore.age)) for _ in range(2)]
+    drawn: list[Trouble] = [
+        ChangeRoutes(at=lost[0]),
+        ChangeRoutes(at=returned + rng.uniform(0.0, NEXT_CHANGE_SECONDS)),
     ]
+    if rng.random() < DRAIN_SHARE:
+        drawn.append(DrainServer(at=lost[1]))
+    return drawn
