Ignore an odd entry and keep the others of its batch

Seen: an entry with a deeply nested field raised RecursionError out of the decoder, which the follower does not expect, so that its task ended and started again with each read of the list. An entry with a concurrency or start beyond 64 bits was used and then made every message to a peer fail with OverflowError, which peers see as status 500. Ports out of range, 0, in another script, with blanks or underscores were taken, as were 0.0.0.0 (packets to it go to the sender's own machine), multicast and broadcast addresses, empty services and zones, and a start in the year 2286, which would replace any other host at its address.

Cause: each decoder caught the errors that its author thought of, and numbers and endpoints had no bounds.

Change: balsamspool/kernel/decoding.py turns every failure of a decoder into ValueError and finds deep nesting by a scan, so that the result does not depend on the stack of the caller and all machines agree. The types of the catalog state their bounds (Port, Slots, Label, Weight, Milliseconds, UnixMilliseconds). Endpoints are read in one place: split_endpoint, and split_host_endpoint for addresses that receive packets. The detail in the log has at most 200 characters; it repeated whole values.

An entry that was listed and is odd now still counts as not listed: it names no host, so it gets no new flows. Its open flows stay, because a removed host is remembered, and a host that is alive writes its entry again with its next heartbeat. If many entries turn odd at once, the rule for mass removals delays their removal.

--- /dev/null
+++ b/balsamspool/kernel/decoding.py
@@ -0,0 +1,100 @@
+"""Decoding of what other writers sent, whatever it holds.
+
+A decoder of msgspec calls itself for each level of nesting, also in fields that it
+skips, so that it raises `RecursionError` at a depth that depends on its caller. The
+functions of this module find the depth by a scan, so that all processes agree on what
+is too deep, and raise nothing but `ValueError`.
+"""
+
+import re
+from typing import Protocol, TypeVar
+
+# Deepest nesting that is read. Messages and entries have fewer than 10 levels.
+MAX_NESTING = 64
+# Longest description of a failure. The messages of a decoder repeat values in full.
+MAX_DETAIL_CHARACTERS = 200
+
+_STRING_OR_BRACKET = re.compile(rb'"(?:[^"\\]+|\\.)*+"|[\[\]{}]', re.DOTALL)
+# A pair of surrogates, half of a pair, or another escape.
+_ESCAPE = re.compile(
+    rb"\\u[dD][89abAB]\w\w\\u[dD][c-fC-F]\w\w|(\\u[dD][89a-fA-F]\w\w)|\\.", re.DOTALL
+)
+_REPLACEMENT = rb"\ufffd"
+
+T_co = TypeVar("T_co", covariant=True)
+T = TypeVar("T")
+
+
+class Decoder(Protocol[T_co]):
+    """Decoder of a format into a type."""
+
+    def decode(self, data: bytes, /) -> T_co:
+        """Decode a message."""
+
+
+def decode_json(decoder: Decoder[T], data: bytes) -> T:
+    """Decode a JSON text.
+
+    Raises:
+        ValueError: If the text cannot be decoded, for any reason.
+    """
+    # The number of opening brackets is an upper bound of the depth.
+    if data.count(b"[") + data.count(b"{") > MAX_NESTING and _is_deep(data):
+        raise ValueError(f"the text is nested deeper than {MAX_NESTING} levels")
+    return decode(decoder, data)
+
+
+def decode(decoder: Decoder[T], data: bytes) -> T:
+    """Decode a message of any format.
+
+    Raises:
+        ValueError: If the message cannot be decoded, for any reason.
+    """
+    try:
+        return decoder.decode(data)
+    except (ValueError, RecursionError, OverflowError) as error:
+        raise ValueError(str(error)[:MAX_DETAIL_CHARACTERS]) from error
+
+
+def readable_json(data: bytes, level: int) -> bytes:
+    """Replace the parts of a JSON text that keep the others from being decoded.
+
+    Half of a surrogate pair becomes the replacement character, and a value that is
+    nested too deeply becomes null.
+
+    Args:
+        data: JSON text.
+        level: Nesting of the values that are replaced; 1 for the elements of an array.
+
+    Returns:
+        The text with these replacements.
+    """
+    text = _ESCAPE.sub(lambda m: _REPLACEMENT if m.group(1) else m.group(), data)
+    parts: list[bytes] = []
+    depth = deepest = start = end = 0
+    for match in _STRING_OR_BRACKET.finditer(text):
+        match match.group():
+            case b"[" | b"{":
+                if depth == level:
+                    deepest, start = depth, match.start()
+                depth += 1
+                deepest = max(deepest, depth)
+            case b"]" | b"}":
+                depth -= 1
+                if depth == level and deepest > MAX_NESTING:
+                    parts += (text[end:start], b"null")
+                    end = match.end()
+    return b"".join((*parts, text[end:]))
+
+
+def _is_deep(data: bytes) -> bool:
+    depth = 0
+    for match in _STRING_OR_BRACKET.finditer(data):
+        match match.group():
+            case b"[" | b"{":
+                depth += 1
+                if depth > MAX_NESTING:
+                    return True
+            case b"]" | b"}":
+                depth -= 1
+    return False
--- a/balsamspool/kernel/settings.py
+++ b/balsamspool/kernel/settings.py
@@ -1,5 +1,6 @@
 """Settings of a process: one JSON object with a section for each plug-in."""
 
+import re
 import socket
 from collections.abc import Mapping
 from typing import Annotated, Any
@@ -17,6 +18,13 @@
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
+_PORT = re.compile("[1-9][0-9]{0,4}")
+_MAX_PORT = 65_535
+# First octet of the multicast addresses; the addresses above them are reserved.
+_FIRST_MULTICAST = 224
+# Characters of a wrong value that an error shows.
+_SHOWN_CHARACTERS = 60
+
 
 def is_ipv4(address: str) -> bool:
     """Return whether a string is an IPv4 address in dotted form."""
@@ -38,11 +46,36 @@
     """
     address, _, port = endpoint.rpartition(":")
     if not is_ipv4(address):
-        raise ValueError(f"{address!r} is not an IPv4 address")
-    number = int(port)
-    if not 0 < number < 1 << 16:
-        raise ValueError(f"port {number} is not between 1 and 65535")
-    return address, number
+        raise ValueError(f"{address[:_SHOWN_CHARACTERS]!r} is not an IPv4 address")
+    return address, read_port(port)
+
+
+def split_host_endpoint(endpoint: str) -> tuple[str, int]:
+    """Return address and port of an endpoint to which packets can be sent.
+
+    Raises:
+        ValueError: If the endpoint is not valid, or its address is not that of one
+            host: unspecified, multicast, reserved or broadcast.
+    """
+    address, port = split_endpoint(endpoint)
+    # The system delivers packets to 0.0.0.0 to the sender's own machine.
+    if not 0 < int(address.partition(".")[0]) < _FIRST_MULTICAST:
+        raise ValueError(f"{address!r} is not the address of a host")
+    return address, port
+
+
+def read_port(text: str) -> int:
+    """Return the port that a text names in decimal digits.
+
+    Raises:
+        ValueError: If the text has another form or the port is not valid.
+    """
+    # int() also accepts blanks, signs, underscores and digits of other scripts.
+    if not _PORT.fullmatch(text) or int(text) > _MAX_PORT:
+        raise ValueError(
+            f"port {text[:_SHOWN_CHARACTERS]!r} is not between 1 and {_MAX_PORT}"
+        )
+    return int(text)
 
 
 class Section(Struct, frozen=True, forbid_unknown_fields=True):
--- a/balsamspool/plugins/catalog/model.py
+++ b/balsamspool/plugins/catalog/model.py
@@ -1,11 +1,25 @@
 """Published routes and backend servers, independent of how they are published."""
 
 from enum import Enum
+from typing import Annotated
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 
+from balsamspool.kernel.settings import Port
 from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
 
+# The bounds are far above what occurs. They keep one odd value from making a message
+# to peers impossible to encode, from overflowing a calculation, or from filling the log
+# and the memory of each process.
+Label = Annotated[str, Meta(min_length=1, max_length=255)]
+Slots = Annotated[int, Meta(ge=1, le=65_535)]
+Weight = Annotated[int, Meta(ge=0, le=1_000_000)]
+Milliseconds = Annotated[float, Meta(ge=0, le=86_400_000)]
+# Up to the year 2100: a backend server that claims a later start would replace any
+# other one at its address.
+UnixMilliseconds = Annotated[int, Meta(ge=0, le=4_102_444_800_000)]
+Sequence = Annotated[int, Meta(ge=0, le=(1 << 53) - 1)]
+
 
 class RouteKind(Enum):
     """Kind of the requests that a route carries."""
@@ -30,8 +44,8 @@
         weight: Share relative to the other targets, above 0.
     """
 
-    service: str
-    weight: int = 1
+    service: Label
+    weight: Weight = 1
 
 
 class Route(Struct, frozen=True):
@@ -49,7 +63,7 @@
 
     name: str
     address: str
-    port: int
+    port: Port
     targets: tuple[Target, ...]
     kind: RouteKind = RouteKind.SAFE
     goal: float = 1.0
@@ -88,15 +102,15 @@
     """
 
     name: str
-    service: str
+    service: Label
     address: str
-    port: int
-    failure_domain: str
-    slots: int
+    port: Port
+    failure_domain: Label
+    slots: Slots
     state: BackendState
     warmup: float = 0.0
-    started_ms: int | None = None
-    sequence: int = 0
+    started_ms: UnixMilliseconds | None = None
+    sequence: Sequence = 0
 
 
 class RoutesPublished(Struct, frozen=True, tag=True):
--- a/tests/test_datagram_fuzz.py
+++ b/tests/test_datagram_fuzz.py
@@ -1,6 +1,7 @@
 """Malformed datagrams and records at every socket of the small processes."""
 
 import random
+from base64 import b64encode
 from unittest import TestCase
 
 from balsamspool.datagram._codec import (
@@ -21,6 +22,14 @@
 from balsamspool.datagram.settings import DatagramAgentSettings
 from balsamspool.datagram.sockets import BatchSocket
 from balsamspool.kernel.identity import Role
+from balsamspool.kernel.settings import split_host_endpoint
+from balsamspool.plugins.catalog.delta import (
+    CatalogDelta,
+    decode_delta,
+    encode_delta,
+)
+from balsamspool.plugins.catalog.model import Snapshot
+from balsamspool.plugins.catalog.view import CatalogView
 from balsamspool.plugins.datagram_agent import DatagramAgentPlugin
 from tests._clock import PausedClockTestCase
 from tests.datagram_entry_case import DATA, IDLE, KEY, EntryCase
@@ -35,6 +44,7 @@
     answer,
     packet,
 )
+from tests.odd_entries import entry, random_entry
 
 from fleet_adapter.records import Item, record_of  # isort: skip
 
@@ -128,6 +138,27 @@
             )
             record_of(Item(key, rng.randrange(100), value, rng.random() < 0.2))
 
+    def test_the_other_entries_hold_and_reach_the_peers(self):
+        """Guards against an odd entry that takes others of its batch with it."""
+        rng = random.Random(10)
+        good = record_of(Item("servers/good", 1, b64encode(entry()).decode()))
+        for _ in range(ROUNDS // 8):
+            keys = rng.sample(("servers/a", "servers/b", "servers/", "op/config"), 3)
+            odd = [
+                record_of(Item(key, 2, b64encode(random_entry(rng)).decode()))
+                for key in keys
+            ]
+            view = CatalogView()
+            records = (*odd[:2], good, *odd[2:])
+            delta = decode_delta(encode_delta(CatalogDelta(2, True, records, None)))
+            self.assertEqual(delta.records, records)
+            view.replace(Snapshot(2, delta.records), 0.0)
+            self.assertIn("good", [server.name for server in view.servers])
+            for server in view.servers:
+                split_host_endpoint(f"{server.address}:{server.port}")
+                self.assertIsInstance(server.slots, int)
+                self.assertTrue(server.service and server.failure_domain)
+
 
 class SocketTest(PausedClockTestCase):
     async def test_a_failure_of_the_handler_is_logged_and_counted(self):
