Keep an entry without a name from replacing the routes for peers

Seen: an entry under the key "servers/" took the place of the route table in the records that a reader passes on, so that a peer that read all of them got no routes.

Cause: RecordLog kept the route table under the empty name, which such an entry has too.

Evidence: test_a_key_without_a_name_does_not_replace_the_routes failed on (the entry was published with the name "").

--- a/balsamspool/plugins/catalog/record_log.py
+++ b/balsamspool/plugins/catalog/record_log.py
@@ -14,7 +14,8 @@
 # oldest of them gets the whole catalog.
 MAX_REMOVALS = 1_024
 
-_ROUTES_NAME = ""
+# Key of the route table, which is no name, so that no backend server can replace it.
+_ROUTES_KEY = None
 
 
 class RecordLog:
@@ -27,15 +28,15 @@
     __slots__ = ("_complete_since", "_records", "_removals")
 
     def __init__(self) -> None:
-        self._records: dict[str, Record] = {}
+        self._records: dict[str | None, Record] = {}
         # Names of the removed records, the oldest removal first.
-        self._removals: dict[str, None] = {}
+        self._removals: dict[str | None, None] = {}
         # Revision after which no change is missing, None before the first snapshot.
         self._complete_since: Revision | None = None
 
     def apply(self, record: Record) -> None:
         """Keep a record unless a newer one of the same name is known."""
-        name = _name_of(record)
+        name = _key_of(record)
         known = self._records.get(name)
         if known is not None and known.revision >= record.revision:
             return
@@ -48,11 +49,11 @@
 
     def replace(self, snapshot: Snapshot) -> None:
         """Apply a snapshot, and record what it no longer lists as removed."""
-        listed = {_name_of(record) for record in snapshot.records}
+        listed = {_key_of(record) for record in snapshot.records}
         for record in snapshot.records:
             self.apply(record)
         for name, known in list(self._records.items()):
-            if name in listed or name in self._removals or name == _ROUTES_NAME:
+            if name in listed or name in self._removals or name == _ROUTES_KEY:
                 continue
             if known.revision <= snapshot.revision:
                 # The time of the removal is not known. A peer must not miss it, so the
@@ -99,10 +100,10 @@
     return record
 
 
-def _name_of(record: Record) -> str:
+def _key_of(record: Record) -> str | None:
     match record:
         case RoutesPublished():
-            return _ROUTES_NAME
+            return _ROUTES_KEY
         case ServerPublished(_, server):
             return server.name
         case ServerRemoved(_, name) | RecordIgnored(_, name):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -9,8 +9,13 @@
     decode_delta,
     encode_delta,
 )
-from balsamspool.plugins.catalog.model import RecordIgnored, ServerPublished
-from tests.datagram_fakes import ADAPTER  # noqa: F401  sets the import path
+from balsamspool.plugins.catalog.model import (
+    RecordIgnored,
+    ServerPublished,
+    ServerRemoved,
+)
+from balsamspool.plugins.catalog.record_log import RecordLog
+from tests.datagram_fakes import ADAPTER, routes  # noqa: F401  sets the import path
 from tests.odd_entries import WRONG_ADDRESSES, entry, odd_entries
 
 from fleet_adapter.records import Item, record_of  # isort: skip
@@ -64,6 +69,18 @@
                 record_of(item(entry("other", text))), ServerPublished
             )
 
+    def test_a_key_without_a_name_does_not_replace_the_routes(self):
+        """Guards against an entry that takes the route table from the peers."""
+        log = RecordLog()
+        log.apply(routes(1))
+        found = record_of(item(entry(), "servers/"))
+        self.assertIsInstance(found, RecordIgnored)
+        log.apply(found)
+        self.assertIsNone(record_of(Item("servers/", 8, deleted=True)))
+        log.apply(RecordIgnored(9, "", "of an older version"))
+        log.apply(ServerRemoved(10, ""))
+        self.assertIn(routes(1), log.listed())
+
 
 class EndpointTest(TestCase):
     def test_other_forms_of_an_endpoint_are_refused(self):
