Leave out an odd route and use the others of its table

Seen: one route with a port as a number, an unreadable field, a huge priority or a deeply nested field made the whole table unusable or raised RecursionError in the follower; a route with port 0, 65536 or an address that is none was put in force; a weight of 30 digits made every message to a peer fail, and one of 400 digits also every choice of a service for a new flow. A version of 30 digits was put in force, and no later table would have replaced it.

Cause: routes were decoded together, and their numbers had no bounds.

--- a/balsamspool/kernel/decoding.py
+++ b/balsamspool/kernel/decoding.py
@@ -14,6 +14,8 @@
 # Longest description of a failure. The messages of a decoder repeat values in full.
 MAX_DETAIL_CHARACTERS = 200
 
+_STRING = re.compile(rb'"(?:[^"\\]+|\\.)*+"', re.DOTALL)
+_NO_BRACKETS = bytes(set(range(256)) - set(b"[]{}"))
 _STRING_OR_BRACKET = re.compile(rb'"(?:[^"\\]+|\\.)*+"|[\[\]{}]', re.DOTALL)
 # A pair of surrogates, half of a pair, or another escape.
 _ESCAPE = re.compile(
@@ -38,8 +40,7 @@
     Raises:
         ValueError: If the text cannot be decoded, for any reason.
     """
-    # The number of opening brackets is an upper bound of the depth.
-    if data.count(b"[") + data.count(b"{") > MAX_NESTING and _is_deep(data):
+    if _is_deep(data):
         raise ValueError(f"the text is nested deeper than {MAX_NESTING} levels")
     return decode(decoder, data)
 
@@ -69,7 +70,11 @@
     Returns:
         The text with these replacements.
     """
-    text = _ESCAPE.sub(lambda m: _REPLACEMENT if m.group(1) else m.group(), data)
+    text = data
+    if b"\\u" in data:
+        text = _ESCAPE.sub(lambda m: _REPLACEMENT if m.group(1) else m.group(), data)
+    if not _is_deep(text):
+        return text
     parts: list[bytes] = []
     depth = deepest = start = end = 0
     for match in _STRING_OR_BRACKET.finditer(text):
@@ -88,13 +93,13 @@
 
 
 def _is_deep(data: bytes) -> bool:
-    depth = 0
-    for match in _STRING_OR_BRACKET.finditer(data):
-        match match.group():
-            case b"[" | b"{":
-                depth += 1
-                if depth > MAX_NESTING:
-                    return True
-            case b"]" | b"}":
-                depth -= 1
-    return False
+    """Return whether a text is nested too deeply, or its brackets do not match."""
+    # The number of opening brackets is an upper bound of the depth.
+    if data.count(b"[") + data.count(b"{") <= MAX_NESTING:
+        return False
+    brackets = _STRING.sub(b"", data).translate(None, _NO_BRACKETS)
+    for _ in range(MAX_NESTING):
+        # Each pass removes the innermost level. A match for each bracket would take
+        # ten times as long.
+        brackets = brackets.replace(b"[]", b"").replace(b"{}", b"")
+    return bool(brackets)
--- a/balsamspool/plugins/catalog/events.py
+++ b/balsamspool/plugins/catalog/events.py
@@ -105,3 +105,9 @@
     "A record of the restored catalog was ignored because a later report of the same "
     "backend server is known.",
 )
+ROUTES_LEFT_OUT = log_event(
+    2320,
+    "routes-left-out",
+    logging.WARNING,
+    "Routes that cannot be used were left out of their table; the others are used.",
+)
--- a/balsamspool/plugins/catalog/model.py
+++ b/balsamspool/plugins/catalog/model.py
@@ -14,6 +14,8 @@
 Label = Annotated[str, Meta(min_length=1, max_length=255)]
 Slots = Annotated[int, Meta(ge=1, le=65_535)]
 Weight = Annotated[int, Meta(ge=0, le=1_000_000)]
+Priority = Annotated[int, Meta(ge=0, le=1_000_000)]
+Version = Annotated[int, Meta(ge=0, le=(1 << 63) - 1)]
 Milliseconds = Annotated[float, Meta(ge=0, le=86_400_000)]
 # Up to the year 2100: a backend server that claims a later start would replace any
 # other one at its address.
@@ -67,7 +69,7 @@
     targets: tuple[Target, ...]
     kind: RouteKind = RouteKind.SAFE
     goal: float = 1.0
-    priority: int = 0
+    priority: Priority = 0
 
 
 class RouteTable(Struct, frozen=True):
@@ -79,7 +81,7 @@
         idle_seconds: Idle time after which the state of a flow may be deleted.
     """
 
-    version: int
+    version: Version
     routes: tuple[Route, ...]
     idle_seconds: float
 
