Use the other items of an answer of the store beside an odd one

Seen: one item without a revision, with a revision of another type, below 0 or of 30 digits, or without a usable key made the whole page or all changes unusable (code 2303), each time they were read; the process kept its old catalog, and a new one never got any. A deeply nested field raised RecursionError, which ended the follower's task.

Change: items are decoded one by one. What keeps the parts from being told apart (nesting, half a surrogate pair) is replaced by a scan that does not depend on the stack.

--- a/balsamspool/kernel/decoding.py
+++ b/balsamspool/kernel/decoding.py
@@ -45,6 +45,24 @@
     return decode(decoder, data)
 
 
+def decode_json_parts(decoder: Decoder[T], data: bytes, level: int) -> T:
+    """Decode a JSON text whose parts are kept as `msgspec.Raw` and decoded later.
+
+    Args:
+        decoder: Decoder of the text.
+        data: JSON text.
+        level: Nesting of the parts; 1 for the elements of an array. A part that would
+            keep the others from being decoded becomes null.
+
+    Raises:
+        ValueError: If the text cannot be decoded, for any reason.
+    """
+    try:
+        return decode(decoder, data)
+    except ValueError:
+        return decode(decoder, _readable_json(data, level))
+
+
 def decode(decoder: Decoder[T], data: bytes) -> T:
     """Decode a message of any format.
 
@@ -57,18 +75,11 @@
         raise ValueError(str(error)[:MAX_DETAIL_CHARACTERS]) from error
 
 
-def readable_json(data: bytes, level: int) -> bytes:
+def _readable_json(data: bytes, level: int) -> bytes:
     """Replace the parts of a JSON text that keep the others from being decoded.
 
-    Half of a surrogate pair becomes the replacement character, and a value that is
-    nested too deeply becomes null.
-
-    Args:
-        data: JSON text.
-        level: Nesting of the values that are replaced; 1 for the elements of an array.
-
-    Returns:
-        The text with these replacements.
+    Half of a surrogate pair becomes the replacement character, and a value at a level
+    that is nested too deeply becomes null.
     """
     text = data
     if b"\\u" in data:
