Refuse odd numbers of a peer, and keep its other records

Seen: a request for changes with a wait of 400 digits failed with OverflowError and status 500; one with a revision of 30 or 4,000 digits, or in digits of another script, was answered. A peer's age that is NaN, infinite or negative became the time of the last answer: NaN compares as neither older nor newer, so the age was never noticed as old. One record that this version does not accept (a peer of another version may pass it on) lost all records of the message; a nested field raised RecursionError.

Change: request numbers have a form and a length, ages have bounds, and if the records cannot be decoded together, those that can be are used and the others are logged (event 2310).

--- a/balsamspool/plugins/catalog/delta.py
+++ b/balsamspool/plugins/catalog/delta.py
@@ -1,10 +1,14 @@
 """Records that one process passes on to another."""
 
+import logging
 import zlib
+from typing import Annotated
 
 import msgspec
-from msgspec import Struct
+from msgspec import Meta, Struct
 
+from balsamspool.kernel.decoding import decode
+from balsamspool.plugins.catalog.events import RECORD_IGNORED
 from balsamspool.plugins.catalog.model import Record
 from balsamspool.plugins.catalog.revision import (
     Revision,
@@ -40,17 +44,26 @@
     outage_age: float | None = None
 
 
+_logger = logging.getLogger(__name__)
+
+# An age that is not a number, negative or infinite would become the time of the last
+# answer, with which no other time can be compared.
+_Age = Annotated[float, Meta(ge=0, le=1e9)]
+
+
 class _Message(Struct, array_like=True):
     revision: Revision
     complete: bool
     records: bytes  # compressed
-    age: float | None
-    outage_age: float | None
+    age: _Age | None
+    outage_age: _Age | None
 
 
 _encoder = msgspec.msgpack.Encoder(enc_hook=encode_revision)
 _decoder = msgspec.msgpack.Decoder(_Message, dec_hook=decode_revision)
 _records_decoder = msgspec.msgpack.Decoder(tuple[Record, ...], dec_hook=decode_revision)
+_parts_decoder = msgspec.msgpack.Decoder(tuple[msgspec.Raw, ...])
+_record_decoder = msgspec.msgpack.Decoder(Record, dec_hook=decode_revision)
 
 
 def encode_records(records: tuple[Record, ...]) -> bytes:
@@ -78,7 +91,7 @@
     Raises:
         ValueError: If the data is not a delta, or is too large.
     """
-    message = _decoder.decode(data)
+    message = decode(_decoder, data)
     decompressor = zlib.decompressobj()
     try:
         records = decompressor.decompress(message.records, MAX_BYTES)
@@ -89,7 +102,26 @@
     return CatalogDelta(
         message.revision,
         message.complete,
-        _records_decoder.decode(records),
+        _decode_records(records),
         message.age,
         message.outage_age,
     )
+
+
+def _decode_records(data: bytes) -> tuple[Record, ...]:
+    """Decode records, without those that a peer of another version wrongly passes on.
+
+    Raises:
+        ValueError: If the records cannot be told apart.
+    """
+    try:
+        return decode(_records_decoder, data)
+    except ValueError:
+        parts = decode(_parts_decoder, data)
+    records: list[Record] = []
+    for part in parts:
+        try:
+            records.append(decode(_record_decoder, bytes(part)))
+        except ValueError as error:
+            RECORD_IGNORED.log(_logger, detail=str(error))
+    return tuple(records)
--- a/balsamspool/plugins/catalog/peers.py
+++ b/balsamspool/plugins/catalog/peers.py
@@ -32,6 +32,8 @@
 MAX_WAIT_SECONDS = 5.0
 # Maximum number of connections that are kept open to peers.
 MAX_CONNECTIONS = 8
+# Enough for any revision.
+MAX_DIGITS = 20
 
 # Returns what changed after a revision, or None if nothing did within a time in
 # seconds.
@@ -131,8 +133,8 @@
             return Page(404, b"")
         fields = parse_qs(query)
         try:
-            after = decode_revision(Revision, int(fields["after"][0]))
-            wait = int(fields.get("wait-ms", ["0"])[0]) / 1000
+            after = decode_revision(Revision, max(0, _whole_number(fields["after"][0])))
+            wait = _whole_number(fields.get("wait-ms", ["0"])[0]) / 1000
         except (KeyError, ValueError):
             return Page(400, b"after and wait-ms are whole numbers\n")
         delta = await self._answer(after, min(max(0.0, wait), MAX_WAIT_SECONDS))
@@ -147,3 +149,15 @@
         if self._encoded is None or self._encoded[0] != key:
             self._encoded = (key, encode_records(delta.records))
         return self._encoded[1]
+
+
+def _whole_number(text: str) -> int:
+    """Return the whole number that a text holds in decimal digits.
+
+    Raises:
+        ValueError: If the text has another form or is too long.
+    """
+    digits = text.removeprefix("-")
+    if not digits.isascii() or not digits.isdigit() or len(digits) > MAX_DIGITS:
+        raise ValueError("not a whole number")
+    return int(text)
