Bound the body of an answer in the small client

Seen: an answer without an end filled the memory of the process until the time limit of the call; each of the processes that read the store would be hit at the same time.

Change: a body of more than 16 MB fails the call and closes the connection.

Evidence: OddAnswerTest failed on: 17 MB were read until the time limit of 4 s. It passes now.

--- a/balsamspool/minihttp/client.py
+++ b/balsamspool/minihttp/client.py
@@ -15,6 +15,8 @@
 # a connection after 3 s without replies, because processes are expected to receive
 # changes again 4 s after their connections have stopped responding.
 LOST_PROBES = 2
+# Largest accepted body, well above a page of the store and a catalog for a peer.
+MAX_BODY_BYTES = 16 << 20
 
 
 class Response(Struct):
@@ -102,6 +104,10 @@
         except HttpParserError as error:
             arrived.set_exception(OSError(f"response is not HTTP: {error}"))
             return
+        if len(reader.response.body) > MAX_BODY_BYTES:
+            arrived.set_exception(OSError("the response is too large"))
+            self.abort()
+            return
         if reader.complete:
             arrived.set_result(None)
             if reader.surplus or not reader.keep_alive:
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -3,10 +3,11 @@
 import math
 import zlib
 from contextlib import suppress
-from unittest import TestCase
+from unittest import IsolatedAsyncioTestCase, TestCase
 
 import msgspec
 
+from balsamspool.minihttp.client import MAX_BODY_BYTES, HttpConnection
 from balsamspool.plugins.catalog.delta import (
     MAX_BYTES,
     CatalogDelta,
@@ -18,6 +19,7 @@
 from balsamspool.plugins.catalog.peers import CHANGES_PATH, CatalogPeers
 from tests._clock import PausedClockTestCase
 from tests.datagram_fakes import FakeKernel, Role, published, routes, server
+from tests.raw_server import answer, run_raw_server
 
 RECORDS = (routes(1), *published(2, server(1)))
 NESTED = b"\x91" * 5_000 + b"\x01"
@@ -102,6 +104,22 @@
         self.assertEqual(decode_delta(page.body).records, RECORDS)
 
 
+class OddAnswerTest(IsolatedAsyncioTestCase):
+    async def test_a_body_without_bound_is_refused(self):
+        """Guards against an answer that fills the memory of each process."""
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunk = b"%x\r\n%b\r\n" % (1 << 20, bytes(1 << 20))
+        async with run_raw_server() as found:
+            chunks = [chunk] * ((MAX_BODY_BYTES >> 20) + 1)
+            found.scripts = [[head, *chunks, 5.0], [answer(b"next")]]
+            connection = HttpConnection("127.0.0.1", found.port)
+            with self.assertRaisesRegex(OSError, "too large"):
+                await connection.get("/x", 4.0)
+            response = await connection.get("/x", 4.0)
+            self.assertEqual(bytes(response.body), b"next")
+            connection.close()
+
+
 class EncodingTest(TestCase):
     def test_the_helper_builds_what_a_peer_sends(self):
         """Guards against odd messages that are refused for another reason."""
