Count a datagram to a port that is none as lost

Seen: a send to a port below 0 or above 65535 raised OverflowError out of the socket, which its callers do not expect.

Change: it counts as a failed send, like the errors of the system for port 0 and for the broadcast address.

Evidence: OddReceiverTest failed on with OverflowError. It passes now.

--- a/balsamspool/datagram/sockets.py
+++ b/balsamspool/datagram/sockets.py
@@ -76,7 +76,7 @@
         """
         try:
             self._socket.sendmsg(parts, (), 0, address)
-        except OSError as error:
+        except (OSError, OverflowError) as error:  # a port that is none overflows
             self._send_failures += 1
             # A failure is logged when the number of failures is a power of two, so that
             # a lasting failure does not fill the log.
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from balsamspool.datagram.sockets import BatchSocket
 from balsamspool.minihttp.client import MAX_BODY_BYTES, HttpConnection
 from balsamspool.plugins.catalog.delta import (
     MAX_BYTES,
@@ -120,6 +121,24 @@
             connection.close()
 
 
+class OddReceiverTest(PausedClockTestCase):
+    async def test_datagrams_to_odd_receivers_are_lost_and_counted(self):
+        """Guards against an address that ends the task which sends to it."""
+        opened = BatchSocket(("127.0.0.1", 0), lambda data, sender: None)
+        receivers = [
+            ("255.255.255.255", 9),
+            ("127.0.0.1", 0),
+            ("127.0.0.1", 65_536),
+            ("127.0.0.1", -1),
+            ("127.0.0.1", 10**30),
+        ]
+        with self.assertLogs("balsamspool.datagram.sockets", "WARNING"):
+            for receiver in receivers:
+                opened.send([b"x"], receiver)
+        self.assertEqual(opened.send_failures, len(receivers))
+        opened.close()
+
+
 class EncodingTest(TestCase):
     def test_the_helper_builds_what_a_peer_sends(self):
         """Guards against odd messages that are refused for another reason."""
