Treat odd settings, lists and configuration texts as unreadable

Seen: a deeply nested settings file raised RecursionError in the reload, where a code was expected; a deeply nested answer of the platform or of a backend server's health page raised it in the task that watches it. One nested record of an instance list, or one with half of a surrogate pair, made the whole list unreadable, so that the view of the fleet no longer changed. A configuration text with half of a surrogate pair raised UnicodeEncodeError out of the check.

Cause: these decoders caught the errors of malformed texts only.

Change: they use balsamspool.kernel.decoding; records of a list are told apart even if one is nested. Revisions of the platform have bounds.

--- a/balsamspool/kernel/settings.py
+++ b/balsamspool/kernel/settings.py
@@ -8,6 +8,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from balsamspool.kernel.decoding import decode_json
 from balsamspool.kernel.errors import (
     SETTINGS_INVALID,
     SETTINGS_UNREADABLE,
@@ -18,6 +19,7 @@
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
+_decoder = msgspec.json.Decoder()
 _PORT = re.compile("[1-9][0-9]{0,4}")
 _MAX_PORT = 65_535
 # First octet of the multicast addresses; the addresses above them are reserved.
@@ -196,7 +198,7 @@
     """
     try:
         with open(path, "rb") as file:
-            document = msgspec.json.decode(file.read())
+            document = decode_json(_decoder, file.read())
     except (OSError, ValueError) as error:
         raise ResultError(SETTINGS_UNREADABLE, f"{path}: {error}") from error
     return check_settings(document, types, process_type)
--- a/balsamspool/plugins/backend/health.py
+++ b/balsamspool/plugins/backend/health.py
@@ -9,6 +9,8 @@
 from aiohttp import ClientConnectorError, ClientError, ClientSession, ClientTimeout
 from msgspec import Struct
 
+from balsamspool.kernel.decoding import decode_json
+
 POLL_TIMEOUT_SECONDS = 1.0
 
 
@@ -52,6 +54,10 @@
     state: str
 
 
+_health_decoder = msgspec.json.Decoder(_HealthBody)
+_load_decoder = msgspec.json.Decoder(ReportedLoad)
+
+
 class HealthPoller:
     """Polls the health and the load of one backend server.
 
@@ -89,16 +95,16 @@
             async with session.get(f"{self._address}/health") as answer:
                 if answer.status != 200:
                     return Unhealthy()
-                body = msgspec.json.decode(await answer.read(), type=_HealthBody)
+                body = decode_json(_health_decoder, await answer.read())
         except ClientConnectorError:
             return ConnectFailed()
-        except (ClientError, OSError, TimeoutError, msgspec.DecodeError):
+        except (ClientError, OSError, TimeoutError, ValueError):
             return Unhealthy()
         return Healthy(draining=body.state == "draining")
 
     async def _poll_load(self, session: ClientSession) -> ReportedLoad | None:
         try:
             async with session.get(f"{self._address}/load") as answer:
-                return msgspec.json.decode(await answer.read(), type=ReportedLoad)
-        except (ClientError, OSError, TimeoutError, msgspec.DecodeError):
+                return decode_json(_load_decoder, await answer.read())
+        except (ClientError, OSError, TimeoutError, ValueError):
             return None
--- a/balsamspool/plugins/configuration/checker.py
+++ b/balsamspool/plugins/configuration/checker.py
@@ -158,7 +158,12 @@
 
 def _decode(text: str) -> Any:
     try:
-        return decode(text)
+        raw = decode(text)
+        if "\\u" in text or not text.isascii():
+            # Half of a surrogate pair has no UTF-8 form, so that the text could be
+            # neither passed on nor logged.
+            json.dumps(raw, ensure_ascii=False).encode()
+        return raw
     except DuplicateKeyError as error:
         place = first_repeated_key(text)
         assert place is not None
@@ -172,6 +177,9 @@
         raise TextError(
             TEXT_MALFORMED, error.lineno, "", _format_value(found), error.msg
         ) from error
+    except UnicodeEncodeError as error:
+        reason = "a string holds half of a surrogate pair"
+        raise TextError(TEXT_MALFORMED, 1, "", "", reason) from error
     except (RecursionError, ValueError) as error:
         raise TextError(TEXT_MALFORMED, 1, "", "", str(error)) from error
 
--- a/balsamspool/plugins/membership/listing.py
+++ b/balsamspool/plugins/membership/listing.py
@@ -5,12 +5,19 @@
 
 import msgspec
 
+from balsamspool.kernel.decoding import decode_json, decode_json_parts
 from balsamspool.plugins.membership.instance import Instance
 
 # Largest number of instances in a list that is accepted, about twice the growth target
 # of 4,740 instances.
 MAX_INSTANCES = 10_000
 MAX_LIST_BYTES = 2_000_000
+# Nesting of a record in a list.
+_RECORD_LEVEL = 1
+
+_list_decoder = msgspec.json.Decoder(list[Instance])
+_raw_decoder = msgspec.json.Decoder(list[msgspec.Raw])
+_record_decoder = msgspec.json.Decoder(Instance)
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +62,7 @@
         )
     try:
         records = _records(text)
-    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+    except ValueError as error:
         return UnreadableList(str(error))
     if len(records) > MAX_INSTANCES:
         return UnreadableList(
@@ -65,7 +72,7 @@
     endpoints: set[tuple[str, int]] = set()
     faults: list[str] = []
     for index, instance in enumerate(records):
-        if isinstance(instance, msgspec.DecodeError):
+        if isinstance(instance, ValueError):
             faults.append(f"record {index}: {instance}")
             continue
         fault = instance.problem()
@@ -83,22 +90,23 @@
     return Listing(instances, tuple(faults))
 
 
-def _records(text: str) -> Sequence[Instance | msgspec.DecodeError]:
+def _records(text: str) -> Sequence[Instance | ValueError]:
     """Return each record, or what is wrong with it.
 
     Decoding 4,740 records one by one takes twice as long as decoding them together,
     and blocks the event loop. So records are decoded one by one only if at least one
     of them is invalid.
     """
+    data = text.encode()
     try:
-        return msgspec.json.decode(text, type=list[Instance])
-    except msgspec.ValidationError:
-        raw = msgspec.json.decode(text, type=list[msgspec.Raw])
-        return [_record(record) for record in raw]
+        return decode_json(_list_decoder, data)
+    except ValueError:
+        raw = decode_json_parts(_raw_decoder, data, _RECORD_LEVEL)
+        return [_record(bytes(record)) for record in raw]
 
 
-def _record(text: msgspec.Raw) -> Instance | msgspec.DecodeError:
+def _record(data: bytes) -> Instance | ValueError:
     try:
-        return msgspec.json.decode(text, type=Instance)
-    except msgspec.DecodeError as error:
+        return decode_json(_record_decoder, data)
+    except ValueError as error:
         return error
--- a/balsamspool/plugins/mesh/_codec.py
+++ b/balsamspool/plugins/mesh/_codec.py
@@ -123,7 +123,7 @@
             if body_type is None:
                 return None
             body = msgspec.msgpack.decode(frame.body, type=body_type)
-        except (ResultError, msgspec.DecodeError):
+        except (ResultError, ValueError, RecursionError):
             return None
         message = Message(
             sender=PeerAddress(frame.address, frame.peer_port),
--- a/balsamspool/plugins/platform/client.py
+++ b/balsamspool/plugins/platform/client.py
@@ -1,11 +1,13 @@
 """HTTP client of the platform's configuration service."""
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout
-from msgspec import Struct
+from msgspec import Meta, Struct
 
+from balsamspool.kernel.decoding import decode_json
 from balsamspool.kernel.errors import ResultError
 from balsamspool.plugins.platform.codes import (
     PLATFORM_MALFORMED,
@@ -43,10 +45,13 @@
 
 
 class _Answer(Struct, frozen=True):
-    revision: int
+    revision: Annotated[int, Meta(ge=0, le=(1 << 63) - 1)]
     value: str
 
 
+_decoder = msgspec.json.Decoder(_Answer)
+
+
 class PlatformClient:
     """Reads values from the platform.
 
@@ -98,7 +103,7 @@
             raise ResultError(PLATFORM_UNAVAILABLE, f"{url}: {error!r}") from error
         try:
             return decode_answer(body, _wire_bytes(response, body))
-        except msgspec.DecodeError as error:
+        except ValueError as error:
             raise ResultError(PLATFORM_MALFORMED, f"{url}: {error}") from error
 
 
@@ -113,9 +118,9 @@
         The value.
 
     Raises:
-        msgspec.DecodeError: If the body is no JSON object of this form.
+        ValueError: If the body is no JSON object of this form.
     """
-    answer = msgspec.json.decode(body, type=_Answer)
+    answer = decode_json(_decoder, body)
     return PlatformValue(answer.revision, answer.value, size)
 
 
