--- a/faults/packet_checks.py
+++ b/faults/packet_checks.py
@@ -16,6 +16,7 @@
         *_check_flows(history),
         *_check_late_openings(history),
         *(f"exit: {name} exited unexpectedly" for name in history.exits),
+        *(f"task: {name} failed" for name in sorted(set(history.restarted_tasks))),
         *(
             f"recovery: {service} does not answer"
             for service in history.unrecovered_services
--- a/faults/packet_history.py
+++ b/faults/packet_history.py
@@ -68,6 +68,7 @@
         late_openings: Flows that draining backend servers accepted too late.
         forged: Number of packets that were altered between sender and receiver.
         exits: Numbers and names of processes that exited unexpectedly.
+        restarted_tasks: Machines and names of tasks that failed and started again.
         unrecovered_services: Services whose route did not answer after all faults.
     """
 
@@ -81,4 +82,5 @@
     late_openings: list[LateOpening] = field(default_factory=list)
     forged: int = 0
     exits: list[str] = field(default_factory=list)
+    restarted_tasks: list[str] = field(default_factory=list)
     unrecovered_services: list[str] = field(default_factory=list)
--- a/faults/packet_runner.py
+++ b/faults/packet_runner.py
@@ -9,6 +9,9 @@
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP
 from time import monotonic
 
+import msgspec
+
+from balsamspool.kernel.events import TASK_RESTARTED
 from faults.packet_history import (
     BrokenFlow,
     LateOpening,
@@ -29,6 +32,7 @@
     RestartServer,
     StopProcess,
     is_planned,
+    make_odd_entries,
     make_schedule,
 )
 from faults.step import Step
@@ -47,6 +51,8 @@
 DRAIN_SECONDS = 3.0
 # Mean time between two requests of a flow.
 MEAN_PAUSE_SECONDS = 0.08
+# Number of names under which odd entries are written; later ones replace earlier ones.
+ODD_NAMES = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,8 +128,9 @@
                 work = self._run_caller(caller, route, service, until)
                 load.append(asyncio.create_task(work))
         steps = make_schedule(self._seed, self._machine_numbers())
+        odd = asyncio.create_task(self._write_odd_entries())
         await self._inject(steps)
-        await asyncio.gather(*load)
+        await asyncio.gather(odd, *load)
         await self._recover()
         self._record_results()
         return self._history
@@ -181,6 +188,14 @@
             running.append(asyncio.create_task(self._apply(step.fault)))
         await asyncio.gather(*running)
 
+    async def _write_odd_entries(self) -> None:
+        """Leave entries that name no host, which must disturb no flow."""
+        started = monotonic()
+        for number, step in enumerate(make_odd_entries(self._seed)):
+            await asyncio.sleep(max(0.0, started + step.at - monotonic()))
+            key = f"servers/odd-{number % ODD_NAMES}"
+            await self._fleet.store.put(key, msgspec.Raw(step.fault))
+
     async def _apply(self, fault: Fault) -> None:
         match fault:
             case KillProcess(number, seconds):
@@ -293,9 +308,18 @@
             process = machine.process
             if process is not None and process.returncode is not None:
                 self._history.exits.append(f"{number} {machine.name}")
+            self._history.restarted_tasks += self._restarted_tasks(machine)
         for caller in self._callers:
             caller.close()
 
+    def _restarted_tasks(self, machine: Machine) -> list[str]:
+        log = self._fleet.directory / f"{machine.name}.log"
+        lines = log.read_bytes().splitlines() if log.exists() else []
+        found = [
+            line for line in lines if b'"event":%d,' % TASK_RESTARTED.number in line
+        ]
+        return [f"{machine.name} {msgspec.json.decode(line)['task']}" for line in found]
+
     def _record_unplanned_fault(self, machines: set[int], seconds: float) -> None:
         start = monotonic()
         unplanned = UnplannedFault(frozenset(machines), start, start + seconds)
--- a/faults/packet_schedule.py
+++ b/faults/packet_schedule.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from faults.step import Step
+from standins.odd_entries import HARMFUL_ENTRIES, odd_entries
 from standins.tcp_proxy import Condition, Delayed, Resetting, Silenced
 
 # Range of the times at which faults start, from the start of the load.
@@ -11,6 +12,7 @@
 # Range of the durations of faults.
 MIN_DURATION_SECONDS, MAX_DURATION_SECONDS = 0.3, 3.0
 FAULTS_PER_SCHEDULE = 5
+ODD_ENTRIES_PER_SCHEDULE = 8
 # Probability that a fault starts at most 0.2 s after the fault drawn before it.
 SIMULTANEOUS_PROBABILITY = 0.35
 
@@ -128,6 +130,19 @@
     agents: tuple[tuple[int, ...], ...]
 
 
+def make_odd_entries(seed: int) -> tuple[Step[bytes], ...]:
+    """Return the odd entries that another writer leaves at the store.
+
+    They are drawn apart from the faults, so that the faults of a seed stay the same.
+    """
+    rng = random.Random(f"odd entries {seed}")
+    others = ODD_ENTRIES_PER_SCHEDULE - len(HARMFUL_ENTRIES)
+    entries = [*HARMFUL_ENTRIES, *rng.sample(sorted(odd_entries()), others)]
+    rng.shuffle(entries)
+    step = LAST_FAULT_SECONDS / ODD_ENTRIES_PER_SCHEDULE
+    return tuple(Step(number * step, entry) for number, entry in enumerate(entries))
+
+
 def is_planned(seed: int) -> bool:
     """Return whether all faults of a seed are planned changes."""
     return seed % 3 == 0
--- a/tests/odd_entries.py
+++ b/standins/odd_entries.py
@@ -1,6 +1,9 @@
 """Entries of other writers that name no host, and a grammar that builds more."""
 
 import json
+import random
+from collections.abc import Iterator
+from typing import Any
 
 GOOD = {
     "service": "portal",
@@ -62,7 +65,7 @@
 )
 
 
-def entry(field=None, text=b"", **values):
+def entry(field: str | None = None, text: bytes = b"", **values: Any) -> bytes:
     """Return the JSON text of a good entry, with one field replaced by a JSON text."""
     members = {
         name: json.dumps(value).encode() for name, value in (GOOD | values).items()
@@ -73,7 +76,14 @@
     return b"{" + b",".join(pairs) + b"}"
 
 
-def odd_entries():
+# Entries that once ended the reading of the list, or the messages to peers.
+HARMFUL_ENTRIES = (
+    entry("other", b"[" * 2_000 + b"]" * 2_000),
+    entry("concurrency", b"9" * 30),
+)
+
+
+def odd_entries() -> Iterator[bytes]:
     """Yield entries that name no host."""
     for field in ("service", "addr", "zone", "concurrency", "state", "born"):
         for text in _WRONG:
@@ -96,7 +106,7 @@
     yield b"{"
 
 
-def random_entry(rng):
+def random_entry(rng: random.Random) -> bytes:
     """Return a text that is built from a good entry by a grammar of JSON values."""
     if rng.random() < 0.1:
         return _random_value(rng, 3)
@@ -108,7 +118,7 @@
     return found
 
 
-def _random_value(rng, depth):
+def _random_value(rng: random.Random, depth: int) -> bytes:
     match rng.randrange(9):
         case 0:
             return rng.choice(_WRONG)
--- a/tests/test_datagram_fuzz.py
+++ b/tests/test_datagram_fuzz.py
@@ -31,6 +31,7 @@
 from balsamspool.plugins.catalog.model import Snapshot
 from balsamspool.plugins.catalog.view import CatalogView
 from balsamspool.plugins.datagram_agent import DatagramAgentPlugin
+from standins.odd_entries import entry, random_entry
 from tests._clock import PausedClockTestCase
 from tests.datagram_entry_case import DATA, IDLE, KEY, EntryCase
 from tests.datagram_fakes import (
@@ -44,7 +45,6 @@
     answer,
     packet,
 )
-from tests.odd_entries import entry, random_entry
 
 from fleet_adapter.records import Item, record_of  # isort: skip
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -15,8 +15,8 @@
     ServerRemoved,
 )
 from balsamspool.plugins.catalog.record_log import RecordLog
+from standins.odd_entries import WRONG_ADDRESSES, entry, odd_entries
 from tests.datagram_fakes import ADAPTER, routes  # noqa: F401  sets the import path
-from tests.odd_entries import WRONG_ADDRESSES, entry, odd_entries
 
 from fleet_adapter.records import Item, record_of  # isort: skip
 
--- a/tests/test_odd_pages.py
+++ b/tests/test_odd_pages.py
@@ -9,9 +9,9 @@
 from balsamspool.kernel.errors import ResultError
 from balsamspool.plugins.catalog.codes import CATALOG_MALFORMED
 from balsamspool.plugins.catalog.model import RecordIgnored, ServerPublished
+from standins.odd_entries import entry
 from standins.ports import ADDRESS, free_port
 from tests.datagram_fakes import ADAPTER  # noqa: F401  puts the adapter on the path
-from tests.odd_entries import entry
 
 VALUE = b64encode(entry())
 GOOD = b'{"key":"servers/good","revision":7,"created-at":3,"value":"%b"}' % VALUE
--- a/tests/test_packet_faults.py
+++ b/tests/test_packet_faults.py
@@ -6,7 +6,8 @@
 from faults.packet_checks import packet_violations
 from faults.packet_history import BrokenFlow, LateOpening, PacketHistory, UnplannedFault
 from faults.packet_runner import FleetSize, run_packet_seed
-from faults.packet_schedule import Machines, is_planned, make_schedule
+from faults.packet_schedule import Machines, is_planned, make_odd_entries, make_schedule
+from standins.odd_entries import HARMFUL_ENTRIES
 
 CALLER = ("100.64.0.1", 20_001)
 MACHINES = Machines((0, 1), ((2, 3, 4), (5, 6, 7)))
@@ -36,6 +37,13 @@
         self.assertEqual(make_schedule(5, MACHINES), make_schedule(5, MACHINES))
         self.assertNotEqual(make_schedule(5, MACHINES), make_schedule(7, MACHINES))
 
+    def test_harmful_entries_are_in_each_schedule(self):
+        """Guards against a soak that no longer plays a writer of odd entries."""
+        for seed in range(20):
+            written = [step.fault for step in make_odd_entries(seed)]
+            self.assertLessEqual(set(HARMFUL_ENTRIES), set(written))
+            self.assertEqual(make_odd_entries(seed), make_odd_entries(seed))
+
     def test_planned_seeds_have_planned_faults_only(self):
         """Guards against unplanned faults in a run that counts as planned."""
         for seed in range(0, 60, 3):
@@ -57,6 +65,11 @@
         runs = [("portal", b"portal/1"), ("portal", b"portal/1")]
         self.assertEqual(self.violated_guarantees(self.history(runs=runs)), {"once"})
 
+    def test_a_task_that_failed_is_found(self):
+        history = self.history(restarted_tasks=["entry-1 catalog follower"] * 9)
+        self.assertEqual(self.violated_guarantees(history), {"task"})
+        self.assertEqual(len(packet_violations(history)), 1)
+
     def test_a_run_at_another_service_is_found(self):
         runs = [("records", b"portal/1")]
         self.assertEqual(self.violated_guarantees(self.history(runs=runs)), {"route"})
