--- a/tests/test_restored_catalog.py
+++ b/tests/test_restored_catalog.py
@@ -307,6 +307,16 @@
         self.assertEqual(len(self.ready_at(added.plan.name)), len(self.fleet.entries))
 
 
+# Drawn runs on the shared fleet that failed: seed and cause.
+REGRESSIONS = (
+    (
+        22,
+        "a restarted entry held a host for newer than the oldest table that it knew, "
+        "because the host had registered again after a restore (reset)",
+    ),
+)
+
+
 class TrafficTest(TestCase):
     def setUp(self):
         logging.disable(logging.CRITICAL)
@@ -322,6 +332,13 @@
                     self.assertEqual(trial.violations, [])
                     self.assertGreater(len(trial.history.outcomes), 500)
 
+    def test_seeds_of_earlier_failures_pass(self):
+        """Guards against regressions of faults that drawn restores found."""
+        for seed, cause in REGRESSIONS:
+            with self.subTest(seed=seed, cause=cause):
+                trial = run_trial(shared_workload(30.0, 0.3), seed, 8, restores=3)
+                self.assertEqual(trial.violations, [])
+
     def test_flows_of_a_host_whose_entry_is_lost_stay_open(self):
         """Guards against a reset of open flows while a live host is not listed."""
         troubles = [
