Move the choice of hosts to query out of the search for flows

PossibleHolders selects the hosts and checks what a search covered; a flow records what was returned. Behaviour is unchanged: the tests of entry, search, decisions and stalled flows pass. The planted faults of the emulator test replace the same function at its new place.

--- a/balsamspool/plugins/datagram_entry/decision_log.py
+++ b/balsamspool/plugins/datagram_entry/decision_log.py
@@ -2,7 +2,6 @@
 
 import logging
 import socket
-from collections.abc import Sequence
 
 from msgspec import Struct
 
@@ -19,8 +18,9 @@
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.counters import CounterFamily, CounterSet
 from balsamspool.placement.load import LoadBoard, LoadReport
-from balsamspool.plugins.catalog import BackendServer, CatalogPlugin
+from balsamspool.plugins.catalog import CatalogPlugin
 from balsamspool.plugins.datagram_entry.flow import EntryFlow
+from balsamspool.plugins.datagram_entry.holders import Holders
 from balsamspool.plugins.datagram_entry.reset_report import (
     ResetReport,
     left_out,
@@ -87,28 +87,18 @@
             "longest_without_host": self._unlocated.longest_seconds,
         }
 
-    def searched(
-        self,
-        key: bytes,
-        services: Sequence[str],
-        listed: int,
-        reporting: int,
-        others: int,
-        found: list[BackendServer],
-    ) -> None:
+    def searched(self, key: bytes, holders: Holders) -> None:
         """Log that a search begins.
 
         Args:
             key: Key of the flow.
-            services: Services of its route.
-            listed: Number of their listed hosts.
-            reporting: Number of their removed hosts that still report.
-            others: Number of hosts of other services that may hold the flow.
-            found: Hosts that the search covers.
+            holders: Hosts that the search covers.
         """
-        view = self._catalog.view
-        removed = sum(len(view.recently_removed_from(name)) for name in services)
-        omitted = left_out(listed, reporting, removed, others, len(found))
+        view, found = self._catalog.view, holders.servers
+        removed = sum(len(view.recently_removed_from(s)) for s in holders.services)
+        omitted = left_out(
+            holders.listed, holders.departed, removed, holders.others, len(found)
+        )
         earlier = self._unlocated.record_search(key, found, omitted)
         before = search_fields(earlier)
         # What the search before this one covered is in its own line.
@@ -120,11 +110,11 @@
             hosts=names(found),
             search=number,
             queried=len(found),
-            services=list(services)[:4],
-            listed=listed,
+            services=list(holders.services)[:4],
+            listed=holders.listed,
             removed=removed,
             omitted=sum(omitted.values()),
-            others=others,
+            others=holders.others,
             catalog_version=view.version,
             **before,
         )
--- a/balsamspool/plugins/datagram_entry/flow.py
+++ b/balsamspool/plugins/datagram_entry/flow.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct
 
+from balsamspool.datagram.messages import PacketReturned
+
 
 class EntryFlow(Struct):
     """The host of a flow, or the hosts that may hold it, as far as the entry knows.
@@ -54,3 +56,19 @@
     awaited_agents: dict[str, int] | None = None
     widened: bool = False
     missing_since: float | None = None
+
+    def record_returned(self, returned: PacketReturned, agent: str) -> bool:
+        """Record a packet that was returned, and return whether it ends the search.
+
+        A copy of an earlier search, which a slow agent returns late, passed other
+        agents and does not speak for the agents of this search.
+
+        Args:
+            returned: The returned packet.
+            agent: Address of the agent that returned it.
+        """
+        if self.awaited_agents is None:
+            return returned.hops == len(self.hosts)
+        if not returned.skipped and returned.hops == self.awaited_agents.get(agent):
+            del self.awaited_agents[agent]
+        return not self.awaited_agents
--- a/balsamspool/plugins/datagram_entry/search.py
+++ b/balsamspool/plugins/datagram_entry/search.py
@@ -3,20 +3,17 @@
 import asyncio
 import socket
 
-from balsamspool.datagram._codec import service_number
 from balsamspool.datagram.messages import ANY_SERVICE, PacketReturned
 from balsamspool.datagram.packet import (
     Packet,
     PacketCodec,
-    service_endpoint,
 )
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.counters import CounterSet
 from balsamspool.kernel.recent import RecentCache
 from balsamspool.placement.load import LoadBoard
-from balsamspool.placement.lookup import CHAIN_HOSTS, LOOKUP_LIMIT, order_lookup
-from balsamspool.placement.ranking import by_failure_domain
-from balsamspool.plugins.catalog import BackendServer, CatalogPlugin, RemovedServer
+from balsamspool.placement.lookup import CHAIN_HOSTS
+from balsamspool.plugins.catalog import CatalogPlugin
 from balsamspool.plugins.datagram_entry.decision_log import (
     HELD_NOWHERE,
     NOT_HELD,
@@ -28,6 +25,7 @@
     PACKETS_HELP,
     Forwarder,
 )
+from balsamspool.plugins.datagram_entry.holders import PossibleHolders
 
 # Maximum number of flows that wait until the catalog has been read again.
 MAX_MISSING_FLOWS = 4_096
@@ -58,13 +56,12 @@
     """
 
     __slots__ = (
-        "_board",
         "_catalog",
         "_codec",
-        "_failure_domain",
         "_flow_missing",
         "_flows",
         "_forwarder",
+        "_holders",
         "_log",
         "_malformed",
         "_missing_flows",
@@ -87,12 +84,11 @@
         failure_domain: str,
     ) -> None:
         self._catalog = catalog
-        self._board = board
         self._flows = flows
         self._codec = codec
         self._forwarder = forwarder
         self._log = log
-        self._failure_domain = failure_domain
+        self._holders = PossibleHolders(catalog, board, failure_domain)
         # One packet of each flow that waits until the catalog has been read again.
         self._missing_flows: dict[bytes, Packet] = {}
         self._searched = counters.counter(PACKETS, PACKETS_HELP, "searched")
@@ -124,44 +120,20 @@
                 result.
         """
         key = packet.flow_from_caller
-        view = self._catalog.view
-        services = view.services_at(*service_endpoint(packet))
-        listed: list[BackendServer] = []
-        departed: list[BackendServer] = []
-        for service in services:
-            listed.extend(view.listed(service))
-            departed.extend(
-                removed.server
-                for removed in view.recently_removed_from(service)
-                if self._still_reports(removed)
-            )
-        found = order_lookup(
-            key,
-            by_failure_domain(listed),
-            by_failure_domain(departed),
-            self._board,
-            self._failure_domain,
-        )
-        # Agents of other services deliver a packet only if they know its flow, so no
-        # packet reaches a backend server for which it is not meant. An agent that has
-        # not run for long may not know a flow of its backend server, and says that it
-        # is unsure.
-        others = self._unknown_holders(packet) if len(services) == 1 else []
-        found += others[: LOOKUP_LIMIT - len(found)]
-        hosts = tuple(dict.fromkeys(socket.inet_aton(s.address) for s in found))
+        holders = self._holders.find(packet)
+        hosts = holders.addresses
         if not hosts:
             self._unknown.value += 1
             self._log.unknown(key, 0, "no-host")
             return
-        number = service_number(services[0]) if len(services) == 1 else ANY_SERVICE
         flow = EntryFlow(
-            number,
+            holders.service,
             hosts[:CHAIN_HOSTS],
             passed_at=now(),
             searched_at=now(),
             unanswered=unanswered,
-            catalog_version=view.version,
-            exhaustive=len(found) >= len(listed),
+            catalog_version=self._catalog.view.version,
+            exhaustive=holders.exhaustive,
             missing_since=missing_since,
             remaining_hosts=hosts[CHAIN_HOSTS:],
             queried=frozenset(hosts),
@@ -171,7 +143,7 @@
         if separately:
             self._query_separately(packet, flow)
         else:
-            self._forwarder.forward(packet, number, flow.hosts, unconfirmed=True)
+            self._forwarder.forward(packet, flow.service, flow.hosts, unconfirmed=True)
         if unanswered and flow.remaining_hosts:
             # A likely host that does not answer must not hide the remaining hosts.
             self._query_remaining(packet, flow)
@@ -179,9 +151,7 @@
             # A lost acknowledgement without data needs no retry, unless the ones before
             # it have had no result either.
             self._schedule_retry(packet, flow, 0)
-        self._log.searched(
-            key, services, len(listed), len(departed), len(others), found
-        )
+        self._log.searched(key, holders)
 
     def continue_search(self, packet: Packet, flow: EntryFlow) -> None:
         """Send a further packet of a flow whose host is not confirmed."""
@@ -220,7 +190,7 @@
             flow.unsure = flow.unsure or returned.unsure
         if flow is not None and flow.confirmed:
             self._on_returned_confirmed(packet, flow, returned, agent)
-        elif flow is not None and not self._ends_search(flow, returned, agent):
+        elif flow is not None and not flow.record_returned(returned, agent):
             return
         elif flow is None or not self._queried_all(flow, returned):
             self._drop_unknown(packet, returned.hops, "not-all-asked")
@@ -247,7 +217,7 @@
         if flow.unsure and flow.service != ANY_SERVICE:
             self._query_unsure(packet, flow)
             return
-        asked_all = self._asked_all_services(packet, flow)
+        asked_all = self._holders.asked_all_services(packet, flow)
         if not asked_all and self._catalog.refresher.history_read:
             # The flow may have opened under a route table that this process has not
             # seen, at a host of a service that was not queried.
@@ -272,15 +242,6 @@
         # failed.
         self._catalog.refresher.request()
 
-    def _still_reports(self, removed: RemovedServer) -> bool:
-        """Return whether the agent of a removed backend server still reports."""
-        address = removed.server.address
-        if self._board.load(address) is None:
-            return False
-        if removed.left:
-            return not self._board.silent(address)
-        return not self._board.seems_gone(address)
-
     def _schedule_retry(self, packet: Packet, flow: EntryFlow, retries: int) -> None:
         if retries < len(SEARCH_RETRY_SECONDS):
             delay = SEARCH_RETRY_SECONDS[retries]
@@ -336,7 +297,7 @@
         carried the number of another service. Without a number, the agent does so, and
         the backend server returns the packet unless it holds the flow.
         """
-        holders = self._unknown_holders(packet)
+        holders = self._holders.of_other_services(packet)
         flow.service = ANY_SERVICE
         flow.unsure = False
         flow.remaining_hosts = tuple(socket.inet_aton(s.address) for s in holders)
@@ -412,11 +373,11 @@
                 # result may lack hosts that were listed after the read began.
                 continue
             del self._missing_flows[key]
-            if self._knows_more_services(packet, flow):
+            if self._holders.knows_more_services(packet, flow):
                 self.search(packet, flow.missing_since)
-            elif not self._asked_all_services(packet, flow):
+            elif not self._holders.asked_all_services(packet, flow):
                 self._drop_unknown(packet, 0, "services-unknown")
-            elif self._queried_all_listed(packet, flow):
+            elif self._holders.queried_all_listed(packet, flow):
                 self.reset_lost(packet, HELD_NOWHERE)
             else:
                 self.search(packet, flow.missing_since)
@@ -425,45 +386,6 @@
         """Return whether a search covers all listed hosts and no agent skipped one."""
         return flow.searched_at is not None and flow.exhaustive and not returned.skipped
 
-    def _unknown_holders(self, packet: Packet) -> list[BackendServer]:
-        """Return hosts of other services that may hold the flow of a packet."""
-        address, port = service_endpoint(packet)
-        return self._catalog.view.unknown_holders(address, port, now())
-
-    def _asked_all_services(self, packet: Packet, flow: EntryFlow) -> bool:
-        """Return whether the last search covers each service that may hold a flow."""
-        holders = self._unknown_holders(packet)
-        queried = all(socket.inet_aton(s.address) in flow.queried for s in holders)
-        return not holders or (queried and not flow.unsure)
-
-    def _knows_more_services(self, packet: Packet, flow: EntryFlow) -> bool:
-        """Return whether an earlier service of the route is known since the search."""
-        services = self._catalog.view.services_at(*service_endpoint(packet))
-        return flow.service != ANY_SERVICE and len(services) > 1
-
-    def _queried_all_listed(self, packet: Packet, flow: EntryFlow) -> bool:
-        """Return whether the last search queried every host that is listed now."""
-        view = self._catalog.view
-        return all(
-            socket.inet_aton(server.address) in flow.queried
-            for service in view.services_at(*service_endpoint(packet))
-            for server in view.listed(service)
-        )
-
-    def _ends_search(
-        self, flow: EntryFlow, returned: PacketReturned, agent: str
-    ) -> bool:
-        """Return whether all queried agents have returned a packet.
-
-        A copy of an earlier search, which a slow agent returns late, passed other
-        agents and does not speak for the agents of this search.
-        """
-        if flow.awaited_agents is None:
-            return returned.hops == len(flow.hosts)
-        if not returned.skipped and returned.hops == flow.awaited_agents.get(agent):
-            del flow.awaited_agents[agent]
-        return not flow.awaited_agents
-
     def _drop_unknown(self, packet: Packet, hops: int, reason: str) -> None:
         key = packet.flow_from_caller
         flow = self._flows.get(key)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -5,8 +5,8 @@
 
 from balsamspool.plugins.catalog.model import Target
 from balsamspool.plugins.catalog.server_index import ServerIndex
+from balsamspool.plugins.datagram_entry import holders as holders_module
 from balsamspool.plugins.datagram_entry import plugin as entry_plugin
-from balsamspool.plugins.datagram_entry import search as search_module
 from balsamspool.plugins.datagram_entry.search import FlowSearch
 from emulator.checks import MIN_ANSWERED_SHARE, answered_share, check
 from emulator.experiment import large_workload, run_trial, small_workload
@@ -119,13 +119,13 @@
         self.assertIn("reset", found)
 
     def test_packets_at_other_hosts_are_noticed(self):
-        original = search_module.order_lookup
+        original = holders_module.order_lookup
 
         def order(*args):
             return original(*args)[-2:]
 
         restarts = [RollingRestart(at=1.0, gap=0.5)]
-        with mock.patch.object(search_module, "order_lookup", order):
+        with mock.patch.object(holders_module, "order_lookup", order):
             found = self.broken_promises(small_workload(10.0, 0.3), 1, restarts)
         self.assertIn("stray", found)
 
