Compare an answer with the revision that was asked for

Callers would see a route table that had been replaced for too long (CONFIG) if a process takes a peer's catalog of the new era while its own watch of the old era is under way. The answer was compared with the revision after that, so what was written between the two numbers was never read. Found in review. The new test fails before: table 11 stays in force.

--- a/balsamspool/plugins/catalog/follower.py
+++ b/balsamspool/plugins/catalog/follower.py
@@ -262,9 +262,10 @@
             # Agents tell this process meanwhile whether it has to go on reading.
             await asyncio.sleep(CHANGE_BATCH_SECONDS)
             return
-        changes = await self._source.watch(self._revision, self._watch_wait())
-        if not changes.continues(self._revision):
-            detail = f"revision {self._revision}, answered at {changes.revision}"
+        after = self._revision
+        changes = await self._source.watch(after, self._watch_wait())
+        if not changes.continues(after):
+            detail = f"revision {after}, answered at {changes.revision}"
             raise ResultError(CATALOG_HISTORY_LOST, detail)
         self._record_service_answer()
         self._apply_changes(changes)
--- a/tests/test_catalog_restore.py
+++ b/tests/test_catalog_restore.py
@@ -120,6 +120,21 @@
         self.assertEqual(view.table.version, 14)
         self.assertEqual(follower.revision, at(2, 60))
 
+    async def test_a_peer_that_enters_the_new_era_does_not_complete_a_watch(self):
+        """Guards against changes after an old number that pass for later ones."""
+        source, view = FakeSource(), CatalogView()
+        source.revision, source.records = at(1, 80), [routes(at(1, 59), version=11)]
+        follower = new_follower(source, view)
+        task = asyncio.create_task(follower.run())
+        self.addCleanup(task.cancel)
+        await asyncio.sleep(1.0)
+        copy = (routes(at(2, 40), version=8),)
+        follower.apply_delta(CatalogDelta(at(2, 60), True, copy, 0.0))
+        source.revision, source.records = at(2, 82), [routes(at(2, 70), version=14)]
+        source.queue.put_nowait(Changes(at(2, 82), ()))
+        await asyncio.sleep(1.0)
+        self.assertEqual(view.table.version, 14)
+
 
 class RestoredViewTest(TestCase):
     def setUp(self):
