Do not ask a peer again at once that has not noticed a restore

A follower that learned of the restore from its own read asked its reader, which was still in the old era, again and again without a pause: such a peer answers at once, because its revision differs. It is now paused like a peer that gave no answer.

--- a/balsamspool/plugins/catalog/follower.py
+++ b/balsamspool/plugins/catalog/follower.py
@@ -227,6 +227,10 @@
         if delta is None:
             self._selector.record_peer_failure(address, now())
             return
+        if self._is_outdated(delta.revision):
+            # The peer has not noticed the restore, and would answer at once again.
+            self._selector.record_peer_failure(address, now())
+            return
         self.apply_delta(delta)
 
     async def _read_service(self, backoff: Backoff) -> None:
--- a/tests/test_catalog_restore.py
+++ b/tests/test_catalog_restore.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from balsamspool.kernel.clock import now
 from balsamspool.kernel.errors import ResultError
 from balsamspool.minihttp.client import HttpConnection
 from balsamspool.plugins.catalog.codes import CATALOG_OUTDATED
@@ -25,7 +26,12 @@
 from balsamspool.plugins.catalog.peers import CatalogPeers
 from balsamspool.plugins.catalog.record_log import RecordLog
 from balsamspool.plugins.catalog.revision import Revision
-from balsamspool.plugins.catalog.upstream import UpstreamSelector, UpstreamTimes
+from balsamspool.plugins.catalog.upstream import (
+    ReaderList,
+    ReadService,
+    UpstreamSelector,
+    UpstreamTimes,
+)
 from balsamspool.plugins.catalog.view import CatalogView
 from standins.ports import ADDRESS, free_port
 from standins.store import StoreStandIn
@@ -135,6 +141,19 @@
         await asyncio.sleep(1.0)
         self.assertEqual(view.table.version, 14)
 
+    async def test_a_peer_of_the_old_era_is_not_asked_again_at_once(self):
+        """Guards against requests without a pause to a peer that is outdated."""
+        follower = new_follower(FakeSource(), CatalogView())
+        follower.apply_delta(CatalogDelta(at(1, 58), True, (), 0.0))
+        follower.enter_era(at(2, 10))
+        selector = follower._selector
+        peer, own = "10.0.0.1", "10.0.0.9"
+        follower._peers.deltas[f"{peer}:8166"] = CatalogDelta(at(1, 60), False, (), 0.0)
+        selector.record_list("10.0.0.5", ReaderList((peer, own), 3, at(1, 58)), now())
+        await follower._follow(peer)
+        chosen = selector.choose(at(1, 58), now(), now())
+        self.assertEqual(chosen, ReadService())
+
 
 class RestoredViewTest(TestCase):
     def setUp(self):
