Give up a flow only after its host had time to report

Callers could get a reset on an open flow whose backend server was sound (FLOW a, reason host-gone). A host whose catalog entry had expired, and that this entry had no reason to ask for reports, was given up 3 s after its removal, even if its flow had been found a moment before. The comment said that it had been asked; hosts of other failure domains are asked only while they hold known flows, and report every 2 s. The list of these hosts also dropped the one that was first seen, and not the one not seen for longest.

Found in review; the new test in test_datagram_entry gets a reset before. The time now runs from the later of removal and confirmation, for 5 s.

--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -36,7 +36,7 @@
 from balsamspool.kernel.recent import RecentCache
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.kernel.settings import split_endpoint
-from balsamspool.placement.load import GONE_SECONDS, LoadBoard
+from balsamspool.placement.load import GONE_PERIODS, LoadBoard
 from balsamspool.placement.opening import Choice, order_choices
 from balsamspool.placement.rendezvous import choose_target
 from balsamspool.plugins.catalog import CatalogPlugin, Route
@@ -48,7 +48,10 @@
     Forwarder,
 )
 from balsamspool.plugins.datagram_entry.search import FlowSearch
-from balsamspool.plugins.datagram_entry.subscriptions import Subscriptions
+from balsamspool.plugins.datagram_entry.subscriptions import (
+    REMOTE_PERIOD_SECONDS,
+    Subscriptions,
+)
 
 _logger = logging.getLogger(__name__)
 
@@ -56,6 +59,9 @@
 MAX_KNOWN_FLOWS = 65_536
 # Maximum number of agents named in a forwarded packet.
 MAX_ALTERNATIVES = 12
+# Time within which a host that is asked for reports has sent one, even if it reports
+# seldom and one report was lost.
+UNREPORTED_SECONDS = GONE_PERIODS * REMOTE_PERIOD_SECONDS
 # Maximum number of packets that wait for the first catalog.
 MAX_WAITING_PACKETS = 1_024
 # A stopping entry forwards packets for at least ROTATION_SECONDS, because the fabric
@@ -193,7 +199,7 @@
         flow = self._flows.get(packet.flow_from_caller)
         if flow is None or (flow.confirmed and self._is_outdated(flow)):
             self._search.search(packet)
-        elif flow.confirmed and self._is_gone(flow.hosts[0]):
+        elif flow.confirmed and self._is_gone(flow):
             self._search.reset_lost(packet, HOST_GONE)
         elif flow.confirmed:
             flow.used_at = now()
@@ -265,19 +271,20 @@
         table = self._catalog.view.table
         return table is not None and now() - flow.used_at > table.idle_seconds
 
-    def _is_gone(self, host: bytes) -> bool:
-        """Return whether a host has left or failed, and holds no flow any more.
+    def _is_gone(self, flow: EntryFlow) -> bool:
+        """Return whether the host of a flow has left or failed, and holds it no more.
 
         A host that did not announce that it was leaving may only be cut off from the
         service that lists it, or slow, so its flows are given up later.
         """
-        address = socket.inet_ntoa(host)
+        address = socket.inet_ntoa(flow.hosts[0])
         removed = self._catalog.view.removed_hosts().get(address)
         if removed is None:
             return False
         if self._board.load(address) is None:
-            # The host has been asked for reports since its removal, and has sent none.
-            return now() - removed.removed > GONE_SECONDS
+            # A host is asked for reports while it is listed or holds a known flow.
+            asked = max(removed.removed, flow.confirmed_at or 0.0)
+            return now() - asked > UNREPORTED_SECONDS
         if removed.left:
             return self._board.silent(address)
         return self._board.seems_gone(address)
--- a/balsamspool/plugins/datagram_entry/subscriptions.py
+++ b/balsamspool/plugins/datagram_entry/subscriptions.py
@@ -90,6 +90,8 @@
 
     def record_flow_at(self, address: str) -> None:
         """Record that a host holds a flow whose packets pass this entry."""
+        # The host at which no flow was located for the longest time comes first.
+        self._flow_hosts.pop(address, None)
         self._flow_hosts[address] = now()
         if len(self._flow_hosts) > MAX_FLOW_HOSTS:
             del self._flow_hosts[next(iter(self._flow_hosts))]
--- a/tests/test_datagram_entry.py
+++ b/tests/test_datagram_entry.py
@@ -21,6 +21,7 @@
     ServerRemoved,
 )
 from balsamspool.plugins.datagram_entry import DatagramEntryPlugin
+from balsamspool.plugins.datagram_entry.plugin import UNREPORTED_SECONDS
 from balsamspool.plugins.datagram_entry.subscriptions import MAX_RENEWALS
 from tests.datagram_entry_case import DATA, KEY, EntryCase
 from tests.datagram_fakes import (
@@ -290,6 +291,24 @@
         self.receive(DATA)
         self.assertEqual(len(self.resets()), 1)
 
+    async def test_a_removed_host_that_was_just_found_is_not_given_up(self):
+        """Guards against a reset because a host was never asked for reports."""
+        agent = self.open_flow()
+        self.reporting.discard(agent)
+        number = agent.rpartition(".")[2]
+        self.source.publish(ServerRemoved(51, f"i-{number}"))
+        await asyncio.sleep(GONE_SECONDS + 0.5)
+        self.entry._board.retain(set())
+        self.peers.receive(encode_small(FlowEnded(KEY)), (agent, 7720))
+        self.peers.receive(encode_small(FlowLocated(KEY)), (agent, 7720))
+        self.peers.take()
+        self.receive(DATA)
+        self.assertEqual(self.forwarded()[1], agent)
+        self.assertEqual(self.resets(), [])
+        await asyncio.sleep(UNREPORTED_SECONDS + 0.2)
+        self.receive(DATA)
+        self.assertEqual(len(self.resets()), 1)
+
     async def test_a_reset_of_a_caller_is_not_answered(self):
         """Guards against resets that answer each other."""
         agent = self.open_flow()
