Search the services of an older table that a restore brings back

Callers could get a reset on an open flow (FLOW a): an entry that starts after the restore places flows by the older table of the copy, and entries that know the newer one ignored the older table together with its services, so they did not search them. Found in review; the new test fails before.

--- a/balsamspool/plugins/catalog/route_history.py
+++ b/balsamspool/plugins/catalog/route_history.py
@@ -96,6 +96,8 @@
                 ROUTES_IGNORED.log(
                     _logger, offered=table.version, in_force=self._table.version
                 )
+                # A process that has started since a restore uses this table.
+                self._remember_services(table.routes)
             return False
         if self._tracked_since is None:
             self._tracked_since = time
--- a/tests/test_catalog_restore.py
+++ b/tests/test_catalog_restore.py
@@ -40,6 +40,7 @@
     ADAPTER,  # noqa: F401  puts the adapter on the path
     FakePeers,
     FakeSource,
+    route,
     routes,
     server,
 )
@@ -195,6 +196,15 @@
         self.publish(at(2, 40), report(1, 5))
         self.assertEqual(len(self.view.ready("portal")), 3)
 
+    def test_flows_that_open_under_an_older_table_of_the_copy_are_searched(self):
+        """Guards against a reset of flows that entries opened by the older table."""
+        self.view.apply(routes(at(1, 59), version=11), 0.0)
+        older = routes(at(2, 40), route("records"), version=8)
+        self.view.apply(older, 100.0)
+        self.assertEqual(self.view.table.version, 11)
+        found = self.view.services_at("198.18.0.1", 443)
+        self.assertEqual(found, ("portal", "records"))
+
     def test_a_server_listed_again_may_hold_flows_of_unknown_tables(self):
         """Guards against a reset by a new process that takes it for a new server."""
         self.view.apply(routes(at(1, 30), version=3), 0.0)
