--- a/balsamspool/plugins/catalog/follower.py
+++ b/balsamspool/plugins/catalog/follower.py
@@ -258,6 +258,7 @@
         self._calls += 1
         if self._revision is None:
             snapshot = await self._source.read()
+            self.enter_era(snapshot.revision)
             self._record_service_answer()
             self._apply_snapshot(snapshot)
             CATALOG_READ.log(
--- a/tests/test_catalog_restore.py
+++ b/tests/test_catalog_restore.py
@@ -155,6 +155,17 @@
         chosen = selector.choose(at(1, 58), now(), now())
         self.assertEqual(chosen, ReadService())
 
+    async def test_a_late_answer_of_the_old_era_does_not_make_the_catalog_fresh(self):
+        """Guards against a peer that passes an outdated catalog on as recent."""
+        source, view = FakeSource(), CatalogView()
+        source.revision = at(1, 59)
+        follower = new_follower(source, view)
+        follower.enter_era(at(2, 10))
+        task = asyncio.create_task(follower.run())
+        self.addCleanup(task.cancel)
+        await asyncio.sleep(0.5)
+        self.assertIsNone(follower.last_answer)
+
 
 class RestoredViewTest(TestCase):
     def setUp(self):
