--- a/tests/test_catalog_restore.py
+++ b/tests/test_catalog_restore.py
@@ -5,8 +5,6 @@
 from types import SimpleNamespace
 from unittest import IsolatedAsyncioTestCase, TestCase
 
-from aiohttp import web
-
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.errors import ResultError
 from balsamspool.minihttp.client import HttpConnection
@@ -34,7 +32,6 @@
 )
 from balsamspool.plugins.catalog.view import CatalogView
 from standins.ports import ADDRESS, free_port
-from standins.store import StoreStandIn
 from tests._clock import PausedClockTestCase
 from tests.datagram_fakes import (
     ADAPTER,  # noqa: F401  puts the adapter on the path
@@ -44,6 +41,7 @@
     routes,
     server,
 )
+from tests.store_case import StoreCase
 from tests.test_platform_store import entry
 
 
@@ -273,21 +271,10 @@
         self.assertEqual(answer.status, 404)
 
 
-class RestoredStoreTest(IsolatedAsyncioTestCase):
+class RestoredStoreTest(StoreCase):
     async def asyncSetUp(self):
-        from fleet_adapter.store import StoreSettings, StoreSource
-
-        self.store = StoreStandIn()
+        await super().asyncSetUp()
         self.store.page_items = 2
-        runner = web.AppRunner(self.store.application())
-        await runner.setup()
-        self.addAsyncCleanup(runner.cleanup)
-        port = free_port()
-        await web.TCPSite(runner, ADDRESS, port).start()
-        settings = StoreSettings(address=f"{ADDRESS}:{port}")
-        kernel = SimpleNamespace(settings=SimpleNamespace(section=lambda _: settings))
-        self.source = StoreSource(kernel)
-        self.addAsyncCleanup(self.source.stop)
         for number in range(1, 4):
             await self.store.put(f"servers/i-{number}", entry(number))
 
--- a/tests/test_odd_following.py
+++ b/tests/test_odd_following.py
@@ -2,11 +2,8 @@
 
 import asyncio
 import random
-from types import SimpleNamespace
-from unittest import IsolatedAsyncioTestCase
 
 import msgspec
-from aiohttp import web
 
 from balsamspool.kernel.lifecycle import run_supervised
 from balsamspool.plugins.catalog.completeness import Completeness
@@ -17,29 +14,17 @@
 from balsamspool.plugins.catalog.upstream import UpstreamSelector, UpstreamTimes
 from balsamspool.plugins.catalog.view import CatalogView
 from standins.odd_entries import entry, random_entry
-from standins.ports import ADDRESS, free_port
-from standins.store import StoreStandIn
 from tests.datagram_fakes import ADAPTER  # noqa: F401  puts the adapter on the path
+from tests.store_case import StoreCase
 
 CONFIG = b'{"version":1,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/"%b}]}'
 ENTRIES = 60
 APPLY_SECONDS = 6.0
 
 
-class OddWriterTest(IsolatedAsyncioTestCase):
+class OddWriterTest(StoreCase):
     async def asyncSetUp(self):
-        from fleet_adapter.store import StoreSettings, StoreSource
-
-        self.store = StoreStandIn()
-        runner = web.AppRunner(self.store.application())
-        await runner.setup()
-        self.addAsyncCleanup(runner.cleanup)
-        port = free_port()
-        await web.TCPSite(runner, ADDRESS, port).start()
-        settings = StoreSettings(address=f"{ADDRESS}:{port}")
-        kernel = SimpleNamespace(settings=SimpleNamespace(section=lambda _: settings))
-        self.source = StoreSource(kernel)
-        self.addAsyncCleanup(self.source.stop)
+        await super().asyncSetUp()
         self.view, self.feed = CatalogView(), CatalogFeed()
         rng = random.Random(1)
         self.follower = CatalogFollower(
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import random
-from types import SimpleNamespace
-from unittest import IsolatedAsyncioTestCase
 
-from aiohttp import ClientSession, web
+from aiohttp import ClientSession
 
 from balsamspool.kernel.errors import ResultError
 from balsamspool.plugins.catalog.codes import (
@@ -13,15 +11,15 @@
     CATALOG_UNAVAILABLE,
 )
 from balsamspool.plugins.catalog.model import ServerPublished, ServerRemoved
-from standins.ports import ADDRESS, free_port
+from standins.ports import ADDRESS
 from standins.store import (
     ERA_HEADER,
     PAGE_ITEMS,
     CutWatches,
     GoneWatches,
-    StoreStandIn,
 )
 from tests.datagram_fakes import ADAPTER  # noqa: F401  puts the adapter on the path
+from tests.store_case import StoreCase
 
 SERVERS = 2 * PAGE_ITEMS + 3
 
@@ -36,22 +34,11 @@
     }
 
 
-class StoreCase(IsolatedAsyncioTestCase):
-    """The adapter's source, and the stand-in with `SERVERS` servers."""
+class ServersCase(StoreCase):
+    """The stand-in with `SERVERS` servers."""
 
     async def asyncSetUp(self):
-        from fleet_adapter.store import StoreSettings, StoreSource
-
-        self.store = StoreStandIn()
-        runner = web.AppRunner(self.store.application())
-        await runner.setup()
-        self.addAsyncCleanup(runner.cleanup)
-        self.port = free_port()
-        await web.TCPSite(runner, ADDRESS, self.port).start()
-        settings = StoreSettings(address=f"{ADDRESS}:{self.port}")
-        kernel = SimpleNamespace(settings=SimpleNamespace(section=lambda _: settings))
-        self.source = StoreSource(kernel)
-        self.addAsyncCleanup(self.source.stop)
+        await super().asyncSetUp()
         for number in range(SERVERS):
             await self.store.put(f"servers/i-{number}", entry(number))
 
@@ -62,7 +49,7 @@
                 await asyncio.sleep(0.01)
 
 
-class StoreSourceTest(StoreCase):
+class StoreSourceTest(ServersCase):
     async def test_all_pages_are_read(self):
         """Guards against a list that ends with the first page."""
         snapshot = await self.source.read()
@@ -104,7 +91,7 @@
         self.assertEqual(snapshot.revision, found.revision)
 
 
-class RestoredStoreTest(StoreCase):
+class RestoredStoreTest(ServersCase):
     """The store goes back to a copy; the adapter reads on."""
 
     async def asyncSetUp(self):
