--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -270,11 +270,7 @@
         if listed is not None:
             return is_older_report(server, listed)
         removed = self._recently_removed.get(server.name)
-        if removed is None:
-            return False
-        if removed.planned:
-            return not is_newer_report(server, removed.server)
-        return is_older_report(server, removed.server)
+        return removed is not None and not is_newer_report(server, removed.server)
 
     def _apply_server(
         self,
