--- a/review/kit/lab.py
+++ b/review/kit/lab.py
@@ -20,7 +20,7 @@
 import tempfile
 import time
 import tomllib
-from base64 import b64encode
+from base64 import b64decode, b64encode
 from contextlib import suppress
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
@@ -184,6 +184,17 @@
         while self.history and self.history[0][0] < limit:
             self.oldest = self.history.pop(0)[1]
 
+    def copy(self):
+        """Return a copy of the state."""
+        return dict(self.items), list(self.history), self.revision, self.oldest
+
+    def restore(self, copy):
+        """Go back to a copy; the next era begins."""
+        self.items, self.history, self.revision, self.oldest = copy
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     async def _serve(self, reader, writer):
         try:
             while True:
@@ -633,10 +644,9 @@
 class Lab:
     """A small deployment: store, routers, hosts, clients and the system."""
 
-    def __init__(self, folder):
-        self.folder = Path(folder)
+    def __init__(self, record):
         self.start_time = time.monotonic()
-        self.record = self.folder / "record.txt"
+        self.record = record
         self.record.write_text("")
         self.directory = Path(tempfile.mkdtemp(prefix="review-"))
         self.roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())[
@@ -729,6 +739,10 @@
             },
         )
 
+    def write_again(self, key, value):
+        """Write an item again that a restore lost, as it was."""
+        self.store.put(key, b64decode(value))
+
     def add_entry(self, zone="hall-a"):
         """Add a front machine; its process is not started."""
         number = len(self.entries) + 1
@@ -806,8 +820,8 @@
         self.log("packets that were no packets of their sender:", len(self.forged))
 
 
-async def _run(case, folder):
-    lab = Lab(folder)
+async def _run(case, record):
+    lab = Lab(record)
     lab.log("TROUBLE", int(TROUBLE))
     # A run that is ended from outside ends its processes too.
     this = asyncio.current_task()
@@ -828,6 +842,6 @@
     return code
 
 
-def main(case, file):
-    """Run a case and exit with its verdict."""
-    sys.exit(asyncio.run(_run(case, Path(file).resolve().parent)))
+def main(case, file, record="record.txt"):
+    """Run a case, write its record beside it, and exit with its verdict."""
+    sys.exit(asyncio.run(_run(case, Path(file).resolve().with_name(record))))
