--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -e
 cd "$(dirname "$0")"
 python3 -c 'import sys; assert sys.version_info >= (3, 11), sys.version'
-python3 -m py_compile kit/lab.py [0-9]*/case.py
+python3 -m py_compile kit/lab.py [0-9]*/*.py
