Keep a host listed beside another entry at its address

Before that, another program on the host's instance had listed itself under a service to which no route leads.

Cause: CatalogView took two entries at one IPv4 address for a backend server and its successor and removed the one that started earlier. It compared neither the port nor whether a route leads to the service. A search then covered all listed hosts, found the flow nowhere and reset it.

Change: an entry never removes another one. Both stay listed, so that flows are searched for at the address in any case; only new flows are kept from a predecessor (AddressIndex). The order of two entries is the later start, the later listing, the name, and no longer the order of reading. The same confusion of address and backend server is removed from the history's explanation of removals, from the hosts that have left, and from the service number of confirmed flows. Line 2321 names both entries.

The fix works because the only thing that hides a host from a search is now its own record in the store.

--- a/balsamspool/plugins/catalog/completeness.py
+++ b/balsamspool/plugins/catalog/completeness.py
@@ -85,30 +85,30 @@
     """Return whether no removal of a backend server hints at an outage.
 
     If the backend servers failed, as many others started in their place, under new
-    names and at the same addresses. If their entries expired in an outage, they are
-    listed again under their own names, so one that has been listed again already is a
-    sign of an outage.
+    names and at the same addresses and ports. If their entries expired in an outage,
+    they are listed again under their own names, so one that has been listed again
+    already is a sign of an outage.
     """
     unplanned = unplanned_removals(changes)
     if not unplanned:
         return True
     started: set[str] = set()
     removed: set[str] = set()
-    addresses: dict[str, str] = {}
+    endpoints: dict[str, tuple[str, int]] = {}
     relisted = False
     for record in changes.records:
         match record:
             case ServerPublished(revision, server, created):
                 relisted = relisted or server.name in removed
-                addresses[server.name] = server.address
+                endpoints[server.name] = (server.address, server.port)
                 if created == revision:
                     started.add(server.name)
             case ServerRemoved(_, name):
                 removed.add(name)
     # A server that started and was then removed itself replaces no other.
     started -= unplanned
-    vacant = {addresses[name] for name in unplanned if name in addresses}
-    taken = {addresses[name] for name in started}
+    vacant = {endpoints[name] for name in unplanned if name in endpoints}
+    taken = {endpoints[name] for name in started}
     replaced = len(started) - len(removed - unplanned)
     return not relisted and vacant <= taken and replaced >= len(unplanned)
 
--- a/balsamspool/plugins/catalog/events.py
+++ b/balsamspool/plugins/catalog/events.py
@@ -111,3 +111,10 @@
     logging.WARNING,
     "Routes that cannot be used were left out of their table; the others are used.",
 )
+ADDRESS_SHARED = log_event(
+    2321,
+    "backend-server-address-shared",
+    logging.WARNING,
+    "Two backend servers are listed at one address. Flows are searched for at both, "
+    "but the one that is succeeded gets no new flows.",
+)
--- a/balsamspool/plugins/catalog/listing_age.py
+++ b/balsamspool/plugins/catalog/listing_age.py
@@ -50,6 +50,10 @@
             self._listings.get(server.name), server, created
         )
 
+    def listed_since(self, name: str) -> Revision:
+        """Return the revision at which a backend server was first listed."""
+        return self._listings[name].created
+
     def forget(self, name: str) -> None:
         """Forget a backend server that was removed long ago."""
         self._listings.pop(name, None)
--- a/balsamspool/plugins/catalog/removals.py
+++ b/balsamspool/plugins/catalog/removals.py
@@ -29,17 +29,24 @@
         removed: Event loop time of its removal in seconds.
         expired: Whether its catalog entry may have expired in an outage of the
             publishing service.
+        succeeded: Whether a later backend server ran in its place.
     """
 
     server: BackendServer
     removed: float
     expired: bool = False
+    succeeded: bool = False
 
     @property
     def planned(self) -> bool:
         """Whether it announced that it was leaving."""
         return self.server.state is BackendState.DRAINING
 
+    @property
+    def explained(self) -> bool:
+        """Whether its removal is no sign of an outage."""
+        return self.planned or self.succeeded
+
     @property
     def left(self) -> bool:
         """Whether it announced that it was leaving, and was removed when it had left.
--- a/balsamspool/plugins/catalog/route_history.py
+++ b/balsamspool/plugins/catalog/route_history.py
@@ -32,6 +32,7 @@
         "_oldest_revision",
         "_past_services",
         "_revision",
+        "_routed_services",
         "_routes",
         "_table",
         "_tracked_since",
@@ -44,6 +45,8 @@
         # knows all tables since then.
         self._oldest_revision = NO_REVISION
         self._routes: dict[Endpoint, Route] = {}
+        # Services to which the table in force directs new flows.
+        self._routed_services: set[str] = set()
         self._past_services: dict[Endpoint, tuple[str, ...]] = {}
         # Event loop time in seconds at which the first table was received.
         self._tracked_since: float | None = None
@@ -67,6 +70,13 @@
         since = self._tracked_since
         return since is not None and time - since >= FLOW_LIFE_SECONDS
 
+    def is_routed(self, service: str) -> bool:
+        """Return whether a route leads to a service.
+
+        Before the first table, a route may lead to any service.
+        """
+        return self._table is None or service in self._routed_services
+
     def route(self, endpoint: Endpoint) -> Route | None:
         """Return the route at an address and port, or None."""
         return self._routes.get(endpoint)
@@ -107,6 +117,7 @@
         self._table = table
         self._revision = record.revision
         self._routes = {(r.address, r.port): r for r in table.routes}
+        self._routed_services = {t.service for r in table.routes for t in r.targets}
         ROUTES_IN_FORCE.log(
             _logger,
             version=table.version,
--- a/balsamspool/plugins/catalog/server_index.py
+++ b/balsamspool/plugins/catalog/server_index.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 
 from balsamspool.placement.ranking import by_failure_domain
+from balsamspool.plugins.catalog.address_index import AddressIndex
 from balsamspool.plugins.catalog.model import BackendServer, BackendState
 
 
@@ -11,12 +12,16 @@
 
     Args:
         servers: Listed backend servers by name; they may change if `clear` is called.
+        addresses: The same backend servers by address.
     """
 
-    __slots__ = ("_listed", "_ready", "_ready_domains", "_servers")
+    __slots__ = ("_addresses", "_listed", "_ready", "_ready_domains", "_servers")
 
-    def __init__(self, servers: Mapping[str, BackendServer]) -> None:
+    def __init__(
+        self, servers: Mapping[str, BackendServer], addresses: AddressIndex
+    ) -> None:
         self._servers = servers
+        self._addresses = addresses
         self._ready: dict[str, tuple[BackendServer, ...]] = {}
         self._listed: dict[str, tuple[BackendServer, ...]] = {}
         self._ready_domains: dict[str, dict[str, list[BackendServer]]] = {}
@@ -25,8 +30,12 @@
         """Return the backend servers of a service that accept new flows."""
         found = self._ready.get(service)
         if found is None:
-            listed = self.listed(service)
-            found = tuple(s for s in listed if s.state is BackendState.READY)
+            found = tuple(
+                server
+                for server in self.listed(service)
+                if server.state is BackendState.READY
+                and not self._addresses.is_succeeded(server)
+            )
             self._ready[service] = found
         return found
 
@@ -39,10 +48,18 @@
         return found
 
     def listed(self, service: str) -> tuple[BackendServer, ...]:
-        """Return the listed backend servers of a service, in any state."""
+        """Return the listed backend servers of a service, in any state.
+
+        Only the latest of those at one address is returned.
+        """
         found = self._listed.get(service)
         if found is None:
-            found = tuple(s for s in self._servers.values() if s.service == service)
+            found = tuple(
+                server
+                for server in self._servers.values()
+                if server.service == service
+                and not self._addresses.is_duplicate(server)
+            )
             self._listed[service] = found
         return found
 
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable, Sequence
 
+from balsamspool.plugins.catalog.address_index import AddressIndex
 from balsamspool.plugins.catalog.events import (
     RECORD_IGNORED,
     SERVER_CHANGED,
@@ -46,11 +47,11 @@
     """Routes and backend servers, each at its newest known revision."""
 
     __slots__ = (
+        "_addresses",
         "_ages",
         "_recently_removed",
         "_delayed_removals",
         "_index",
-        "_names_by_address",
         "_outage_end",
         "_removed_hosts",
         "_revisions",
@@ -63,11 +64,12 @@
     def __init__(self) -> None:
         self._routes = RouteHistory()
         self._servers: dict[str, BackendServer] = {}
-        self._index = ServerIndex(self._servers)
-        # Name of the backend server that is listed at each address.
-        self._names_by_address: dict[str, str] = {}
-        self._revisions: dict[str, Revision] = {}
         self._ages = ListingAges()
+        self._addresses = AddressIndex(
+            self._servers, self._ages, self._routes.is_routed
+        )
+        self._index = ServerIndex(self._servers, self._addresses)
+        self._revisions: dict[str, Revision] = {}
         self._delayed_removals: dict[str, DelayedRemoval] = {}
         self._recently_removed: dict[str, RemovedServer] = {}
         self._outage_end: float | None = None
@@ -95,14 +97,21 @@
         """Backend servers that were removed a short time ago."""
         return [removed.server for removed in self._recently_removed.values()]
 
+    def listed_at(self, address: str) -> list[BackendServer]:
+        """Return the backend servers that are listed at an address."""
+        return self._addresses.at(address)
+
     def removed_hosts(self) -> dict[str, RemovedServer]:
-        """Return the last backend server of each address that lists none any more."""
+        """Return the last backend server of each address that lists none any more.
+
+        A server at another port of the address is another program of the instance.
+        """
         if self._removed_hosts is None:
-            listed = {server.address for server in self._servers.values()}
+            listed = {(s.address, s.port) for s in self._servers.values()}
             self._removed_hosts = {
                 removed.server.address: removed
                 for removed in self._recently_removed.values()
-                if removed.server.address not in listed
+                if (removed.server.address, removed.server.port) not in listed
             }
         return self._removed_hosts
 
@@ -281,23 +290,13 @@
     ) -> None:
         before = self._servers.get(server.name)
         self._revisions[server.name] = revision
-        other = self._other_server_at_address(server)
-        if other is not None:
-            # An instance runs one backend server at a time. The catalog entry of a
-            # stopped backend server stays listed for a while after its successor has
-            # started at the same address.
-            if _started_after(other, server):
-                if before is not None:
-                    self._remove_now(server.name, revision, time)
-                return
-            self._remove_now(other.name, self._revisions[other.name], time)
         self._delayed_removals.pop(server.name, None)
         self._recently_removed.pop(server.name, None)
-        if before is not None and before.address != server.address:
-            self._forget_address(before)
+        if before is not None:
+            self._addresses.discard(before)
         self._ages.record(server, created)
         self._servers[server.name] = server
-        self._names_by_address[server.address] = server.name
+        self._addresses.add(server)
         self._on_change()
         if before is None or before.state is not server.state:
             SERVER_CHANGED.log(
@@ -308,13 +307,8 @@
                 state=server.state.value,
                 revision=revision,
             )
-
-    def _other_server_at_address(self, server: BackendServer) -> BackendServer | None:
-        """Return another listed backend server at the same address, or None."""
-        name = self._names_by_address.get(server.address)
-        if name is None or name == server.name:
-            return None
-        return self._servers.get(name)
+        if before is None or before.address != server.address:
+            self._addresses.log_shared(server)
 
     def _remove_or_delay(self, name: str, revision: Revision, time: float) -> None:
         server = self._servers.get(name)
@@ -325,7 +319,12 @@
             return
         if name in self._delayed_removals:
             return
-        if server.state is BackendState.READY and self._may_be_relisted(server, time):
+        may_be_relisted = (
+            server.state is BackendState.READY
+            and not self._addresses.is_succeeded(server)
+            and self._may_be_relisted(server, time)
+        )
+        if may_be_relisted:
             self._delayed_removals[name] = DelayedRemoval(
                 revision, time + RELISTING_SECONDS
             )
@@ -353,23 +352,25 @@
         return outage is not None and time - outage < OUTAGE_EFFECT_SECONDS
 
     def _count_recent_unplanned_removals(self, service: str, time: float) -> int:
-        """Count backend servers of a service that were removed without draining."""
+        """Count removals from a service that may be signs of an outage."""
         since = time - RELISTING_SECONDS
         return sum(
             1
             for removed in self._recently_removed.values()
             if removed.server.service == service
-            and not removed.planned
+            and not removed.explained
             and removed.removed >= since
         )
 
     def _remove_now(self, name: str, revision: Revision, time: float) -> None:
-        server = self._servers.pop(name)
-        self._forget_address(server)
+        server = self._servers[name]
+        succeeded = self._addresses.is_succeeded(server)
+        self._addresses.discard(server)
+        del self._servers[name]
         self._delayed_removals.pop(name, None)
         self._revisions[name] = max(revision, self._revisions.get(name, NO_REVISION))
         expired = self._may_have_expired(time)
-        self._recently_removed[name] = RemovedServer(server, time, expired)
+        self._recently_removed[name] = RemovedServer(server, time, expired, succeeded)
         self._on_change()
         SERVER_REMOVED.log(
             _logger,
@@ -379,20 +380,9 @@
             revision=revision,
         )
 
-    def _forget_address(self, server: BackendServer) -> None:
-        if self._names_by_address.get(server.address) == server.name:
-            del self._names_by_address[server.address]
-
     def _on_change(self) -> None:
         self._version += 1
         self._index.clear()
         self._removed_hosts = None
         for callback in self._subscribers:
             callback()
-
-
-def _started_after(server: BackendServer, other: BackendServer) -> bool:
-    """Return whether a backend server is known to have started after another one."""
-    if server.started_ms is None or other.started_ms is None:
-        return False
-    return server.started_ms > other.started_ms
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -355,10 +355,8 @@
             flow.service = ANY_SERVICE
 
     def _is_of_another_service(self, agent: str, flow: EntryFlow) -> bool:
-        for server in self._catalog.view.servers:
-            if server.address == agent:
-                return service_number(server.service) != flow.service
-        return False
+        listed = self._catalog.view.listed_at(agent)
+        return any(service_number(s.service) != flow.service for s in listed)
 
     def _log_placed(self, key: bytes, route: Route, choices: list[Choice]) -> None:
         first = choices[0]
--- a/balsamspool/plugins/datagram_entry/reset_report.py
+++ b/balsamspool/plugins/datagram_entry/reset_report.py
@@ -53,9 +53,8 @@
         if removed is not None:
             seconds = seconds_since(removed.removed)
             return KnownHost(removed.server.name, "removed", seconds)
-        for server in view.servers:
-            if server.address == address:
-                return KnownHost(server.name, server.state.value)
+        for server in view.listed_at(address):
+            return KnownHost(server.name, server.state.value)
         return KnownHost(address, "unknown")
 
     def report_age(self, address: str) -> float | None:
--- a/standins/odd_entries.py
+++ b/standins/odd_entries.py
@@ -110,9 +110,9 @@
     """Return a text that is built from a good entry by a grammar of JSON values."""
     if rng.random() < 0.1:
         return _random_value(rng, 3)
-    # One host at each address: a later entry at the address of a good one replaces it.
-    members = {"addr": "10.0.0.2:8080"}
-    found = entry(rng.choice((*GOOD, "other")), _random_value(rng, 3), **members)
+    # Another program of the instance on which the good host runs.
+    address = "10.0.0.1:9100"
+    found = entry(rng.choice((*GOOD, "other")), _random_value(rng, 3), addr=address)
     if rng.random() < 0.1:
         found = found[: rng.randrange(len(found))]
     return found
