Bound how long a process waits for an answer of the store

Cause: a watch waited for its own answer only, for 6 s and 1 s more, where each entry of a failure domain reads the store itself. A lost answer left the process blind for up to 7 s, while agents told it each second that others knew a newer revision.

Change: the wait follows from the time to recover of the deployment (recovery_milliseconds, 2.5 s at 4 s), so that the wait, the time-out of the answer and the next call fit into it. A watch is given up sooner when other entries have announced a newer revision for 1 s, and its connection is closed. Announcements that an answer of the store disproves are forgotten. Line 2302 carries the age of the last answer.

The fix works because the time without any answer is now shorter than the time after which a process has to act on changes, whoever else is silent.

--- a/balsamspool/plugins/catalog/follower.py
+++ b/balsamspool/plugins/catalog/follower.py
@@ -10,6 +10,7 @@
 from balsamspool.plugins.catalog.codes import (
     CATALOG_HISTORY_LOST,
     CATALOG_OUTDATED,
+    CATALOG_UNAVAILABLE,
 )
 from balsamspool.plugins.catalog.completeness import Completeness
 from balsamspool.plugins.catalog.delta import CatalogDelta
@@ -42,6 +43,8 @@
 RETRY_LIMIT_SECONDS = 1.0
 # Longest retry delay of a process that has no route table yet.
 EMPTY_RETRY_SECONDS = 0.15
+# Interval at which a watch in progress is compared with what other entries know.
+BEHIND_CHECK_SECONDS = 0.5
 # Longest random delay before a full read. It spreads the full reads that all processes
 # start at the same moment after the service has lost its history.
 REREAD_SPREAD_SECONDS = 0.2
@@ -59,7 +62,7 @@
         completeness: Records answers and outages.
         selector: Selects the service or a peer for each call.
         wait: Longest wait of one call in seconds, which bounds the time until a lost
-            answer is detected.
+            answer is detected if no other entry knows of newer changes.
         rng: Random number generator.
     """
 
@@ -256,10 +259,11 @@
 
     async def _read_or_watch(self) -> None:
         self._calls += 1
+        started = now()
         if self._revision is None:
             snapshot = await self._source.read()
             self.enter_era(snapshot.revision)
-            self._record_service_answer()
+            self._record_service_answer(started)
             self._apply_snapshot(snapshot)
             CATALOG_READ.log(
                 _logger, revision=snapshot.revision, records=len(snapshot.records)
@@ -268,15 +272,39 @@
             await asyncio.sleep(CHANGE_BATCH_SECONDS)
             return
         after = self._revision
-        changes = await self._source.watch(after, self._watch_wait())
+        changes = await self._watch(after)
         if not changes.continues(after):
             detail = f"revision {after}, answered at {changes.revision}"
             raise ResultError(CATALOG_HISTORY_LOST, detail)
-        self._record_service_answer()
+        self._record_service_answer(started)
         self._apply_changes(changes)
         if changes.records:
             await asyncio.sleep(CHANGE_BATCH_SECONDS)
 
+    async def _watch(self, after: Revision) -> Changes:
+        """Wait for changes of the service.
+
+        The service may never answer a watch although it answers later calls. A watch is
+        given up if other entries have known newer changes for a while.
+
+        Raises:
+            ResultError: With the codes of `CatalogSource.watch`.
+        """
+        wait = self._watch_wait()
+        watch = asyncio.ensure_future(self._source.watch(after, wait))
+        try:
+            while not watch.done():
+                await asyncio.wait((watch,), timeout=BEHIND_CHECK_SECONDS)
+                if not watch.done() and self._selector.is_behind(after, now()):
+                    detail = f"no answer, but other entries know more than {after}"
+                    raise ResultError(CATALOG_UNAVAILABLE, detail)
+            return watch.result()
+        finally:
+            if not watch.done():
+                # The connection is closed, so that a late answer reaches nobody.
+                watch.cancel()
+                await asyncio.wait((watch,))
+
     def _watch_wait(self) -> float:
         if not self._reachable:
             return PROBE_WAIT_SECONDS
@@ -300,8 +328,8 @@
         self._revision = max(self._revision or NO_REVISION, changes.revision)
         self._feed.record_changes(Changes(self._revision, changes.records))
 
-    def _record_service_answer(self) -> None:
-        self._selector.record_service_answer(now())
+    def _record_service_answer(self, started: float) -> None:
+        self._selector.record_service_answer(now(), started)
         self._record_answer(now())
 
     def _record_answer(self, time: float) -> None:
@@ -322,7 +350,7 @@
         self._record_outage(now())
         if self._reachable:
             self._reachable = False
-            CATALOG_LOST.log(_logger, revision=self._revision, error=str(error))
+            CATALOG_LOST.log(_logger, **self._state(), error=str(error))
 
     def _record_outage(self, time: float) -> None:
         self._feed.record_outage(time)
--- a/balsamspool/plugins/catalog/plugin.py
+++ b/balsamspool/plugins/catalog/plugin.py
@@ -17,7 +17,7 @@
 from balsamspool.plugins.catalog.peers import CatalogPeers
 from balsamspool.plugins.catalog.refresher import CatalogRefresher
 from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
-from balsamspool.plugins.catalog.source import CatalogSource
+from balsamspool.plugins.catalog.source import ANSWER_SECONDS, CatalogSource
 from balsamspool.plugins.catalog.upstream import (
     FollowPeer,
     ReadService,
@@ -27,20 +27,21 @@
 from balsamspool.plugins.catalog.view import CatalogView
 
 EXPIRY_INTERVAL_SECONDS = 0.5
-# Time added to the longest wait of a watch to get the age at which the view no longer
-# counts as fresh. A watch without changes is answered only at the end of its wait.
-FRESH_MARGIN_SECONDS = 1.0
+# Part of the recovery time that remains for the next call after a watch without an
+# answer: its retry delay, the call itself, and some slack.
+NEXT_CALL_SECONDS = 0.5
 
 
 class CatalogSettings(Section, frozen=True):
     """Settings of the catalog plug-in.
 
     Attributes:
-        watch_seconds: Longest wait for changes in one call in seconds. It bounds the
-            time until a lost answer is detected; the source detects a silent
-            connection sooner.
+        watch_seconds: Longest wait for changes in one call in seconds.
         apply_milliseconds: Time in milliseconds within which a published change must be
             in force.
+        recovery_milliseconds: Time in milliseconds after the end of a disturbance from
+            which on changes must be in force as usual. It bounds the wait for changes,
+            because the answer may have been lost in the disturbance.
         listen: IPv4 address and port at which this process answers peers, None if it
             answers none.
         peers: Addresses and ports of processes that may know the catalog. Some of them
@@ -49,9 +50,16 @@
 
     watch_seconds: Annotated[float, Meta(gt=0, le=30)] = 6.0
     apply_milliseconds: Annotated[int, Meta(ge=1_000)] = 6_000
+    recovery_milliseconds: Annotated[int, Meta(ge=2_000)] = 4_000
     listen: str | None = None
     peers: list[str] = []
 
+    @property
+    def longest_watch(self) -> float:
+        """Longest wait in seconds that leaves time for another call."""
+        recovery = self.recovery_milliseconds / 1000
+        return min(self.watch_seconds, recovery - ANSWER_SECONDS - NEXT_CALL_SECONDS)
+
     def problem(self) -> tuple[str, str] | None:
         """Return the field and what is wrong with it, or None if all is valid."""
         listen = [("listen", self.listen)] if self.listen is not None else []
@@ -80,7 +88,7 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         settings: CatalogSettings = kernel.settings.section("catalog")
-        self._watch_seconds = settings.watch_seconds
+        self._watch_seconds = settings.longest_watch
         source = kernel.plugin(CatalogSource)
         self._peers = kernel.plugin(CatalogPeers)
         self._listen = settings.listen
@@ -134,12 +142,15 @@
 
     @property
     def fresh(self) -> bool:
-        """Whether the view is recent enough to conclude that a route does not exist."""
+        """Whether the view is recent enough to conclude that a route does not exist.
+
+        A watch without changes is answered only at the end of its wait.
+        """
         age = self.age
         return (
             self._follower.reachable
             and age is not None
-            and age < self._watch_seconds + FRESH_MARGIN_SECONDS
+            and age < self._watch_seconds + ANSWER_SECONDS
         )
 
     @property
--- a/balsamspool/plugins/catalog/source.py
+++ b/balsamspool/plugins/catalog/source.py
@@ -6,6 +6,9 @@
 from balsamspool.plugins.catalog.model import Changes, Snapshot
 from balsamspool.plugins.catalog.revision import Revision
 
+# Time for an answer of the service, beyond the wait that a watch asks for. The service
+# usually answers within milliseconds, and a slow one within a few hundred.
+ANSWER_SECONDS = 1.0
 # The history is searched at most this many revisions back.
 MAX_HISTORY_REVISIONS = 128
 # Precision with which the search finds the oldest revision that the service keeps.
--- a/balsamspool/plugins/catalog/upstream.py
+++ b/balsamspool/plugins/catalog/upstream.py
@@ -15,6 +15,7 @@
 
 from msgspec import Struct
 
+from balsamspool.plugins.catalog.announced import AnnouncedRevisions
 from balsamspool.plugins.catalog.revision import Revision
 
 # Number of entries of a failure domain that read the service. A follower that does not
@@ -121,9 +122,9 @@
     """
 
     __slots__ = (
+        "_announced",
         "_independent_until",
         "_lists",
-        "_newer_since",
         "_next_service_try",
         "_own_address",
         "_paused_peers",
@@ -141,8 +142,7 @@
         self._rng = rng
         self._lists: dict[str, _ReceivedList] = {}
         self._paused_peers: dict[str, float] = {}
-        # Event loop time in seconds since which a newer revision has been announced.
-        self._newer_since = math.inf
+        self._announced = AnnouncedRevisions()
         self._next_service_try = -math.inf
         # Whether the last choice was the service because no reader was of use.
         self._fell_back = False
@@ -168,13 +168,22 @@
             if time - received.received <= READERS_LIFETIME_SECONDS
         }
         self._lists[agent] = _ReceivedList(found, time)
+        newest = max(r.content.newest_revision for r in self._lists.values())
+        self._announced.retract_above(newest)
+        self._announced.record(newest, time)
 
     def record_peer_failure(self, peer: str, time: float) -> None:
         """Do not ask a peer again for a while."""
         self._paused_peers[peer] = time + PEER_PAUSE_SECONDS
 
-    def record_service_answer(self, time: float) -> None:
-        """Record that the service answered this process."""
+    def record_service_answer(self, time: float, started: float) -> None:
+        """Record that the service answered this process.
+
+        Args:
+            time: Event loop time of the answer in seconds.
+            started: Event loop time in seconds at which the call began.
+        """
+        self._announced.confirm(started)
         self._unreachable_until = -math.inf
         if self._fell_back:
             self._fell_back = False
@@ -209,6 +218,16 @@
         independent = time < self._independent_until
         return self._times.reader_wait if independent else PROBE_WAIT_SECONDS
 
+    def is_behind(self, revision: Revision, time: float) -> bool:
+        """Return whether another entry has known a newer revision for a while.
+
+        Args:
+            revision: Revision up to which this process knows all changes.
+            time: Event loop time in seconds.
+        """
+        behind = self._announced.seconds_behind(revision, time)
+        return behind > REVISION_LAG_SECONDS
+
     def choose(
         self, revision: Revision | None, last_answer: float | None, time: float
     ) -> Upstream:
@@ -226,7 +245,7 @@
         if time < self._independent_until:
             return ReadService()
         stale = time - last_answer > self._times.stale
-        behind = self._is_behind(revision, time) or stale
+        behind = self.is_behind(revision, time) or stale
         if behind and time >= self._next_service_try:
             self._fell_back = True
             return ReadService()
@@ -237,15 +256,6 @@
             return ReadService()
         return FollowPeer(first)
 
-    def _is_behind(self, revision: Revision, time: float) -> bool:
-        """Return whether another entry has known a newer revision for a while."""
-        newest = max(r.content.newest_revision for r in self._lists.values())
-        if revision >= newest:
-            self._newer_since = math.inf
-            return False
-        self._newer_since = min(self._newer_since, time)
-        return time - self._newer_since > REVISION_LAG_SECONDS
-
     def _usable_peers(self, time: float) -> Iterator[str]:
         """Yield the entries that can be followed, the reader first.
 
--- a/tests/test_catalog_upstream.py
+++ b/tests/test_catalog_upstream.py
@@ -136,7 +136,7 @@
         late = 100.0 + TIMES.stale + 0.1
         self.selector.record_list("10.1.0.1", LIST, late)
         self.choose(late, answered=100.0)
-        self.selector.record_service_answer(late)
+        self.selector.record_service_answer(late, late)
         self.assertEqual(self.choose(late + 1.0), ReadService())
         until = late + INDEPENDENT_SECONDS + 0.1
         self.selector.record_list("10.1.0.1", LIST, until)
