Remember each service of a route for the life of its flows

Cause: the history of routes kept three services of a route, whatever their age. The flows were 10 s old, their service was the fourth, and an entry that has followed the tables for a minute asks nobody else.

Change: a service is remembered until the life of a flow has passed since it left the route, also if the route is removed in between (PastServices). The life is the setting flow_seconds of the deployment. Bounds on memory widen the search in place of narrowing it: until the flows of what was forgotten have ended, the hosts of all services are asked, and line 2322 says so. The older table of a restored catalog counts as in use until a newer one is published. Unchanged routes take no memory any more.

The fix works because the time since a service left decides, which is what the life of a flow depends on, and no bound decides in silence.

--- a/balsamspool/plugins/catalog/events.py
+++ b/balsamspool/plugins/catalog/events.py
@@ -118,3 +118,11 @@
     "Two backend servers are listed at one address. Flows are searched for at both, "
     "but the one that is succeeded gets no new flows.",
 )
+SERVICES_FORGOTTEN = log_event(
+    2322,
+    "route-services-forgotten",
+    logging.WARNING,
+    "Too many earlier services of a route, or of too many routes, to remember; until "
+    "their flows have ended, unknown flows are searched for at the hosts of all "
+    "services.",
+)
--- a/balsamspool/plugins/catalog/plugin.py
+++ b/balsamspool/plugins/catalog/plugin.py
@@ -17,6 +17,7 @@
 from balsamspool.plugins.catalog.peers import CatalogPeers
 from balsamspool.plugins.catalog.refresher import CatalogRefresher
 from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
+from balsamspool.plugins.catalog.route_history import FLOW_LIFE_SECONDS
 from balsamspool.plugins.catalog.source import ANSWER_SECONDS, CatalogSource
 from balsamspool.plugins.catalog.upstream import (
     FollowPeer,
@@ -42,6 +43,7 @@
         recovery_milliseconds: Time in milliseconds after the end of a disturbance from
             which on changes must be in force as usual. It bounds the wait for changes,
             because the answer may have been lost in the disturbance.
+        flow_seconds: Longest life of a flow in seconds.
         listen: IPv4 address and port at which this process answers peers, None if it
             answers none.
         peers: Addresses and ports of processes that may know the catalog. Some of them
@@ -51,6 +53,7 @@
     watch_seconds: Annotated[float, Meta(gt=0, le=30)] = 6.0
     apply_milliseconds: Annotated[int, Meta(ge=1_000)] = 6_000
     recovery_milliseconds: Annotated[int, Meta(ge=2_000)] = 4_000
+    flow_seconds: Annotated[float, Meta(gt=0, le=86_400)] = FLOW_LIFE_SECONDS
     listen: str | None = None
     peers: list[str] = []
 
@@ -92,7 +95,7 @@
         source = kernel.plugin(CatalogSource)
         self._peers = kernel.plugin(CatalogPeers)
         self._listen = settings.listen
-        self._view = CatalogView()
+        self._view = CatalogView(settings.flow_seconds)
         self._feed = CatalogFeed()
         self._completeness = Completeness()
         self._selector = UpstreamSelector(
--- a/balsamspool/plugins/catalog/route_history.py
+++ b/balsamspool/plugins/catalog/route_history.py
@@ -10,6 +10,11 @@
     RoutesPublished,
     RouteTable,
 )
+from balsamspool.plugins.catalog.past_services import (
+    NOT_LEFT,
+    Endpoint,
+    PastServices,
+)
 from balsamspool.plugins.catalog.revision import NO_REVISION
 
 _logger = logging.getLogger(__name__)
@@ -17,18 +22,21 @@
 # Longest life of a flow: callers use a flow for at most one minute. No open flow
 # depends on a route table that was replaced longer ago than this.
 FLOW_LIFE_SECONDS = 60.0
-# Maximum number of earlier services that are remembered for each route. Unknown flows
-# of the route are searched for in these services, because the route once directed flows
-# to them.
-MAX_PAST_SERVICES = 3
-
-Endpoint = tuple[str, int]
+# Interval at which earlier services are checked for those whose flows have ended.
+EXPIRY_SECONDS = 1.0
 
 
 class RouteHistory:
-    """Routes by address and port, and their earlier services."""
+    """Routes by address and port, and their earlier services.
+
+    Args:
+        flow_life: Longest life of a flow in seconds.
+    """
 
     __slots__ = (
+        "_applied_at",
+        "_expired_at",
+        "_flow_life",
         "_past_services",
         "_revision",
         "_routed_services",
@@ -37,13 +45,17 @@
         "_tracked_since",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, flow_life: float = FLOW_LIFE_SECONDS) -> None:
+        self._flow_life = flow_life
         self._table: RouteTable | None = None
         self._revision = NO_REVISION
         self._routes: dict[Endpoint, Route] = {}
         # Services to which the table in force directs new flows.
         self._routed_services: set[str] = set()
-        self._past_services: dict[Endpoint, tuple[str, ...]] = {}
+        self._past_services = PastServices(flow_life)
+        # Event loop time in seconds at which the table in force was applied.
+        self._applied_at = 0.0
+        self._expired_at = 0.0
         # Event loop time in seconds at which the first table was received.
         self._tracked_since: float | None = None
 
@@ -52,14 +64,19 @@
         """Route table in force, None before the first."""
         return self._table
 
-    def is_complete(self, time: float) -> bool:
-        """Return whether this process knows all tables that open flows depend on.
+    def is_complete(self, endpoint: Endpoint, time: float) -> bool:
+        """Return whether all services are known that may hold flows of a route.
 
         Args:
+            endpoint: Address and port of the route.
             time: Event loop time in seconds.
         """
         since = self._tracked_since
-        return since is not None and time - since >= FLOW_LIFE_SECONDS
+        return (
+            since is not None
+            and time - since >= self._flow_life
+            and self._past_services.are_known(endpoint, time)
+        )
 
     def is_routed(self, service: str) -> bool:
         """Return whether a route leads to a service.
@@ -80,8 +97,8 @@
         route = self._routes.get(endpoint)
         if route is None:
             return ()
-        present = tuple(target.service for target in route.targets)
-        past = self._past_services.get(endpoint, ())
+        present = _services(route)
+        past = self._past_services.at(endpoint)
         return (*present, *(service for service in past if service not in present))
 
     def apply(self, record: RoutesPublished, time: float) -> bool:
@@ -92,21 +109,26 @@
             time: Event loop time in seconds.
         """
         table = record.table
-        if self._table is not None and table.version <= self._table.version:
-            if table.version < self._table.version:
-                ROUTES_IGNORED.log(
-                    _logger, offered=table.version, in_force=self._table.version
-                )
-                # A process that has started since a restore uses this table.
-                self._remember_services(table.routes)
+        if self._table is not None and table.version < self._table.version:
+            ROUTES_IGNORED.log(
+                _logger, offered=table.version, in_force=self._table.version
+            )
+            # A process that has started since a restore uses this table until a newer
+            # one is published.
+            self._record_earlier(table, NOT_LEFT)
+            return False
+        self._past_services.end_use(time)
+        if self._table is not None and table.version == self._table.version:
             return False
         if self._tracked_since is None:
             self._tracked_since = time
-        # The services of each route are remembered before a newer table replaces them.
-        self._remember_services(self._routes.values())
+        earlier = self._table
         self._table = table
         self._revision = record.revision
+        self._applied_at = time
         self._routes = {(r.address, r.port): r for r in table.routes}
+        if earlier is not None:
+            self._record_earlier(earlier, time)
         self._routed_services = {t.service for r in table.routes for t in r.targets}
         ROUTES_IN_FORCE.log(
             _logger,
@@ -127,16 +149,38 @@
                 case RoutesPublished(revision, table) if (
                     revision < self._revision or self._is_earlier(table)
                 ):
-                    self._remember_services(table.routes)
+                    self._record_earlier(table, self._applied_at)
+
+    def expire(self, time: float) -> None:
+        """Forget earlier services whose flows have ended.
+
+        Args:
+            time: Event loop time in seconds.
+        """
+        if time - self._expired_at >= EXPIRY_SECONDS:
+            self._expired_at = time
+            self._past_services.expire(time)
 
     def _is_earlier(self, table: RouteTable) -> bool:
         return self._table is not None and table.version < self._table.version
 
-    def _remember_services(self, routes: Iterable[Route]) -> None:
-        """Remember the services of routes, the latest of them first."""
-        for route in routes:
+    def _record_earlier(self, table: RouteTable, time: float) -> None:
+        """Record the services of an earlier table that the one in force lacks.
+
+        Args:
+            table: The earlier table.
+            time: Event loop time in seconds at which it was no longer used.
+        """
+        for route in table.routes:
             endpoint = (route.address, route.port)
-            past = self._past_services.get(endpoint, ())
-            services = tuple(target.service for target in route.targets)
-            kept = tuple(service for service in past if service not in services)
-            self._past_services[endpoint] = (*services, *kept)[:MAX_PAST_SERVICES]
+            later = self._routes.get(endpoint)
+            if later is not None and later.targets == route.targets:
+                continue
+            present = _services(later) if later is not None else ()
+            left = [s for s in _services(route) if s not in present]
+            if left:
+                self._past_services.record(endpoint, left, time)
+
+
+def _services(route: Route) -> tuple[str, ...]:
+    return tuple(target.service for target in route.targets)
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -26,7 +26,7 @@
 from balsamspool.plugins.catalog.removals import DelayedRemoval, RemovedServer
 from balsamspool.plugins.catalog.report_order import is_newer_report, is_older_report
 from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
-from balsamspool.plugins.catalog.route_history import RouteHistory
+from balsamspool.plugins.catalog.route_history import FLOW_LIFE_SECONDS, RouteHistory
 from balsamspool.plugins.catalog.server_index import ServerIndex
 
 _logger = logging.getLogger(__name__)
@@ -43,7 +43,11 @@
 
 
 class CatalogView:
-    """Routes and backend servers, each at its newest known revision."""
+    """Routes and backend servers, each at its newest known revision.
+
+    Args:
+        flow_life: Longest life of a flow in seconds.
+    """
 
     __slots__ = (
         "_addresses",
@@ -59,8 +63,8 @@
         "_version",
     )
 
-    def __init__(self) -> None:
-        self._routes = RouteHistory()
+    def __init__(self, flow_life: float = FLOW_LIFE_SECONDS) -> None:
+        self._routes = RouteHistory(flow_life)
         self._servers: dict[str, BackendServer] = {}
         self._addresses = AddressIndex(self._servers, self._routes.is_routed)
         self._index = ServerIndex(self._servers, self._addresses)
@@ -118,30 +122,31 @@
         """Return the services whose hosts may hold flows of a route."""
         return self._routes.services_at((address, port))
 
-    def knows_all_tables(self, time: float) -> bool:
-        """Return whether this process knows all tables that open flows depend on.
+    def knows_all_services(self, address: str, port: int, time: float) -> bool:
+        """Return whether all services are known that may hold flows of a route.
 
         Args:
+            address: IPv4 address of the route.
+            port: UDP port of the route.
             time: Event loop time in seconds.
         """
-        return self._routes.is_complete(time)
+        return self._routes.is_complete((address, port), time)
 
     def unknown_holders(
         self, address: str, port: int, time: float
     ) -> list[BackendServer]:
         """Return backend servers of other services that may hold flows of a route.
 
-        A process that has just started does not know earlier tables, and so not all
-        earlier services of a route. Any host may hold flows under such a table: that
-        its entry is new does not show that it is, because an entry that expired is
-        created again.
+        A process that has just started does not know all earlier services of a route.
+        Any host may be of such a service: that its entry is new does not show that the
+        host is, because an entry that expired is created again.
 
         Args:
             address: IPv4 address of the route.
             port: UDP port of the route.
             time: Event loop time in seconds.
         """
-        if self.knows_all_tables(time):
+        if self.knows_all_services(address, port, time):
             return []
         services = self.services_at(address, port)
         return [s for s in self._servers.values() if s.service not in services]
@@ -249,18 +254,18 @@
                     listed.add(name)
             self.apply(record, time)
         for name in list(self._servers):
-            # The snapshot may miss a backend server that was added while the pages of
-            # the snapshot were read. The record of such a server is newer than the
-            # snapshot, so the server is kept.
+            # The snapshot may miss a backend server that was added while its pages were
+            # read. The record of such a server is newer, so the server is kept.
             if name not in listed and self._revisions[name] <= snapshot.revision:
                 self._remove_or_delay(name, snapshot.revision, time)
 
     def expire(self, time: float) -> None:
-        """Complete delayed removals that are due and forget servers removed long ago.
+        """Complete removals that are due, and forget what flows no longer depend on.
 
         Args:
             time: Event loop time in seconds.
         """
+        self._routes.expire(time)
         for name, delayed in list(self._delayed_removals.items()):
             if time >= delayed.until:
                 self._remove_now(name, delayed.removal_revision, time)
--- a/balsamspool/plugins/datagram_entry/holders.py
+++ b/balsamspool/plugins/datagram_entry/holders.py
@@ -116,7 +116,7 @@
         """Return hosts of other services that may hold the flow of a packet."""
         view = self._catalog.view
         endpoint = service_endpoint(packet)
-        if view.knows_all_tables(now()):
+        if view.knows_all_services(*endpoint, now()):
             return []
         listed = view.unknown_holders(*endpoint, now())
         removed = view.recently_removed_except(view.services_at(*endpoint))
--- a/balsamspool/plugins/datagram_entry/reset_report.py
+++ b/balsamspool/plugins/datagram_entry/reset_report.py
@@ -79,13 +79,12 @@
         }
 
     def catalog(self) -> dict[str, Any]:
-        """Return the fields that say how recent and complete the catalog is."""
+        """Return the fields that say how recent the catalog is."""
         age = self._catalog.age
         return {
             "catalog_age": None if age is None else round(age, 3),
             "catalog_version": self._catalog.view.version,
             "catalog_revision": self._catalog.revision,
-            "all_tables": self._catalog.view.knows_all_tables(now()),
         }
 
     def hosts(self, packet: Packet, unlocated: UnlocatedFlow | None) -> dict[str, Any]:
@@ -96,10 +95,15 @@
             unlocated: Searches for the flow, None without a search.
         """
         view = self._catalog.view
-        services = view.services_at(*service_endpoint(packet))
+        endpoint = service_endpoint(packet)
+        services = view.services_at(*endpoint)
         listed = [s for service in services for s in view.listed(service)]
         removed = [r.server for n in services for r in view.recently_removed_from(n)]
-        fields: dict[str, Any] = {"listed": len(listed), "removed": len(removed)}
+        fields: dict[str, Any] = {
+            "services_known": view.knows_all_services(*endpoint, now()),
+            "listed": len(listed),
+            "removed": len(removed),
+        }
         if unlocated is not None:
             covered = {server.address for server in unlocated.servers}
             later = [s.name for s in listed if s.address not in covered]
