Count removed hosts that report as part of a complete search

With 256 listed hosts, hosts that were removed and still report did not fit into a search any more, and the search counted as complete: a flow at such a host would be reset.

Before: test_a_removed_host_beyond_the_limit_prevents_a_reset fails.

--- a/balsamspool/plugins/datagram_entry/flow.py
+++ b/balsamspool/plugins/datagram_entry/flow.py
@@ -23,7 +23,8 @@
             began, None without a search.
         unanswered: Number of successive searches without a result before the last one.
         catalog_version: Version of the catalog when that search began.
-        exhaustive: Whether ``queried`` contains every host that was listed then.
+        exhaustive: Whether ``queried`` contains every host of the services of its
+            route that was listed then, or was removed and still reported.
         unsure: Whether an agent of another service returned a packet of the flow
             although it may not know all flows of its host.
         remaining_hosts: Addresses of the agents that are queried if none of ``hosts``
--- a/balsamspool/plugins/datagram_entry/holders.py
+++ b/balsamspool/plugins/datagram_entry/holders.py
@@ -47,8 +47,8 @@
 
     @property
     def exhaustive(self) -> bool:
-        """Whether the hosts to query include every listed one."""
-        return len(self.servers) >= self.listed
+        """Whether the hosts to query include all of the services of the route."""
+        return len(self.servers) >= self.listed + self.departed
 
 
 class FurtherHosts(Struct, frozen=True):
--- a/tests/test_datagram_other_services.py
+++ b/tests/test_datagram_other_services.py
@@ -105,3 +105,26 @@
         self.peers.take()
         self.receive(DATA)
         self.assertNotIn(OTHER, queried(self.peers.take_forwards()))
+
+
+class RemovedHostsTest(EntryCase):
+    async def test_a_removed_host_beyond_the_limit_prevents_a_reset(self):
+        """Guards against a reset although a removed host that reports was not asked."""
+        many = [
+            server(n, name=f"m-{n}", address=f"10.7.{n // 250}.{n % 250}")
+            for n in range(LOOKUP_LIMIT - len(self.servers) + 1)
+        ]
+        self.source.publish(*published(50, *many))
+        await asyncio.sleep(FLOW_LIFE_SECONDS)
+        # The agent of the removed host still reports.
+        self.source.publish(ServerRemoved(500, "i-1"))
+        await asyncio.sleep(3)
+        self.peers.take()
+        self.receive(DATA)
+        for _ in range(3):
+            for message, first in self.peers.take_forwards():
+                chain = [first, *map(socket.inet_ntoa, message.alternatives)]
+                self.return_packet(bytes(message.payload), chain[-1], len(chain))
+            await asyncio.sleep(0.05)
+        self.assertEqual(len(self.catalog.view.listed("portal")), LOOKUP_LIMIT)
+        self.assertEqual(self.resets(), [])
