Notice route tables that a process did not get

A follower asks its reader for changes, and the reader keeps the newest record of each name. Of two route tables that arrive between two requests, the follower gets only the second; so does a process that reads the whole catalog again after a loss of the history or a restore. Other entries may have opened flows by the first table, but the process took its tables for complete, asked no hosts of other services and would reset such flows.

Change: a delta between peers says whether it contains each table since the requested revision (all_tables, a trailing field that earlier versions neither send nor read; without it, tables count as missed). After a missed table the process knows the tables only from then on, and searches at the hosts of all services for the life of a flow.

--- a/balsamspool/plugins/catalog/delta.py
+++ b/balsamspool/plugins/catalog/delta.py
@@ -35,6 +35,8 @@
             process that the sender follows, None if it never has.
         outage_age: Seconds since the end of the last outage that the sender knows, None
             without an outage.
+        all_tables: Whether ``records`` contain each route table since the requested
+            revision, and not only the newest. Earlier versions do not say so.
     """
 
     revision: Revision
@@ -42,6 +44,7 @@
     records: tuple[Record, ...]
     age: float | None
     outage_age: float | None = None
+    all_tables: bool = False
 
 
 _logger = logging.getLogger(__name__)
@@ -57,6 +60,7 @@
     records: bytes  # compressed
     age: _Age | None
     outage_age: _Age | None
+    all_tables: bool = False
 
 
 _encoder = msgspec.msgpack.Encoder(enc_hook=encode_revision)
@@ -80,7 +84,12 @@
     """
     encoded = encode_records(delta.records) if records is None else records
     message = _Message(
-        delta.revision, delta.complete, encoded, delta.age, delta.outage_age
+        delta.revision,
+        delta.complete,
+        encoded,
+        delta.age,
+        delta.outage_age,
+        delta.all_tables,
     )
     return _encoder.encode(message)
 
@@ -105,6 +114,7 @@
         _decode_records(records),
         message.age,
         message.outage_age,
+        message.all_tables,
     )
 
 
--- a/balsamspool/plugins/catalog/feed.py
+++ b/balsamspool/plugins/catalog/feed.py
@@ -33,7 +33,7 @@
     def record_changes(self, changes: Changes) -> None:
         """Keep changes that this process has read."""
         for record in changes.records:
-            self._log.apply(record)
+            self._log.apply(record, changes.all_tables)
         self._advance(changes.revision)
 
     def record_snapshot(self, snapshot: Snapshot) -> None:
@@ -75,6 +75,7 @@
             records=records,
             age=_seconds_since(self._service_answer, time),
             outage_age=_seconds_since(self._outage_end, time),
+            all_tables=self._log.has_all_tables_after(revision),
         )
 
     def _advance(self, revision: Revision) -> None:
--- a/balsamspool/plugins/catalog/follower.py
+++ b/balsamspool/plugins/catalog/follower.py
@@ -165,7 +165,9 @@
                 return False
             self._apply_snapshot(Snapshot(delta.revision, delta.records))
         else:
-            self._apply_changes(Changes(delta.revision, delta.records))
+            self._apply_changes(
+                Changes(delta.revision, delta.records, delta.all_tables)
+            )
         if delta.age is not None and delta.age < self._selector.times.stale:
             self._record_answer(now() - delta.age)
         return known is None or delta.revision > known
@@ -324,9 +326,11 @@
 
     def _apply_changes(self, changes: Changes) -> None:
         for record in changes.records:
-            self._view.apply(record, now())
+            self._view.apply(record, now(), changes.all_tables)
         self._revision = max(self._revision or NO_REVISION, changes.revision)
-        self._feed.record_changes(Changes(self._revision, changes.records))
+        self._feed.record_changes(
+            Changes(self._revision, changes.records, changes.all_tables)
+        )
 
     def _record_service_answer(self, started: float) -> None:
         self._selector.record_service_answer(now(), started)
--- a/balsamspool/plugins/catalog/model.py
+++ b/balsamspool/plugins/catalog/model.py
@@ -188,10 +188,13 @@
     Attributes:
         revision: Revision after which the next changes are to be read.
         records: The records, empty if nothing changed.
+        all_tables: Whether the records contain each route table of the time, and not
+            only the newest.
     """
 
     revision: Revision
     records: tuple[Record, ...]
+    all_tables: bool = True
 
     def continues(self, after: Revision) -> bool:
         """Return whether the changes are of the same era as a revision.
--- a/balsamspool/plugins/catalog/record_log.py
+++ b/balsamspool/plugins/catalog/record_log.py
@@ -8,7 +8,7 @@
     ServerRemoved,
     Snapshot,
 )
-from balsamspool.plugins.catalog.revision import Revision
+from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
 
 # Maximum number of removals that are kept. A peer that asks for changes from before the
 # oldest of them gets the whole catalog.
@@ -25,7 +25,7 @@
     it delays, so it gets the records and not the view.
     """
 
-    __slots__ = ("_complete_since", "_records", "_removals")
+    __slots__ = ("_complete_since", "_one_table_since", "_records", "_removals")
 
     def __init__(self) -> None:
         self._records: dict[str | None, Record] = {}
@@ -33,14 +33,26 @@
         self._removals: dict[str | None, None] = {}
         # Revision after which no change is missing, None before the first snapshot.
         self._complete_since: Revision | None = None
+        # Revision after which at most one route table was published, which is kept.
+        self._one_table_since = NO_REVISION
 
-    def apply(self, record: Record) -> None:
-        """Keep a record unless a newer one of the same name is known."""
+    def apply(self, record: Record, all_tables: bool = True) -> None:
+        """Keep a record unless a newer one of the same name is known.
+
+        Args:
+            record: The record.
+            all_tables: Whether no route table before the record is missing.
+        """
         name = _key_of(record)
         known = self._records.get(name)
         if known is not None and known.revision >= record.revision:
             return
-        self._records[name] = _latest_table(known, record)
+        latest = _latest_table(known, record)
+        if name == _ROUTES_KEY:
+            kept = all_tables and latest is record
+            earlier = known.revision if known is not None else NO_REVISION
+            self._one_table_since = earlier if kept else record.revision
+        self._records[name] = latest
         self._removals.pop(name, None)
         if isinstance(record, ServerRemoved):
             self._removals[name] = None
@@ -51,7 +63,7 @@
         """Apply a snapshot, and record what it no longer lists as removed."""
         listed = {_key_of(record) for record in snapshot.records}
         for record in snapshot.records:
-            self.apply(record)
+            self.apply(record, all_tables=False)
         for name, known in list(self._records.items()):
             if name in listed or name in self._removals or name == _ROUTES_KEY:
                 continue
@@ -64,6 +76,10 @@
         if since is None or Revision(since).era < Revision(snapshot.revision).era:
             self._complete_since = snapshot.revision
 
+    def has_all_tables_after(self, revision: Revision) -> bool:
+        """Return whether each route table after a revision is kept."""
+        return revision >= self._one_table_since
+
     def changes_after(self, revision: Revision) -> tuple[Record, ...] | None:
         """Return the records that changed after a revision, the oldest first.
 
--- a/balsamspool/plugins/catalog/route_history.py
+++ b/balsamspool/plugins/catalog/route_history.py
@@ -15,7 +15,7 @@
     Endpoint,
     PastServices,
 )
-from balsamspool.plugins.catalog.revision import NO_REVISION
+from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
 
 _logger = logging.getLogger(__name__)
 
@@ -56,7 +56,7 @@
         # Event loop time in seconds at which the table in force was applied.
         self._applied_at = 0.0
         self._expired_at = 0.0
-        # Event loop time in seconds at which the first table was received.
+        # Event loop time in seconds since which this process knows all tables.
         self._tracked_since: float | None = None
 
     @property
@@ -101,12 +101,16 @@
         past = self._past_services.at(endpoint)
         return (*present, *(service for service in past if service not in present))
 
-    def apply(self, record: RoutesPublished, time: float) -> bool:
+    def apply(
+        self, record: RoutesPublished, time: float, all_tables: bool = True
+    ) -> bool:
         """Put a table in force if it is newer, and return whether it is.
 
         Args:
             record: Record of the table.
             time: Event loop time in seconds.
+            all_tables: Whether no table between this one and the one in force is
+                missing. Other processes may have used such a table.
         """
         table = record.table
         if self._table is not None and table.version < self._table.version:
@@ -119,8 +123,9 @@
             return False
         self._past_services.end_use(time)
         if self._table is not None and table.version == self._table.version:
+            self._republish(record.revision, time, all_tables)
             return False
-        if self._tracked_since is None:
+        if self._tracked_since is None or not all_tables:
             self._tracked_since = time
         earlier = self._table
         self._table = table
@@ -161,6 +166,15 @@
             self._expired_at = time
             self._past_services.expire(time)
 
+    def _republish(self, revision: Revision, time: float, all_tables: bool) -> None:
+        """Record that the table in force was published again.
+
+        A restored catalog may have contained an older table in between.
+        """
+        if not all_tables and Revision(revision).era > Revision(self._revision).era:
+            self._tracked_since = time
+        self._revision = max(revision, self._revision)
+
     def _is_earlier(self, table: RouteTable) -> bool:
         return self._table is not None and table.version < self._table.version
 
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -212,16 +212,17 @@
         """Learn earlier route tables from records before the first read."""
         self._routes.learn(records)
 
-    def apply(self, record: Record, time: float) -> None:
+    def apply(self, record: Record, time: float, all_tables: bool = True) -> None:
         """Apply a record unless a newer one of the same name is known.
 
         Args:
             record: The record.
             time: Event loop time in seconds.
+            all_tables: Whether no route table before the record is missing.
         """
         match record:
             case RoutesPublished():
-                if self._routes.apply(record, time):
+                if self._routes.apply(record, time, all_tables):
                     self._on_change()
             case ServerPublished(revision, server, created) if self._is_new(
                 server.name, revision
@@ -252,7 +253,7 @@
                     listed.add(server.name)
                 case RecordIgnored(_, name, _):
                     listed.add(name)
-            self.apply(record, time)
+            self.apply(record, time, all_tables=False)
         for name in list(self._servers):
             # The snapshot may miss a backend server that was added while its pages were
             # read. The record of such a server is newer, so the server is kept.
