Remember services while other entries may still use the earlier table

Entries put a route table in force at different times: within the limit of the deployment, or later after a pause. An entry that was first forgot a service 60 s after it had left there, while flows that another entry opened by the earlier table were less than 60 s old, and reset them when their packets moved. The same held for the first minute of a new process.

Change: services are remembered, and tables count as unknown, for 15 s longer than the life of a flow.

Tests that waited for the life of a flow wait for the retention now.

--- a/balsamspool/plugins/catalog/past_services.py
+++ b/balsamspool/plugins/catalog/past_services.py
@@ -26,13 +26,13 @@
     routes, are not known until those flows have ended.
 
     Args:
-        flow_life: Longest life of a flow in seconds.
+        retention: Time in seconds after which no flow depends on a service that left.
     """
 
-    __slots__ = ("_all_known_from", "_flow_life", "_known_from", "_left")
+    __slots__ = ("_all_known_from", "_retention", "_known_from", "_left")
 
-    def __init__(self, flow_life: float) -> None:
-        self._flow_life = flow_life
+    def __init__(self, retention: float) -> None:
+        self._retention = retention
         # Event loop time in seconds at which each service left, the latest one last.
         self._left: dict[Endpoint, dict[str, float]] = {}
         # Event loop time in seconds from which on the services of a route, and of all
@@ -80,7 +80,7 @@
         Args:
             time: Event loop time in seconds.
         """
-        end = time + self._flow_life
+        end = time + self._retention
         for left in self._left.values():
             for service, moment in left.items():
                 if moment == NOT_LEFT:
@@ -95,7 +95,7 @@
         Args:
             time: Event loop time in seconds.
         """
-        limit = time - self._flow_life
+        limit = time - self._retention
         for endpoint, left in list(self._left.items()):
             for service in [s for s, moment in left.items() if moment <= limit]:
                 del left[service]
@@ -109,7 +109,7 @@
 
     def _forget_service(self, endpoint: Endpoint, left: dict[str, float]) -> None:
         """Forget the service of a route that left first."""
-        end = left.pop(next(iter(left))) + self._flow_life
+        end = left.pop(next(iter(left))) + self._retention
         if endpoint not in self._known_from:
             address, port = endpoint
             SERVICES_FORGOTTEN.log(_logger, address=address, port=port, kept=len(left))
@@ -123,5 +123,5 @@
         left = self._left.pop(next(iter(self._left)))
         if self._all_known_from == -math.inf:
             SERVICES_FORGOTTEN.log(_logger, routes=len(self._left))
-        end = max(left.values()) + self._flow_life
+        end = max(left.values()) + self._retention
         self._all_known_from = max(end, self._all_known_from)
--- a/balsamspool/plugins/catalog/route_history.py
+++ b/balsamspool/plugins/catalog/route_history.py
@@ -19,9 +19,13 @@
 
 _logger = logging.getLogger(__name__)
 
-# Longest life of a flow: callers use a flow for at most one minute. No open flow
-# depends on a route table that was replaced longer ago than this.
+# Longest life of a flow: callers use a flow for at most one minute.
 FLOW_LIFE_SECONDS = 60.0
+# Time for which other entries may open flows by a table that this process has replaced:
+# they get the next one later, or were paused or cut off.
+OUTDATED_USE_SECONDS = 15.0
+# Time for which flows may depend on a table that this process has replaced.
+TABLE_RETENTION_SECONDS = FLOW_LIFE_SECONDS + OUTDATED_USE_SECONDS
 # Interval at which earlier services are checked for those whose flows have ended.
 EXPIRY_SECONDS = 1.0
 
@@ -36,8 +40,8 @@
     __slots__ = (
         "_applied_at",
         "_expired_at",
-        "_flow_life",
         "_past_services",
+        "_retention",
         "_revision",
         "_routed_services",
         "_routes",
@@ -46,13 +50,13 @@
     )
 
     def __init__(self, flow_life: float = FLOW_LIFE_SECONDS) -> None:
-        self._flow_life = flow_life
+        self._retention = flow_life + OUTDATED_USE_SECONDS
         self._table: RouteTable | None = None
         self._revision = NO_REVISION
         self._routes: dict[Endpoint, Route] = {}
         # Services to which the table in force directs new flows.
         self._routed_services: set[str] = set()
-        self._past_services = PastServices(flow_life)
+        self._past_services = PastServices(self._retention)
         # Event loop time in seconds at which the table in force was applied.
         self._applied_at = 0.0
         self._expired_at = 0.0
@@ -74,7 +78,7 @@
         since = self._tracked_since
         return (
             since is not None
-            and time - since >= self._flow_life
+            and time - since >= self._retention
             and self._past_services.are_known(endpoint, time)
         )
 
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -32,7 +32,7 @@
 )
 from balsamspool.plugins.catalog.refresher import CatalogRefresher
 from balsamspool.plugins.catalog.removals import REMOVED_RETENTION_SECONDS
-from balsamspool.plugins.catalog.route_history import FLOW_LIFE_SECONDS
+from balsamspool.plugins.catalog.route_history import TABLE_RETENTION_SECONDS
 from balsamspool.plugins.catalog.upstream import UpstreamSelector, UpstreamTimes
 from balsamspool.plugins.catalog.view import (
     RELISTING_SECONDS,
@@ -302,7 +302,7 @@
     def test_a_server_that_is_older_than_the_table_may_hold_flows(self):
         view = self.view(created=3)
         self.assertEqual(names(view.unknown_holders(*SERVICE, 1.0)), ["i-2"])
-        self.assertEqual(view.unknown_holders(*SERVICE, FLOW_LIFE_SECONDS), [])
+        self.assertEqual(view.unknown_holders(*SERVICE, TABLE_RETENTION_SECONDS), [])
 
     def test_a_new_entry_does_not_show_that_its_server_is_new(self):
         """The entry expired in an outage and was created again (review, case 4)."""
--- a/tests/test_datagram_decisions.py
+++ b/tests/test_datagram_decisions.py
@@ -11,7 +11,7 @@
     ServerPublished,
     ServerRemoved,
 )
-from balsamspool.plugins.catalog.route_history import FLOW_LIFE_SECONDS
+from balsamspool.plugins.catalog.route_history import TABLE_RETENTION_SECONDS
 from balsamspool.plugins.datagram_entry import unlocated
 from balsamspool.plugins.datagram_entry.unlocated import UnlocatedFlow, UnlocatedFlows
 from tests.datagram_entry_case import DATA, KEY, EntryCase
@@ -209,7 +209,7 @@
         draining = [server(n, state=BackendState.DRAINING) for n in range(1, 6)]
         other = ServerPublished(39, server(9, "records"), created=39)
         # The entry knows each table under which an open flow may have opened.
-        await asyncio.sleep(FLOW_LIFE_SECONDS)
+        await asyncio.sleep(TABLE_RETENTION_SECONDS)
         self.source.publish(other, *published(40, *draining), *leaving)
         self.reporting.clear()
         self.reporting.add("10.0.0.9")
--- a/tests/test_datagram_other_services.py
+++ b/tests/test_datagram_other_services.py
@@ -7,7 +7,7 @@
 from balsamspool.placement.lookup import LOOKUP_LIMIT
 from balsamspool.plugins.catalog.model import ServerPublished, ServerRemoved
 from balsamspool.plugins.catalog.removals import REMOVED_RETENTION_SECONDS
-from balsamspool.plugins.catalog.route_history import FLOW_LIFE_SECONDS
+from balsamspool.plugins.catalog.route_history import TABLE_RETENTION_SECONDS
 from tests.datagram_entry_case import DATA, EntryCase
 from tests.datagram_fakes import published, route, routes, server
 
@@ -101,7 +101,7 @@
     async def test_a_process_with_the_tables_of_a_minute_asks_no_others(self):
         """Guards against a search that goes on at hosts that cannot hold the flow."""
         await self.publish(ServerPublished(50, server(9, "records"), created=50))
-        await asyncio.sleep(FLOW_LIFE_SECONDS)
+        await asyncio.sleep(TABLE_RETENTION_SECONDS)
         self.peers.take()
         self.receive(DATA)
         self.assertNotIn(OTHER, queried(self.peers.take_forwards()))
@@ -115,7 +115,7 @@
             for n in range(LOOKUP_LIMIT - len(self.servers) + 1)
         ]
         self.source.publish(*published(50, *many))
-        await asyncio.sleep(FLOW_LIFE_SECONDS)
+        await asyncio.sleep(TABLE_RETENTION_SECONDS)
         # The agent of the removed host still reports.
         self.source.publish(ServerRemoved(500, "i-1"))
         await asyncio.sleep(3)
--- a/tests/test_datagram_search.py
+++ b/tests/test_datagram_search.py
@@ -12,7 +12,7 @@
     ServerPublished,
     ServerRemoved,
 )
-from balsamspool.plugins.catalog.route_history import FLOW_LIFE_SECONDS
+from balsamspool.plugins.catalog.route_history import TABLE_RETENTION_SECONDS
 from tests.datagram_entry_case import DATA, KEY, EntryCase
 from tests.datagram_fakes import (
     ACK,
@@ -390,7 +390,7 @@
         """Guards against callers that never learn that their flow is lost."""
         other = ServerPublished(50, server(9, "records"), created=0)
         self.source.publish(other, routes(60, version=2))
-        await asyncio.sleep(FLOW_LIFE_SECONDS)
+        await asyncio.sleep(TABLE_RETENTION_SECONDS)
         self.peers.take()
         self.receive(DATA)
         self.answer_as_not_held()
--- a/tests/test_missed_tables.py
+++ b/tests/test_missed_tables.py
@@ -12,12 +12,12 @@
 from balsamspool.plugins.catalog.feed import CatalogFeed
 from balsamspool.plugins.catalog.model import Changes, Snapshot
 from balsamspool.plugins.catalog.revision import Revision
-from balsamspool.plugins.catalog.route_history import FLOW_LIFE_SECONDS
+from balsamspool.plugins.catalog.route_history import TABLE_RETENTION_SECONDS
 from balsamspool.plugins.catalog.view import CatalogView
 from tests._clock import PausedClockTestCase
 from tests.datagram_fakes import SERVICE, published, route, routes, server
 
-LONG_AGO = -10 * FLOW_LIFE_SECONDS
+LONG_AGO = -10 * TABLE_RETENTION_SECONDS
 
 
 def table(revision, service, version=None):
@@ -65,7 +65,7 @@
         self.read(table(12, "c"))
         self.assertEqual(len(await self.follow(10)), 1)
         self.assertFalse(self.known())
-        self.assertTrue(self.known(2 * FLOW_LIFE_SECONDS))
+        self.assertTrue(self.known(2 * TABLE_RETENTION_SECONDS))
 
     async def test_what_a_reader_missed_its_followers_miss_too(self):
         """Guards against a follower that takes the tables of its reader for all."""
