Move the flows that await a read of the catalog into a module

MissingFlows now keeps the packets that wait, and says which are due after a read; FlowSearch decides on them.

--- a/balsamspool/plugins/datagram_entry/search.py
+++ b/balsamspool/plugins/datagram_entry/search.py
@@ -4,10 +4,7 @@
 import socket
 
 from balsamspool.datagram.messages import ANY_SERVICE, PacketReturned
-from balsamspool.datagram.packet import (
-    Packet,
-    PacketCodec,
-)
+from balsamspool.datagram.packet import Packet, PacketCodec
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.counters import CounterSet
 from balsamspool.kernel.recent import RecentCache
@@ -26,9 +23,8 @@
     Forwarder,
 )
 from balsamspool.plugins.datagram_entry.holders import PossibleHolders
+from balsamspool.plugins.datagram_entry.missing import MissingFlows
 
-# Maximum number of flows that wait until the catalog has been read again.
-MAX_MISSING_FLOWS = 4_096
 # Delays before the retries of a search. The entry retries on its own because an agent
 # that has just started may have missed the first packet, and callers wait longer after
 # each of their retransmissions.
@@ -90,8 +86,7 @@
         self._forwarder = forwarder
         self._log = log
         self._holders = PossibleHolders(catalog, board, failure_domain)
-        # One packet of each flow that waits until the catalog has been read again.
-        self._missing_flows: dict[bytes, Packet] = {}
+        self._missing_flows = MissingFlows(catalog, flows, log)
         self._searched = counters.counter(PACKETS, PACKETS_HELP, "searched")
         self._limited = counters.counter(PACKETS, PACKETS_HELP, "search-limited")
         self._retried = counters.counter(PACKETS, PACKETS_HELP, "search-retried")
@@ -206,7 +201,7 @@
         key = packet.flow_from_caller
         flow = self._flows.get(key)
         self._flows.discard(key)
-        self._missing_flows.pop(key, None)
+        self._missing_flows.discard(key)
         if packet.resets:
             self._log.dropped(key)
             return
@@ -225,17 +220,17 @@
             self._drop_unknown(packet, hops, "services-unknown")
         elif (
             asked_all
-            and self._catalog_read_since_missing(flow)
+            and self._missing_flows.has_been_read(flow)
             and self._catalog.complete
         ):
             self.reset_lost(packet, HELD_NOWHERE)
         else:
-            self._await_catalog(packet, flow)
+            self._missing_flows.add(packet, flow)
 
     def _continue_missing(self, packet: Packet, flow: EntryFlow) -> None:
         """Keep a missing flow waiting, or search again if the catalog has changed."""
         if flow.catalog_version != self._catalog.view.version:
-            del self._missing_flows[packet.flow_from_caller]
+            self._missing_flows.discard(packet.flow_from_caller)
             self.search(packet, flow.missing_since)
             return
         self._flow_missing.value += 1
@@ -341,45 +336,9 @@
         else:
             self.reset_lost(packet, NOT_HELD)
 
-    def _catalog_read_since_missing(self, flow: EntryFlow) -> bool:
-        """Return whether the catalog was read again before the last search.
-
-        The read began after the first search had failed, so its result contains all
-        hosts that were listed when the read began.
-        """
-        refresher = self._catalog.refresher
-        missing_since, searched_at = flow.missing_since, flow.searched_at
-        if missing_since is None or searched_at is None:
-            return False
-        return missing_since <= refresher.started and refresher.finished <= searched_at
-
-    def _await_catalog(self, packet: Packet, flow: EntryFlow) -> None:
-        """Request a read of the catalog, which may list hosts that were not queried."""
-        if flow.missing_since is None:
-            flow.missing_since = now()
-            self._log.awaits_catalog(packet.flow_from_caller)
-        if len(self._missing_flows) < MAX_MISSING_FLOWS:
-            self._missing_flows[packet.flow_from_caller] = packet
-        self._catalog.refresher.request()
-
     def _resolve_missing(self) -> None:
         """Reset or search for flows that were missing before the catalog was read."""
-        if self._missing_flows and not self._catalog.complete:
-            # The flows wait for the next read of the catalog. A search now would be
-            # wasted: it queries every host, but its result cannot justify a reset while
-            # the catalog is incomplete.
-            self._catalog.refresher.request()
-            return
-        for key, packet in list(self._missing_flows.items()):
-            flow = self._flows.get(key)
-            if flow is None or flow.confirmed or flow.missing_since is None:
-                del self._missing_flows[key]
-                continue
-            if flow.missing_since > self._catalog.refresher.started:
-                # The last read of the catalog began before the flow was missing, so its
-                # result may lack hosts that were listed after the read began.
-                continue
-            del self._missing_flows[key]
+        for packet, flow in self._missing_flows.take_due():
             if self._holders.knows_more_services(packet, flow):
                 self.search(packet, flow.missing_since)
             elif not self._holders.asked_all_services(packet, flow):
