--- a/emulator/catalog_service.py
+++ b/emulator/catalog_service.py
@@ -1,9 +1,10 @@
 """Emulated service that publishes the catalog, and the ways in which it can fail."""
 
 import asyncio
+import math
 import random
 from bisect import bisect_right
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from msgspec import Struct
 from msgspec.structs import replace
@@ -40,7 +41,7 @@
 
 
 class Silent(Struct, frozen=True):
-    """The service does not answer."""
+    """The service does not answer, and never answers the calls that wait for it."""
 
 
 class Slow(Struct, frozen=True):
@@ -152,6 +153,10 @@
         # `self.condition`.
         self.conditions: dict[str, Condition] = {}
         self.calls = 0
+        # Time in seconds at which the calls of each reader, and of all readers, were
+        # last lost.
+        self._lost_at: dict[str, float] = {}
+        self._all_lost_at = -math.inf
 
     @property
     def available(self) -> bool:
@@ -225,6 +230,17 @@
         """Deliver the answers that were kept back for a reader since `hold`."""
         self._held.pop(reader).set()
 
+    def lose_calls(self, readers: Collection[str] | None = None) -> None:
+        """Never answer the calls in progress, although later ones are answered.
+
+        Args:
+            readers: Readers whose calls are lost, None for all.
+        """
+        if readers is None:
+            self._all_lost_at = now()
+        else:
+            self._lost_at.update(dict.fromkeys(readers, now()))
+
     def forget_history(self) -> None:
         """Drop the history of changes."""
         self._history_start = self.revision
@@ -252,6 +268,7 @@
             ResultError: If the service does not have the history since the revision, or
                 does not answer.
         """
+        begun = now()
         await self._start_answer(reader)
         end = now() + wait
         era = self.era
@@ -264,6 +281,7 @@
             found = [r for r in self._state.changes if r.revision > after]
             remaining = end - now()
             if found or remaining <= 0:
+                await self._lose_if_lost(reader, begun, end)
                 await self._apply_condition(reader)
                 if self.era != era:
                     raise self._watch_failure()
@@ -330,6 +348,19 @@
                 if self._rng.random() < share:
                     await self._time_out()
 
+    async def _lose_if_lost(self, reader: str, begun: float, end: float) -> None:
+        """Give no answer to a call that was lost while it waited.
+
+        Args:
+            reader: Name of the process.
+            begun: Time at which the call began in seconds.
+            end: Time at which it was to end in seconds.
+        """
+        lost_at = max(self._all_lost_at, self._lost_at.get(reader, -math.inf))
+        if lost_at >= begun:
+            await asyncio.sleep(max(0.0, end - now()))
+            await self._time_out()
+
     async def _time_out(self) -> None:
         await asyncio.sleep(TIMEOUT_SECONDS)
         raise ResultError(CATALOG_UNAVAILABLE, "no answer")
--- a/emulator/trouble_runner.py
+++ b/emulator/trouble_runner.py
@@ -5,7 +5,7 @@
 from balsamspool.kernel.clock import now
 from balsamspool.plugins.catalog.model import Target
 from emulator.backend_server import EmulatedServer, Grey, Healthy, Sluggish
-from emulator.catalog_service import Condition, Serving
+from emulator.catalog_service import Condition, Serving, Silent
 from emulator.fleet import Fleet
 from emulator.network import Cut
 from emulator.process import EmulatedProcess
@@ -182,6 +182,8 @@
             catalog.conditions.update(dict.fromkeys(readers, condition))
         else:
             catalog.condition = condition
+        if isinstance(condition, Silent):
+            catalog.lose_calls(readers if share < 1.0 else None)
         await asyncio.sleep(seconds)
         for reader in readers:
             catalog.conditions.pop(reader, None)
