--- a/tests/datagram_entry_case.py
+++ b/tests/datagram_entry_case.py
@@ -31,13 +31,15 @@
 
 
 class EntryCase(PausedClockTestCase):
+    source_type = FakeSource
+
     async def asyncSetUp(self):
         sections = {
             "datagram-entry": DatagramSettings(address="10.0.1.1:8172"),
             "catalog": CatalogSettings(),
         }
         self.kernel = FakeKernel(Role.DATAGRAM_ENTRY, "10.0.1.1", sections)
-        self.source = FakeSource()
+        self.source = self.source_type()
         self.servers = [server(n) for n in range(1, 6)]
         self.source.records = [routes(1), *published(2, *self.servers)]
         self.kernel.known.append(self.source)
--- a/tests/test_catalog_lost_answer.py
+++ b/tests/test_catalog_lost_answer.py
@@ -8,20 +8,16 @@
 from balsamspool.datagram._codec import encode_small
 from balsamspool.datagram.messages import Readers
 from balsamspool.kernel.clock import now
-from balsamspool.kernel.errors import ResultError
 from balsamspool.plugins.catalog.announced import (
     MAX_ANNOUNCEMENTS,
     AnnouncedRevisions,
 )
-from balsamspool.plugins.catalog.codes import CATALOG_UNAVAILABLE
 from balsamspool.plugins.catalog.completeness import Completeness
 from balsamspool.plugins.catalog.feed import CatalogFeed
 from balsamspool.plugins.catalog.follower import CatalogFollower
 from balsamspool.plugins.catalog.model import (
     BackendState,
-    Changes,
     ServerPublished,
-    Snapshot,
 )
 from balsamspool.plugins.catalog.plugin import CatalogSettings
 from balsamspool.plugins.catalog.source import ANSWER_SECONDS
@@ -37,63 +33,16 @@
 from tests.datagram_fakes import (
     SYN,
     FakePeers,
-    FakeSource,
     packet,
     published,
     routes,
     server,
 )
+from tests.silent_source import STEP_SECONDS, SilentSource
 
 DRAINING = BackendState.DRAINING
 # Values of the users' deployments in milliseconds.
 RECOVERY_TIMES_MS = (4_000, 5_000, 6_000)
-STEP_SECONDS = 0.01
-
-
-class SilentSource(FakeSource):
-    """A source that gives some calls no answer, and answers later ones."""
-
-    def __init__(self):
-        super().__init__()
-        self.silences = 0
-        self.silent = False
-
-    async def silence(self, seconds):
-        """Answer neither the calls in progress nor those that begin meanwhile."""
-        self.silent, self.silences = True, self.silences + 1
-        await asyncio.sleep(seconds)
-        self.silent = False
-
-    def write(self, *records):
-        self.records += records
-        self.revision = max(r.revision for r in records)
-
-    async def read(self):
-        self.reads += 1
-        await self._answer(now(), 0.0, self.silences)
-        return Snapshot(self.revision, tuple(self.records))
-
-    async def changes(self, after):
-        self.updates += 1
-        await self._answer(now(), 0.0, self.silences)
-        return self._changes(after)
-
-    async def watch(self, after, wait):
-        self.watches += 1
-        begin, silences = now(), self.silences
-        while self.revision <= after and now() < begin + wait:
-            await asyncio.sleep(STEP_SECONDS)
-        await self._answer(begin, wait, silences)
-        return self._changes(after)
-
-    def _changes(self, after):
-        newer = tuple(r for r in self.records if r.revision > after)
-        return Changes(self.revision, newer)
-
-    async def _answer(self, begin, wait, silences):
-        if self.silent or silences != self.silences:
-            await asyncio.sleep(begin + wait + ANSWER_SECONDS - now())
-            raise ResultError(CATALOG_UNAVAILABLE, "timed out")
 
 
 class LostAnswerTest(PausedClockTestCase):
