Show by which route table a flow was placed, and lost answers

When a flow is handled by an outdated route table, its line 2401 did not tell which table that was, nor for how long the entry had heard nothing; only rejected flows did.

2401 and 2404 carry routes_version and age_seconds like 2403. Two metrics tell the same without logs: calls to the publishing service by outcome, and the time between two answers.

tests.test_datagram_decisions has a test for each.

--- a/balsamspool/plugins/catalog/follower.py
+++ b/balsamspool/plugins/catalog/follower.py
@@ -7,6 +7,7 @@
 from balsamspool.kernel.backoff import Backoff
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.errors import ResultError
+from balsamspool.plugins.catalog.calls import CallMetrics
 from balsamspool.plugins.catalog.codes import (
     CATALOG_HISTORY_LOST,
     CATALOG_OUTDATED,
@@ -64,6 +65,7 @@
         wait: Longest wait of one call in seconds, which bounds the time until a lost
             answer is detected if no other entry knows of newer changes.
         rng: Random number generator.
+        metrics: Metrics of the calls to the service.
     """
 
     __slots__ = (
@@ -72,6 +74,7 @@
         "_era",
         "_feed",
         "_last_answer",
+        "_metrics",
         "_peer_port",
         "_peers",
         "_reachable",
@@ -95,6 +98,7 @@
         selector: UpstreamSelector,
         wait: float,
         rng: random.Random,
+        metrics: CallMetrics,
     ) -> None:
         self._source = source
         self._peers = peers
@@ -105,6 +109,7 @@
         self._selector = selector
         self._watch_seconds = wait
         self._rng = rng
+        self._metrics = metrics
         self._revision: Revision | None = None
         # Newest era that any answer was from, None before the first answer.
         self._era: int | None = None
@@ -242,6 +247,7 @@
         try:
             await self._read_or_watch()
         except ResultError as error:
+            self._metrics.record_failure(error)
             if error.code is CATALOG_HISTORY_LOST:
                 HISTORY_LOST.log(_logger, revision=self._revision)
                 self._revision = None
@@ -333,6 +339,7 @@
         )
 
     def _record_service_answer(self, started: float) -> None:
+        self._metrics.record_answer()
         self._selector.record_service_answer(now(), started)
         self._record_answer(now())
 
@@ -345,6 +352,8 @@
             self._record_outage(time)
             CATALOG_REGAINED.log(_logger, revision=self._revision)
         if self._last_answer is None or time > self._last_answer:
+            if self._last_answer is not None:
+                self._metrics.record_silence(time - self._last_answer)
             self._last_answer = time
             self._feed.record_answer(time)
         self._completeness.record_answer(time)
--- a/balsamspool/plugins/catalog/plugin.py
+++ b/balsamspool/plugins/catalog/plugin.py
@@ -10,6 +10,7 @@
 from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.kernel.settings import Section, split_endpoint
+from balsamspool.plugins.catalog.calls import CallMetrics
 from balsamspool.plugins.catalog.completeness import Completeness
 from balsamspool.plugins.catalog.exchange import CatalogExchange
 from balsamspool.plugins.catalog.feed import CatalogFeed
@@ -113,6 +114,7 @@
             self._selector,
             self._watch_seconds,
             kernel.new_random(),
+            CallMetrics(kernel.counters),
         )
         self._refresher = CatalogRefresher(
             source, self._view, self._completeness, self._follower
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -299,20 +299,19 @@
             # An earlier copy of the packet may have opened the flow through an entry
             # that knows the route.
             self._ignored.value += 1
-            FLOW_IGNORED.log(
-                _logger, flow=flow, reason=reason, age_seconds=self._catalog.age
-            )
+            FLOW_IGNORED.log(_logger, flow=flow, reason=reason, **self._catalog_state())
             return
         self._rejected.value += 1
         self._forwarder.reset(packet)
-        table = self._catalog.view.table
-        FLOW_REJECTED.log(
-            _logger,
-            flow=flow,
-            reason=reason,
-            routes_version=table.version if table else None,
-            age_seconds=self._catalog.age,
-        )
+        FLOW_REJECTED.log(_logger, flow=flow, reason=reason, **self._catalog_state())
+
+    def _catalog_state(self) -> dict[str, object]:
+        """Return the route table by which a flow is handled, and the catalog's age."""
+        table, age = self._catalog.view.table, self._catalog.age
+        return {
+            "routes_version": table.version if table else None,
+            "age_seconds": None if age is None else round(age, 3),
+        }
 
     def _on_peer(self, data: bytes, sender: Address) -> None:
         match decode(data):
@@ -370,4 +369,5 @@
             load_age=round(first.age, 3) if first.age is not None else None,
             next=[f"{c.server.name}:{c.cost:.2f}" for c in choices[1:]],
             catalog_version=self._catalog.view.version,
+            **self._catalog_state(),
         )
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -5,7 +5,9 @@
 from unittest import TestCase
 
 from balsamspool.kernel.clock import now
+from balsamspool.kernel.counters import CounterSet
 from balsamspool.kernel.errors import ResultError
+from balsamspool.plugins.catalog.calls import CallMetrics
 from balsamspool.plugins.catalog.codes import (
     CATALOG_HISTORY_LOST,
     CATALOG_UNAVAILABLE,
@@ -65,6 +67,7 @@
         UpstreamSelector("10.0.0.1", UpstreamTimes.from_limit(6.0), rng),
         wait,
         rng,
+        CallMetrics(CounterSet()),
     )
 
 
--- a/tests/test_catalog_lost_answer.py
+++ b/tests/test_catalog_lost_answer.py
@@ -8,10 +8,12 @@
 from balsamspool.datagram._codec import encode_small
 from balsamspool.datagram.messages import Readers
 from balsamspool.kernel.clock import now
+from balsamspool.kernel.counters import CounterSet
 from balsamspool.plugins.catalog.announced import (
     MAX_ANNOUNCEMENTS,
     AnnouncedRevisions,
 )
+from balsamspool.plugins.catalog.calls import CallMetrics
 from balsamspool.plugins.catalog.completeness import Completeness
 from balsamspool.plugins.catalog.feed import CatalogFeed
 from balsamspool.plugins.catalog.follower import CatalogFollower
@@ -64,6 +66,7 @@
             self.selector,
             wait,
             rng,
+            CallMetrics(CounterSet()),
         )
         self.tasks = [
             asyncio.create_task(self.follower.run()),
--- a/tests/test_catalog_restore.py
+++ b/tests/test_catalog_restore.py
@@ -6,8 +6,10 @@
 from unittest import IsolatedAsyncioTestCase, TestCase
 
 from balsamspool.kernel.clock import now
+from balsamspool.kernel.counters import CounterSet
 from balsamspool.kernel.errors import ResultError
 from balsamspool.minihttp.client import HttpConnection
+from balsamspool.plugins.catalog.calls import CallMetrics
 from balsamspool.plugins.catalog.codes import CATALOG_OUTDATED
 from balsamspool.plugins.catalog.completeness import Completeness
 from balsamspool.plugins.catalog.delta import CatalogDelta, decode_delta, encode_delta
@@ -65,6 +67,7 @@
         UpstreamSelector("10.0.0.9", UpstreamTimes.from_limit(5.0), random.Random(1)),
         6.0,
         random.Random(1),
+        CallMetrics(CounterSet()),
     )
 
 
--- a/tests/test_catalog_upstream.py
+++ b/tests/test_catalog_upstream.py
@@ -7,7 +7,9 @@
 from balsamspool.datagram._codec import decode, encode_small
 from balsamspool.datagram.messages import Announce, Readers, Subscribe
 from balsamspool.kernel.clock import now
+from balsamspool.kernel.counters import CounterSet
 from balsamspool.kernel.errors import ResultError
+from balsamspool.plugins.catalog.calls import CallMetrics
 from balsamspool.plugins.catalog.codes import (
     CATALOG_PEER_UNAVAILABLE,
     CATALOG_UNAVAILABLE,
@@ -333,6 +335,7 @@
             self.selector,
             6.0,
             rng,
+            CallMetrics(CounterSet()),
         )
         self.revision = 10
         self.serve(revision=10)
--- a/tests/test_datagram_decisions.py
+++ b/tests/test_datagram_decisions.py
@@ -5,7 +5,9 @@
 
 from balsamspool.datagram._codec import encode_small
 from balsamspool.datagram.messages import FlowEnded, FlowLocated
+from balsamspool.kernel.errors import ResultError
 from balsamspool.placement.load import GONE_SECONDS
+from balsamspool.plugins.catalog.codes import CATALOG_UNAVAILABLE
 from balsamspool.plugins.catalog.model import (
     BackendState,
     ServerPublished,
@@ -276,3 +278,28 @@
         flow.record_answer("10.0.0.9", 1)
         flow.record_answer("10.0.0.2", 16)
         self.assertEqual((flow.answered, flow.unanswered(4)), (3, ["i-4", "i-5"]))
+
+
+class PlacementLineTest(DecisionCase):
+    async def test_a_placed_flow_names_its_route_table(self):
+        """Guards against a late route table that no line of a flow shows."""
+        self.receive(packet(SYN))
+        fields = self.line("flow-placed")
+        self.assertEqual(fields["routes_version"], 1)
+        self.assertLess(fields["age_seconds"], 4.0)
+
+    async def test_calls_and_silences_are_measured(self):
+        """Guards against lost answers that no metric shows."""
+        values = self.kernel.counters.values()
+        answered = values["balsamspool_catalog_calls.answered"]
+        self.source.queue.put_nowait(ResultError(CATALOG_UNAVAILABLE, "timed out"))
+        await asyncio.sleep(6)
+        values = self.kernel.counters.values()
+        self.assertGreater(values["balsamspool_catalog_calls.answered"], answered)
+        self.assertEqual(values["balsamspool_catalog_calls.catalog-unavailable"], 1)
+        (silence,) = (
+            h
+            for h in self.kernel.counters._histograms
+            if h.name == "balsamspool_catalog_silence_seconds"
+        )
+        self.assertGreaterEqual(silence.sum, 5.0)
--- a/tests/test_odd_following.py
+++ b/tests/test_odd_following.py
@@ -5,7 +5,9 @@
 
 import msgspec
 
+from balsamspool.kernel.counters import CounterSet
 from balsamspool.kernel.lifecycle import run_supervised
+from balsamspool.plugins.catalog.calls import CallMetrics
 from balsamspool.plugins.catalog.completeness import Completeness
 from balsamspool.plugins.catalog.delta import decode_delta, encode_delta
 from balsamspool.plugins.catalog.feed import CatalogFeed
@@ -37,6 +39,7 @@
             UpstreamSelector("10.0.0.9", UpstreamTimes.from_limit(5.0), rng),
             1.0,
             rng,
+            CallMetrics(CounterSet()),
         )
 
     async def put(self, key, text):
