Let calls to the store overlap

While the store was slow and unknown flows kept arriving, an entry that had lost the history did not get its full read through, and so kept its old route table and list of hosts until the store was quick again.

Cause: the full read of the follower and the reads on demand of the refresher shared one connection object. Each call that began while another one waited failed, and its clean-up closed the connection under the other one, which failed too. Both were repeated 0.15 to 1 s later and met again.

Change: HttpClient opens a connection for each request and keeps no state between them; StoreSource uses one of them for all calls. HttpConnection, which peers use, keeps its one connection, and its flag `reuse` is gone. The stand-in of the store can take a time for each answer.

The fix works because a call no longer has anything in common with another one that could end it.

--- a/balsamspool/plugins/catalog/source.py
+++ b/balsamspool/plugins/catalog/source.py
@@ -20,8 +20,8 @@
 
     An adapter registers one subclass. It only translates; the catalog plug-in decides
     when to call and what to do after a failure. Changes may be of a later era than the
-    revision after which they were requested. `watch` may run at the same time as one of
-    the other calls.
+    revision after which they were requested. Calls may overlap; none delays or ends
+    another one.
     """
 
     async def read(self) -> Snapshot:
--- a/standins/store.py
+++ b/standins/store.py
@@ -82,6 +82,7 @@
         calls: Number of calls received.
         page_items: Maximum number of items of a page.
         era: Number that every answer carries; it rises by one with each restore.
+        answer_seconds: Time that each answer takes in seconds, beyond a watch's wait.
     """
 
     def __init__(self) -> None:
@@ -97,6 +98,7 @@
         self.calls = 0
         self.page_items = PAGE_ITEMS
         self.era = 1
+        self.answer_seconds = 0.0
 
     async def put(self, key: str, value: object) -> None:
         """Write an item as JSON, or remove it if the value is None."""
@@ -250,6 +252,7 @@
         except web.HTTPException as failure:
             answer = failure
         answer.headers[ERA_HEADER] = str(self.era)
+        await asyncio.sleep(self.answer_seconds)
         if self._hold_next:
             self._hold_next = False
             await self._released.wait()
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -7,7 +7,7 @@
 from unittest import IsolatedAsyncioTestCase
 
 from balsamspool.kernel.errors import ResultError
-from balsamspool.minihttp.client import HttpConnection
+from balsamspool.minihttp.client import HttpClient, HttpConnection
 from balsamspool.plugins.backend.client import BackendClient
 from balsamspool.plugins.backend.codes import BACKEND_FAILED
 from tests.raw_server import answer, run_raw_server
@@ -48,10 +48,11 @@
         for whole in (answer(BODY), CHUNKED, WITHOUT_LENGTH):
             for length in range(len(whole)):
                 async with run_raw_server() as server:
-                    server.scripts = [[whole[:length], None]]
-                    connection = HttpConnection("127.0.0.1", server.port)
-                    with self.assertRaises(OSError):
-                        await self.get(connection)
+                    server.scripts = [[whole[:length], None]] * 2
+                    for client in (HttpConnection, HttpClient):
+                        connection = client("127.0.0.1", server.port)
+                        with self.assertRaises(OSError):
+                            await self.get(connection)
 
     async def test_a_closed_idle_connection_is_opened_again(self):
         """Guards against an outage that is recorded because a server closed."""
@@ -65,10 +66,10 @@
 
     async def test_a_connection_carries_many_requests(self):
         """Guards against a connection for each request of a follower."""
-        for reuse, connections in ((True, 1), (False, 3)):
+        for client, connections in ((HttpConnection, 1), (HttpClient, 3)):
             async with run_raw_server() as server:
                 server.scripts = [[answer(b"a")], [answer(b"")], [CHUNKED]]
-                connection = HttpConnection("127.0.0.1", server.port, reuse)
+                connection = client("127.0.0.1", server.port)
                 bodies = [await self.get(connection) for _ in range(3)]
                 self.assertEqual(bodies, [b"a", b"", BODY])
                 self.assertEqual(server.connections, connections)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -68,6 +68,32 @@
         self.assertEqual(changes.revision, known + 2)
         self.assertEqual(self.store.calls, calls + 1)
 
+    async def test_a_full_read_ends_while_changes_are_read(self):
+        """Guards against reads that make each other fail for as long as both are asked.
+
+        The store is slow, and unknown flows keep the reads of changes coming.
+        """
+        known = (await self.source.read()).revision
+        self.store.answer_seconds = 0.05
+        failures = []
+
+        async def read_changes():
+            while True:
+                try:
+                    await self.source.changes(known)
+                except ResultError as error:
+                    failures.append(error)
+                await asyncio.sleep(0.03)
+
+        changes = asyncio.create_task(read_changes())
+        try:
+            snapshot = await self.source.read()
+        finally:
+            changes.cancel()
+            await asyncio.gather(changes, return_exceptions=True)
+        self.assertEqual(len(snapshot.records), SERVERS)
+        self.assertEqual(failures, [])
+
     async def test_lost_history_and_refusals_have_codes_of_their_own(self):
         """Guards against a lost history that is treated as "nothing changed"."""
         known = (await self.source.read()).revision
