Leave time for a full read after a lost answer of the store

An entry that reads the store itself got a change over 4 s after the end of a silence, though it was back in touch, if the store had also dropped its history.

Cause: the wait of a watch left 0.5 s of the time to recover for what follows a lost answer: a retry delay of up to 0.2 s and one call. When that call is told that the history is gone, a random delay of up to 0.2 s and a full read follow, which had not been counted.

Change: the time for the calls after a lost answer is the sum of both delays and of two calls (0.7 s), so the wait is 2.3 s in place of 2.5 s at 4 s.

--- a/balsamspool/plugins/catalog/plugin.py
+++ b/balsamspool/plugins/catalog/plugin.py
@@ -14,7 +14,11 @@
 from balsamspool.plugins.catalog.completeness import Completeness
 from balsamspool.plugins.catalog.exchange import CatalogExchange
 from balsamspool.plugins.catalog.feed import CatalogFeed
-from balsamspool.plugins.catalog.follower import CatalogFollower
+from balsamspool.plugins.catalog.follower import (
+    FIRST_RETRY_SECONDS,
+    REREAD_SPREAD_SECONDS,
+    CatalogFollower,
+)
 from balsamspool.plugins.catalog.peers import CatalogPeers
 from balsamspool.plugins.catalog.refresher import CatalogRefresher
 from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
@@ -29,9 +33,13 @@
 from balsamspool.plugins.catalog.view import CatalogView
 
 EXPIRY_INTERVAL_SECONDS = 0.5
-# Part of the recovery time that remains for the next call after a watch without an
-# answer: its retry delay, the call itself, and some slack.
-NEXT_CALL_SECONDS = 0.5
+# Time for one call that is answered as usual, and to apply its answer.
+USUAL_CALL_SECONDS = 0.15
+# Part of the recovery time that remains after a watch without an answer. The next call
+# may find that the history is lost, so that a full read has to follow.
+NEXT_CALLS_SECONDS = (
+    FIRST_RETRY_SECONDS + REREAD_SPREAD_SECONDS + 2 * USUAL_CALL_SECONDS
+)
 
 
 class CatalogSettings(Section, frozen=True):
@@ -60,9 +68,9 @@
 
     @property
     def longest_watch(self) -> float:
-        """Longest wait in seconds that leaves time for another call."""
+        """Longest wait in seconds that leaves time for calls after a lost answer."""
         recovery = self.recovery_milliseconds / 1000
-        return min(self.watch_seconds, recovery - ANSWER_SECONDS - NEXT_CALL_SECONDS)
+        return min(self.watch_seconds, recovery - ANSWER_SECONDS - NEXT_CALLS_SECONDS)
 
     def problem(self) -> tuple[str, str] | None:
         """Return the field and what is wrong with it, or None if all is valid."""
--- a/tests/silent_source.py
+++ b/tests/silent_source.py
@@ -4,7 +4,10 @@
 
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.errors import ResultError
-from balsamspool.plugins.catalog.codes import CATALOG_UNAVAILABLE
+from balsamspool.plugins.catalog.codes import (
+    CATALOG_HISTORY_LOST,
+    CATALOG_UNAVAILABLE,
+)
 from balsamspool.plugins.catalog.model import Changes, Snapshot
 from balsamspool.plugins.catalog.source import ANSWER_SECONDS
 from tests.datagram_fakes import FakeSource
@@ -13,10 +16,17 @@
 
 
 class SilentSource(FakeSource):
-    """A source that gives some calls no answer, and answers later ones."""
+    """A source that gives some calls no answer, and answers later ones.
+
+    Attributes:
+        answer_seconds: Time that an answer takes in seconds.
+        oldest_revision: Oldest revision after which changes are still known.
+    """
 
     def __init__(self):
         super().__init__()
+        self.answer_seconds = 0.0
+        self.oldest_revision = 0
         self.silences = 0
         self.silent = False
 
@@ -49,6 +59,8 @@
         return self._changes(after)
 
     def _changes(self, after):
+        if after < self.oldest_revision:
+            raise ResultError(CATALOG_HISTORY_LOST, "dropped")
         newer = tuple(r for r in self.records if r.revision > after)
         return Changes(self.revision, newer)
 
@@ -56,3 +68,4 @@
         if self.silent or silences != self.silences:
             await asyncio.sleep(begin + wait + ANSWER_SECONDS - now())
             raise ResultError(CATALOG_UNAVAILABLE, "timed out")
+        await asyncio.sleep(self.answer_seconds)
--- a/tests/test_catalog_lost_answer.py
+++ b/tests/test_catalog_lost_answer.py
@@ -47,14 +47,21 @@
 RECOVERY_TIMES_MS = (4_000, 5_000, 6_000)
 
 
+class LongestDelays(random.Random):
+    """Draws the longest of all delays."""
+
+    def uniform(self, a, b):
+        return b
+
+
 class LostAnswerTest(PausedClockTestCase):
     """An entry that reads the service itself, as at a small site."""
 
-    def start(self, wait):
+    def start(self, wait, rng=None):
         self.source = SilentSource()
         self.source.records = [routes(1), *published(2, server(1), server(2))]
         self.view = CatalogView()
-        rng = random.Random(1)
+        rng = rng or random.Random(1)
         self.selector = UpstreamSelector("10.0.0.9", UpstreamTimes.from_limit(3.0), rng)
         self.follower = CatalogFollower(
             self.source,
@@ -104,6 +111,23 @@
                 self.assertEqual(self.ready(), ["i-2"], (recovery_ms, moment))
                 await self.asyncTearDown()
 
+    async def test_a_change_is_applied_in_time_though_the_history_is_lost_too(self):
+        """Guards against a lost answer that leaves no time for two further calls.
+
+        The next call finds that the history is gone; only a full read has the change.
+        """
+        for recovery_ms in RECOVERY_TIMES_MS:
+            wait = CatalogSettings(recovery_milliseconds=recovery_ms).longest_watch
+            self.start(wait, LongestDelays())
+            answer_seconds = self.source.answer_seconds = 0.1
+            await asyncio.sleep(answer_seconds + CHANGE_BATCH_SECONDS + STEP_SECONDS)
+            await self.source.silence(0.0)
+            self.source.write(ServerPublished(20, server(1, state=DRAINING)))
+            self.source.oldest_revision = 20
+            await asyncio.sleep(recovery_ms / 1000)
+            self.assertEqual(self.ready(), ["i-2"], recovery_ms)
+            await self.asyncTearDown()
+
     async def test_a_watch_is_given_up_if_others_know_more(self):
         """Guards against a process that is blind until its own watch ends (case 3)."""
         self.start(wait=60.0)
