Bound the wait for the platform by what the fleet can afford

In the HTTP/3 front end, a published text could be in force nowhere for 28 s after the platform had been silent for a moment, in place of the 8 s within which it must be.

A change answers the watches of all processes, so all of them watch again within the next fractions of a second. If the platform leaves these watches without an answer, each process waits for 25 s and 3 s more, and no peer knows more.

Evidence: the new test, with 20 readers of a fleet of 200 on a paused clock, fails on the code before: 8 s after its publication not all readers have the new text.

Change: the wait of a watch follows from the number of readers: at most 4 s while the calls of all of them are affordable, which is up to 800 readers, and up to 25 s (23.7 s at 4,740 readers) above. There, calls are spread over so long a time that a short silence reaches a few processes, which get the text from their peers.

--- a/balsamspool/plugins/platform/pace.py
+++ b/balsamspool/plugins/platform/pace.py
@@ -7,6 +7,12 @@
 # Call rate that all processes together should not exceed. The platform allows about
 # 2,000 calls per second; the margin absorbs random peaks.
 CALLS_PER_SECOND = 1_600.0
+# Call rate that all processes together may use while nothing changes.
+IDLE_CALLS_PER_SECOND = 400.0
+# Wait of a watch that recovers from a lost answer in time: within the 8 s after which a
+# change must be in force, the call times out 3 s after its wait, is repeated after up
+# to 0.5 s, and is answered.
+RECOVERING_WAIT_SECONDS = 4.0
 # Number of values that each process watches: the configuration and the instance list.
 VALUES_PER_PROCESS = 2
 
@@ -53,7 +59,13 @@
     def watch_wait(self, longest: float) -> float:
         """Return the wait of a watch, randomized so that watches do not end together.
 
+        A process does not notice a lost answer before the end of its wait. A large
+        fleet cannot call often enough; there the calls are spread so far that a short
+        silence reaches a few processes only, and their peers pass a change on.
+
         Args:
             longest: Longest wait in seconds.
         """
-        return longest * self._rng.uniform(0.7, 1.0)
+        affordable = self.readers * VALUES_PER_PROCESS / IDLE_CALLS_PER_SECOND
+        wait = min(longest, max(RECOVERING_WAIT_SECONDS, affordable))
+        return wait * self._rng.uniform(0.7, 1.0)
--- a/balsamspool/plugins/platform/plugin.py
+++ b/balsamspool/plugins/platform/plugin.py
@@ -39,7 +39,8 @@
 
     Attributes:
         addresses: Base URLs of the platform's configuration service.
-        watch_seconds: Longest wait of one watch in seconds.
+        watch_seconds: Longest wait of one watch in seconds. The wait is shorter as far
+            as the number of readers permits.
         readers: Least number of processes assumed to read the platform. The instance
             list may raise it. Calls are spread over time so that this many processes
             stay below the platform's call limit.
--- a/tests/test_platform_watch.py
+++ b/tests/test_platform_watch.py
@@ -6,8 +6,10 @@
 
 from aiohttp import ClientSession
 
+from balsamspool.kernel.clock import now
 from balsamspool.kernel.errors import ResultError
 from balsamspool.plugins.platform.client import (
+    ANSWER_MARGIN_SECONDS,
     PlatformClient,
     PlatformValue,
     Unchanged,
@@ -21,6 +23,8 @@
 
 READERS = 4_740
 CALL_LIMIT = 2_000
+# Time within which a published change must be in force everywhere.
+APPLY_SECONDS = 8.0
 
 
 class DirectClient:
@@ -37,6 +41,18 @@
         return PlatformValue(*served) if served else Unchanged()
 
 
+class SilentClient(DirectClient):
+    """Leaves calls that begin before `silent_until` without an answer."""
+
+    silent_until = 0.0
+
+    async def watch(self, name, after, wait):
+        if now() < SilentClient.silent_until:
+            await asyncio.sleep(wait + ANSWER_MARGIN_SECONDS)
+            raise ResultError(PLATFORM_UNAVAILABLE, "timed out")
+        return await super().watch(name, after, wait)
+
+
 class Reader:
     """Keeps the highest revision, like the configuration store."""
 
@@ -57,9 +73,9 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
-    def watch(self, platforms, name, pace):
+    def watch(self, platforms, name, pace, client=DirectClient):
         reader = Reader()
-        clients = [DirectClient(platform) for platform in platforms]
+        clients = [client(platform) for platform in platforms]
         watcher = Watcher(clients, pace, 25.0, self.reports.append)
         work = watcher.run(name, lambda: reader.revision, reader.on_value)
         self.tasks.append(asyncio.create_task(work))
@@ -101,6 +117,26 @@
         self.assertLessEqual(max(peaks.values()), CALL_LIMIT, peaks)
         self.assertEqual({reader.revision for reader in readers}, {3})
 
+    async def test_a_change_arrives_in_time_though_all_watches_were_lost(self):
+        """Guards against a text that is late everywhere after a short silence.
+
+        All processes watch again after a change, and nobody gets an answer.
+        """
+        platform = PlatformStandIn()
+        await platform.publish("configuration", "first")
+        pace = Pace(200, random.Random(3))
+        readers = [
+            self.watch([platform], "configuration", pace, SilentClient)
+            for _ in range(20)
+        ]
+        await asyncio.sleep(5)
+        await platform.publish("configuration", "second")
+        SilentClient.silent_until = now() + 1.0
+        await asyncio.sleep(1.0)
+        await platform.publish("configuration", "third")
+        await asyncio.sleep(APPLY_SECONDS)
+        self.assertEqual({reader.revision for reader in readers}, {3})
+
     async def test_watch_fails_over_and_leaves_a_stale_address(self):
         """Guards against a watch that stays at an unreachable or stale address."""
         dead, fresh = PlatformStandIn(), PlatformStandIn()
