Keep flows at the agent for as long as they may live

Cause: the agent forgot a flow after 30 s without a packet and called itself sure of all flows of its host 30 s after its start, whatever the deployment permits. An entry that does not know the earlier service of a route asks with the number of the present one; such an agent passes the packet on without asking its backend server, and the entry concludes that nobody holds the flow.

Change: the life of a flow is a setting of the agent, from flow-ttl-s. A flow that neither side has ended is kept for that long, and an agent is unsure for that long after its start. The flow table knows whether it is complete, also after it removed a flow for lack of space.

The fix works because an agent that does not say that it is unsure now knows each flow that may still be open.

--- a/balsamspool/datagram/settings.py
+++ b/balsamspool/datagram/settings.py
@@ -1,7 +1,14 @@
 """Settings of the datagram plug-ins."""
 
+from typing import Annotated
+
+from msgspec import Meta
+
 from balsamspool.kernel.settings import Section, split_endpoint
 
+# Callers use a flow for at most one minute.
+FLOW_LIFE_SECONDS = 60.0
+
 
 class DatagramSettings(Section, frozen=True):
     """Settings of both datagram plug-ins.
@@ -26,11 +33,13 @@
         backend: IPv4 address and port of the backend server.
         outbound: IPv4 address and port at which the packets of the backend server
             arrive.
+        flow_seconds: Longest life of a flow in seconds.
     """
 
     service: str
     backend: str
     outbound: str
+    flow_seconds: Annotated[float, Meta(gt=0, le=86_400)] = FLOW_LIFE_SECONDS
 
     def problem(self) -> tuple[str, str] | None:
         """Return the field and what is wrong with it, or None if all is valid."""
--- a/balsamspool/plugins/catalog/plugin.py
+++ b/balsamspool/plugins/catalog/plugin.py
@@ -5,6 +5,7 @@
 
 from msgspec import Meta
 
+from balsamspool.datagram.settings import FLOW_LIFE_SECONDS
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.identity import Role
 from balsamspool.kernel.lifecycle import Kernel
@@ -22,7 +23,6 @@
 from balsamspool.plugins.catalog.peers import CatalogPeers
 from balsamspool.plugins.catalog.refresher import CatalogRefresher
 from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
-from balsamspool.plugins.catalog.route_history import FLOW_LIFE_SECONDS
 from balsamspool.plugins.catalog.source import ANSWER_SECONDS, CatalogSource
 from balsamspool.plugins.catalog.upstream import (
     FollowPeer,
--- a/balsamspool/plugins/catalog/route_history.py
+++ b/balsamspool/plugins/catalog/route_history.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Iterable
 
+from balsamspool.datagram.settings import FLOW_LIFE_SECONDS
 from balsamspool.plugins.catalog.events import ROUTES_IGNORED, ROUTES_IN_FORCE
 from balsamspool.plugins.catalog.model import (
     Record,
@@ -19,8 +20,6 @@
 
 _logger = logging.getLogger(__name__)
 
-# Longest life of a flow: callers use a flow for at most one minute.
-FLOW_LIFE_SECONDS = 60.0
 # Time for which other entries may open flows by a table that this process has replaced:
 # they get the next one later, or were paused or cut off.
 OUTDATED_USE_SECONDS = 15.0
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable, Collection, Sequence
 
+from balsamspool.datagram.settings import FLOW_LIFE_SECONDS
 from balsamspool.plugins.catalog.address_index import AddressIndex
 from balsamspool.plugins.catalog.events import (
     RECORD_IGNORED,
@@ -26,7 +27,7 @@
 from balsamspool.plugins.catalog.removals import DelayedRemoval, RemovedServer
 from balsamspool.plugins.catalog.report_order import is_newer_report, is_older_report
 from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
-from balsamspool.plugins.catalog.route_history import FLOW_LIFE_SECONDS, RouteHistory
+from balsamspool.plugins.catalog.route_history import RouteHistory
 from balsamspool.plugins.catalog.server_index import ServerIndex
 
 _logger = logging.getLogger(__name__)
--- a/balsamspool/plugins/datagram_agent/flows.py
+++ b/balsamspool/plugins/datagram_agent/flows.py
@@ -7,9 +7,8 @@
 MAX_FLOWS = 65_536
 # A request without an answer for this long no longer counts as in progress.
 MAX_REQUEST_SECONDS = 10.0
-# Time after which an idle flow is removed. It is longer than callers keep an idle flow
-# open.
-IDLE_SECONDS = 30.0
+# Time after which an idle flow is removed that one side has ended.
+HALF_CLOSED_SECONDS = 30.0
 # An ended flow is kept for this long, so that its late packets do not create a new one.
 ENDED_SECONDS = 5.0
 # A flow that is not accepted within this time is removed. A backend server accepts a
@@ -58,11 +57,17 @@
 
     Args:
         meter: Counts the requests in progress.
+        flow_life: Longest life of a flow in seconds. A caller may pause for almost as
+            long.
+        started: Event loop time in seconds at which the agent started.
     """
 
-    __slots__ = ("_ended_count", "_flows", "_meter")
+    __slots__ = ("_ended_count", "_flow_life", "_flows", "_incomplete_at", "_meter")
 
-    def __init__(self, meter: WorkMeter) -> None:
+    def __init__(self, meter: WorkMeter, flow_life: float, started: float) -> None:
+        self._flow_life = flow_life
+        # Event loop time in seconds at which a flow was last not in the table.
+        self._incomplete_at = started
         self._flows: dict[bytes, HostFlow] = {}
         self._meter = meter
         self._ended_count = 0
@@ -71,6 +76,17 @@
         """Return the number of flows that have not ended."""
         return len(self._flows) - self._ended_count
 
+    def is_complete(self, time: float) -> bool:
+        """Return whether the table has each open flow of the backend server.
+
+        It lacks flows from before the start and flows that were removed for lack of
+        space, until they have reached the longest life of a flow.
+
+        Args:
+            time: Event loop time in seconds.
+        """
+        return time - self._incomplete_at >= self._flow_life
+
     def get(self, key: bytes) -> HostFlow | None:
         """Return the flow with a key, or None."""
         return self._flows.get(key)
@@ -87,6 +103,7 @@
         if flow is None:
             if len(self._flows) >= MAX_FLOWS:
                 self._remove_oldest()
+                self._incomplete_at = time
             flow = self._flows[key] = HostFlow(origin, time)
         return flow
 
@@ -127,7 +144,9 @@
     def expire(self, time: float) -> None:
         """Remove idle flows, and requests that have waited too long for an answer."""
         idle = [
-            k for k, f in self._flows.items() if time - f.last_packet > _lifetime(f)
+            key
+            for key, flow in self._flows.items()
+            if time - flow.last_packet > self._longest_idle(flow)
         ]
         for key in idle:
             self.remove(key, time)
@@ -136,13 +155,16 @@
             if since is not None and time - since > MAX_REQUEST_SECONDS:
                 self.record_answer(flow, time)
 
+    def _longest_idle(self, flow: HostFlow) -> float:
+        if flow.ended:
+            return ENDED_SECONDS
+        if not flow.accepted:
+            return UNACCEPTED_SECONDS
+        if flow.caller_ended or flow.server_ended:
+            return min(HALF_CLOSED_SECONDS, self._flow_life)
+        return self._flow_life
+
     def _remove_oldest(self) -> None:
         oldest = next(iter(self._flows))
         flow = self._flows[oldest]
         self.remove(oldest, flow.last_packet)
-
-
-def _lifetime(flow: HostFlow) -> float:
-    if flow.ended:
-        return ENDED_SECONDS
-    return IDLE_SECONDS if flow.accepted else UNACCEPTED_SECONDS
--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -40,11 +40,7 @@
 from balsamspool.kernel.settings import split_endpoint
 from balsamspool.plugins.datagram_agent.entries import EntryRegister
 from balsamspool.plugins.datagram_agent.flow_watch import FlowWatch
-from balsamspool.plugins.datagram_agent.flows import (
-    IDLE_SECONDS,
-    FlowTable,
-    HostFlow,
-)
+from balsamspool.plugins.datagram_agent.flows import FlowTable, HostFlow
 from balsamspool.plugins.datagram_agent.liveness import ServerLiveness
 from balsamspool.plugins.datagram_agent.reporter import LoadReporter
 from balsamspool.plugins.datagram_agent.work import WorkMeter
@@ -88,6 +84,7 @@
         self._service = service_number(settings.service)
         self._backend = split_endpoint(settings.backend)
         self._outbound_address = split_endpoint(settings.outbound)
+        self._flow_life = settings.flow_seconds
         self._caller_port = split_endpoint(settings.address)[1]
         self._address = (identity.address, identity.data_port)
         self._codec = kernel.plugin(PacketCodec)
@@ -96,7 +93,6 @@
         self._sent_forwards: list[Forward | None] = [None] * REMEMBERED_PACKETS
         self._sent_count = 0
         self._last_packet = 0.0
-        self._started = 0.0
         self._entries = EntryRegister()
         counters = kernel.counters
         self._watch = FlowWatch(counters)
@@ -116,9 +112,9 @@
 
     async def start(self) -> None:
         """Open the sockets and start passing packets."""
-        self._started = now()
-        self._meter = WorkMeter(self._started)
-        self._flows = FlowTable(self._meter)
+        started = now()
+        self._meter = WorkMeter(started)
+        self._flows = FlowTable(self._meter, self._flow_life, started)
         self._liveness = ServerLiveness()
         sockets = self._kernel.plugin(DatagramSockets)
         self._peer_socket = sockets.open(self._address, self._on_peer)
@@ -176,9 +172,7 @@
         if flow is None or not flow.accepted:
             was_passed_on = flow is not None and flow.passed_on
             if forward.service not in (ANY_SERVICE, self._service):
-                # The backend server may hold flows that opened before this agent
-                # started, until all of them have been idle for too long.
-                forward.unsure |= now() - self._started < IDLE_SECONDS
+                forward.unsure |= not self._flows.is_complete(now())
                 self._pass_on(forward, packet, "other-service")
                 return
             if was_passed_on or not self._liveness.responsive:
--- a/tests/test_datagram_agent.py
+++ b/tests/test_datagram_agent.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import socket
+from pathlib import Path
+from unittest.mock import patch
 
 from balsamspool.datagram._codec import encode_small, forward_head, service_number
 from balsamspool.datagram.messages import (
@@ -13,7 +15,7 @@
     Subscribe,
 )
 from balsamspool.plugins.datagram_agent import flows, plugin
-from tests.datagram_agent_case import BACKEND, ENTRY, NEXT, AgentCase
+from tests.datagram_agent_case import BACKEND, ENTRY, NEXT, SETTINGS, AgentCase
 from tests.datagram_fakes import (
     ACK,
     CALLER,
@@ -156,7 +158,43 @@
             self.forward(packet(ACK, b"x"), service="records", alternatives=())
             ((returned, _),) = self.peers.take_messages()
             self.assertEqual((returned.unsure, returned.skipped), (unsure, False))
-            await asyncio.sleep(flows.IDLE_SECONDS)
+            await asyncio.sleep(SETTINGS.flow_seconds)
+
+    async def test_a_flow_that_pauses_is_known_for_as_long_as_it_may_live(self):
+        """Guards against a reset of a flow that its host holds (review, case 5).
+
+        An entry that does not know the earlier service of the route asks for the flow.
+        """
+        self.open_flow()
+        await asyncio.sleep(SETTINGS.flow_seconds - 5.0)
+        self.backend.take()
+        self.forward(packet(ACK, b"request"), service="records")
+        self.assertEqual(len(self.backend.take()), 1)
+
+    async def test_an_agent_is_unsure_while_a_flow_from_before_its_start_may_live(self):
+        """Guards against a reset of a flow that paused over a restart of its agent."""
+        await asyncio.sleep(SETTINGS.flow_seconds - 5.0)
+        self.forward(packet(ACK, b"x"), service="records", alternatives=())
+        ((returned, _),) = self.peers.take_messages()
+        self.assertTrue(returned.unsure)
+
+    async def test_an_agent_is_unsure_after_its_table_was_full(self):
+        """Guards against a reset of a flow that was removed for lack of space."""
+        await asyncio.sleep(SETTINGS.flow_seconds)
+        self.open_flow()
+        with patch.object(flows, "MAX_FLOWS", 1):
+            self.forward(packet(SYN, source=("100.64.0.9", 1)))
+        for unsure in (True, False):
+            self.peers.take()
+            self.forward(packet(ACK, b"x"), service="records", alternatives=())
+            ((returned, _),) = self.peers.take_messages()
+            self.assertEqual(returned.unsure, unsure)
+            await asyncio.sleep(SETTINGS.flow_seconds)
+
+    def test_the_deployment_passes_the_life_of_a_flow_on(self):
+        """Guards against a deployment whose longest life of a flow is not used."""
+        template = Path(__file__).resolve().parent.parent / "deploy" / "agent.json"
+        self.assertIn('"flow_seconds": {{bounds.flow-ttl-s}}', template.read_text())
 
     async def test_a_chain_that_skipped_a_silent_host_reports_it(self):
         """Guards against a reset of a flow that a silent host may hold."""
