Cut the fleet of a test only when its links go through the proxies

test_partition_heals failed once on: portal-5, records-6 and entry-4 had the new text 3 s after a partition that should keep it from them.

Cause: the test published lists that lead all links between the halves through proxies, waited for a fixed 1.5 s, and cut the proxies. A process that had not applied its list by then kept a link past them.

--- a/tests/test_convergence.py
+++ b/tests/test_convergence.py
@@ -184,6 +184,17 @@
             self.assertLess(monotonic() - started, SPREAD_SECONDS, late)
             await asyncio.sleep(0.05)
 
+    async def wait_for_list(self, revision):
+        """Wait until each process has applied a list of instances."""
+        async with asyncio.timeout(SPREAD_SECONDS):
+            for host in hosts_of(self.fleet):
+                while await self.list_revision(host) < revision:
+                    await asyncio.sleep(0.05)
+
+    async def list_revision(self, host):
+        status = await self.fleet.status(host)
+        return status["plugins"]["membership"]["revision"]
+
     async def set_down(self, platform, down):
         platform.down = down
         await platform.wake()
@@ -279,8 +290,9 @@
         lists = self.second._values["instances"]
         self.second._values["instances"] = list(lists)
         await self.fleet.publish("instances", json.dumps(seen_by_first))
-        await self.second.publish("instances", json.dumps(seen_by_second))
-        await asyncio.sleep(1.5)
+        revision = await self.second.publish("instances", json.dumps(seen_by_second))
+        # Until a process has applied its list, it has links past the proxies.
+        await self.wait_for_list(revision)
         proxies.close()
         await self.set_down(self.second, True)
         yield proxies
