Build the client for overlapping requests from single connections

HttpClient repeated the connection set-up and time-outs of HttpConnection. It now opens one HttpConnection for each request; behaviour is unchanged.

--- a/balsamspool/minihttp/client.py
+++ b/balsamspool/minihttp/client.py
@@ -1,4 +1,4 @@
-"""HTTP client for GET requests, with one connection or with one for each request."""
+"""HTTP client for GET requests, over one connection or one for each request."""
 
 import asyncio
 import socket
@@ -171,12 +171,12 @@
             OSError: If the connection fails or the response is not HTTP.
             TimeoutError: If the response does not arrive in time.
         """
+        host = f"{self._address}:{self._port}"
+        request = f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode("ascii")
         try:
             async with asyncio.timeout(seconds):
-                if self._stream is None or not self._stream.usable:
-                    self._stream = await _connect(self._address, self._port)
-                request = _get_request(self._address, self._port, target)
-                return await self._stream.exchange(request)
+                stream = await self._open()
+                return await stream.exchange(request)
         except BaseException:
             # A late response must not be taken for the response to the next request.
             self.close()
@@ -188,68 +188,51 @@
             self._stream.abort()
         self._stream = None
 
+    async def _open(self) -> _Stream:
+        """Return the open connection, or open one."""
+        if self._stream is None or not self._stream.usable:
+            loop = asyncio.get_running_loop()
+            async with asyncio.timeout(CONNECT_SECONDS):
+                transport, stream = await loop.create_connection(
+                    _Stream, self._address, self._port
+                )
+            _enable_keepalive(transport.get_extra_info("socket"))
+            self._stream = stream
+        return self._stream
+
 
 class HttpClient:
-    """Sends GET requests, each over a connection of its own.
+    """Sends GET requests that may overlap, each over a connection of its own.
 
-    Requests may overlap; none delays or ends another one. A new connection finds a
-    server to which an open connection went silent.
+    No request delays or ends another one, and a new connection reaches a server to
+    which an open one went silent.
 
     Args:
         address: IPv4 address of the server.
         port: Port of the server.
     """
 
-    __slots__ = ("_address", "_port", "_streams")
+    __slots__ = ("_address", "_connections", "_port")
 
     def __init__(self, address: str, port: int) -> None:
         self._address = address
         self._port = port
-        self._streams: set[_Stream] = set()
+        self._connections: set[HttpConnection] = set()
 
     async def get(self, target: str, seconds: float) -> Response:
-        """Send a GET request.
-
-        Args:
-            target: Path and query.
-            seconds: Longest time until the whole response has arrived.
-
-        Raises:
-            OSError: If the connection fails or the response is not HTTP.
-            TimeoutError: If the response does not arrive in time.
-        """
-        async with asyncio.timeout(seconds):
-            stream = await _connect(self._address, self._port)
-            self._streams.add(stream)
-            try:
-                request = _get_request(self._address, self._port, target)
-                return await stream.exchange(request)
-            finally:
-                self._streams.discard(stream)
-                stream.abort()
+        """Send a GET request over a new connection, as `HttpConnection.get` does."""
+        connection = HttpConnection(self._address, self._port)
+        self._connections.add(connection)
+        try:
+            return await connection.get(target, seconds)
+        finally:
+            self._connections.discard(connection)
+            connection.close()
 
     def close(self) -> None:
         """Abort all connections and discard the data in transit."""
-        while self._streams:
-            self._streams.pop().abort()
-
-
-async def _connect(address: str, port: int) -> _Stream:
-    """Open a connection.
-
-    Raises:
-        OSError: If the connection fails.
-        TimeoutError: If it is not open in time.
-    """
-    loop = asyncio.get_running_loop()
-    async with asyncio.timeout(CONNECT_SECONDS):
-        transport, stream = await loop.create_connection(_Stream, address, port)
-    _enable_keepalive(transport.get_extra_info("socket"))
-    return stream
-
-
-def _get_request(address: str, port: int, target: str) -> bytes:
-    return f"GET {target} HTTP/1.1\r\nHost: {address}:{port}\r\n\r\n".encode("ascii")
+        while self._connections:
+            self._connections.pop().close()
 
 
 def _enable_keepalive(connection: socket.socket) -> None:
