--- a/balsamspool/plugins/datagram_agent/flows.py
+++ b/balsamspool/plugins/datagram_agent/flows.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct
 
+from balsamspool.kernel.counters import Counter
 from balsamspool.plugins.datagram_agent.work import WorkMeter
 
 MAX_FLOWS = 65_536
@@ -60,12 +61,23 @@
         flow_life: Longest life of a flow in seconds. A caller may pause for almost as
             long.
         started: Event loop time in seconds at which the agent started.
+        evicted: Counts the flows that were removed for lack of space.
     """
 
-    __slots__ = ("_ended_count", "_flow_life", "_flows", "_incomplete_at", "_meter")
-
-    def __init__(self, meter: WorkMeter, flow_life: float, started: float) -> None:
+    __slots__ = (
+        "_ended_count",
+        "_evicted",
+        "_flow_life",
+        "_flows",
+        "_incomplete_at",
+        "_meter",
+    )
+
+    def __init__(
+        self, meter: WorkMeter, flow_life: float, started: float, evicted: Counter
+    ) -> None:
         self._flow_life = flow_life
+        self._evicted = evicted
         # Event loop time in seconds at which a flow was last not in the table.
         self._incomplete_at = started
         self._flows: dict[bytes, HostFlow] = {}
@@ -102,8 +114,7 @@
         flow = self._flows.get(key)
         if flow is None:
             if len(self._flows) >= MAX_FLOWS:
-                self._remove_oldest()
-                self._incomplete_at = time
+                self._evict_oldest(time)
             flow = self._flows[key] = HostFlow(origin, time)
         return flow
 
@@ -164,7 +175,9 @@
             return min(HALF_CLOSED_SECONDS, self._flow_life)
         return self._flow_life
 
-    def _remove_oldest(self) -> None:
+    def _evict_oldest(self, time: float) -> None:
+        self._evicted.value += 1
+        self._incomplete_at = time
         oldest = next(iter(self._flows))
         flow = self._flows[oldest]
         self.remove(oldest, flow.last_packet)
--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -105,6 +105,9 @@
         self._to_callers = counters.counter(packets, help_text, "to-caller")
         self._passed_on = counters.counter(packets, help_text, "passed-on")
         self._openings = counters.counter(packets, help_text, "opening")
+        self._evicted = counters.counter(
+            "balsamspool_datagram_flows_evicted", "Flows removed from a full table"
+        )
         self._answer_time = counters.histogram(
             "balsamspool_datagram_answer_seconds",
             "Time from a request of a caller to the first data of the answer",
@@ -114,7 +117,7 @@
         """Open the sockets and start passing packets."""
         started = now()
         self._meter = WorkMeter(started)
-        self._flows = FlowTable(self._meter, self._flow_life, started)
+        self._flows = FlowTable(self._meter, self._flow_life, started, self._evicted)
         self._liveness = ServerLiveness()
         sockets = self._kernel.plugin(DatagramSockets)
         self._peer_socket = sockets.open(self._address, self._on_peer)
--- a/tests/test_datagram_agent.py
+++ b/tests/test_datagram_agent.py
@@ -184,6 +184,8 @@
         self.open_flow()
         with patch.object(flows, "MAX_FLOWS", 1):
             self.forward(packet(SYN, source=("100.64.0.9", 1)))
+        counters = self.kernel.counters.values()
+        self.assertEqual(counters["balsamspool_datagram_flows_evicted"], 1)
         for unsure in (True, False):
             self.peers.take()
             self.forward(packet(ACK, b"x"), service="records", alternatives=())
