Name the parts of two new tests more plainly

Read as a newcomer: the test of tables in force counted openings under the name of callers, and the silent client of the platform's test kept its state for later tests. No check changes.

--- a/tests/test_catalog_in_force.py
+++ b/tests/test_catalog_in_force.py
@@ -21,20 +21,20 @@
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.version = 1
-        self.callers_seen = 0
+        self.openings = 0
 
-    def publish(self, *found):
-        """Publish the next table, with a route at `OTHER` besides."""
+    def publish(self, *changed):
+        """Publish the next table, which always has a route at `OTHER`."""
         self.version += 1
-        everything = (*found, route("portal", address=OTHER))
-        revision = self.source.revision + 1
-        self.source.write(routes(revision, *everything, version=self.version))
+        kept = route("portal", address=OTHER)
+        record = routes(self.source.revision + 1, kept, *changed, version=self.version)
+        self.source.write(record)
 
     def opens(self):
         """Return whether a new flow to `SERVICE` is forwarded."""
-        self.callers_seen += 1
+        self.openings += 1
         self.peers.take()
-        self.receive(packet(SYN, source=("100.64.0.7", 2000 + self.callers_seen)))
+        self.receive(packet(SYN, source=("100.64.0.7", 2000 + self.openings)))
         return bool(self.peers.take_forwards())
 
     async def test_no_flow_opens_on_a_dropped_route_after_a_silence(self):
--- a/tests/test_platform_watch.py
+++ b/tests/test_platform_watch.py
@@ -131,6 +131,7 @@
         ]
         await asyncio.sleep(5)
         await platform.publish("configuration", "second")
+        self.addCleanup(setattr, SilentClient, "silent_until", 0.0)
         SilentClient.silent_until = now() + 1.0
         await asyncio.sleep(1.0)
         await platform.publish("configuration", "third")
