--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -33,8 +33,7 @@
 _logger = logging.getLogger(__name__)
 
 # Delay before a backend server is removed whose catalog entry may have expired in an
-# outage of the publishing service. After an outage, backend servers need about 2 s to
-# be listed again.
+# outage of the publishing service. Listing it again takes about 2 s after the outage.
 RELISTING_SECONDS = 2.2
 # Time after the end of an outage within which removals are attributed to the outage.
 OUTAGE_EFFECT_SECONDS = 4.0
