Move the judgement of removals out of the catalog's view

Whether a removed entry may have expired depends on a few figures only, so it is decided by two functions in removals.py. No change of behaviour; the tests of the catalog pass unchanged.

--- a/balsamspool/plugins/catalog/completeness.py
+++ b/balsamspool/plugins/catalog/completeness.py
@@ -13,7 +13,7 @@
     ServerPublished,
     ServerRemoved,
 )
-from balsamspool.plugins.catalog.view import RELISTING_SECONDS
+from balsamspool.plugins.catalog.removals import RELISTING_SECONDS
 
 
 class Completeness:
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -24,7 +24,13 @@
     ServerRemoved,
     Snapshot,
 )
-from balsamspool.plugins.catalog.removals import DelayedRemoval, RemovedServer
+from balsamspool.plugins.catalog.removals import (
+    RELISTING_SECONDS,
+    DelayedRemoval,
+    RemovedServer,
+    is_mass_removal,
+    may_have_expired,
+)
 from balsamspool.plugins.catalog.report_order import is_newer_report, is_older_report
 from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
 from balsamspool.plugins.catalog.route_history import RouteHistory
@@ -32,15 +38,6 @@
 
 _logger = logging.getLogger(__name__)
 
-# Delay before a backend server is removed whose catalog entry may have expired in an
-# outage of the publishing service. Listing it again takes about 2 s after the outage.
-RELISTING_SECONDS = 2.2
-# Time after the end of an outage within which removals are attributed to the outage.
-OUTAGE_EFFECT_SECONDS = 4.0
-# If at least this share of the backend servers of a service is removed within
-# RELISTING_SECONDS, their catalog entries are assumed to have expired in an outage.
-MASS_REMOVAL_SHARE = 0.5
-
 
 class CatalogView:
     """Routes and backend servers, each at its newest known revision.
@@ -347,32 +344,13 @@
         self._remove_now(name, revision, time)
 
     def _may_be_relisted(self, server: BackendServer, time: float) -> bool:
-        if self._may_have_expired(time):
+        """Return whether a removed entry may have expired and may be listed again."""
+        if may_have_expired(self._outage_end, time):
             return True
         ready = self.ready(server.service)
-        unplanned = self._count_recent_unplanned_removals(server.service, time)
-        unlisted = (
-            sum(1 for s in ready if s.name in self._delayed_removals) + 1 + unplanned
-        )
-        # The removal of the last ready backend server of a service is always delayed,
-        # because no other backend server could be used instead.
-        return unlisted >= max(1.0, MASS_REMOVAL_SHARE * (len(ready) + unplanned))
-
-    def _may_have_expired(self, time: float) -> bool:
-        """Return whether a removal may be an effect of an outage of the service."""
-        outage = self._outage_end
-        return outage is not None and time - outage < OUTAGE_EFFECT_SECONDS
-
-    def _count_recent_unplanned_removals(self, service: str, time: float) -> int:
-        """Count removals from a service that may be signs of an outage."""
-        since = time - RELISTING_SECONDS
-        return sum(
-            1
-            for removed in self._recently_removed.values()
-            if removed.server.service == service
-            and not removed.explained
-            and removed.removed >= since
-        )
+        delayed = sum(1 for s in ready if s.name in self._delayed_removals)
+        removed = self._recently_removed.values()
+        return is_mass_removal(server.service, len(ready), delayed, removed, time)
 
     def _remove_now(self, name: str, revision: Revision, time: float) -> None:
         server = self._servers[name]
@@ -381,7 +359,7 @@
         del self._servers[name]
         self._delayed_removals.pop(name, None)
         self._revisions[name] = max(revision, self._revisions.get(name, NO_REVISION))
-        expired = self._may_have_expired(time)
+        expired = may_have_expired(self._outage_end, time)
         self._recently_removed[name] = RemovedServer(server, time, expired, succeeded)
         self._on_change()
         SERVER_REMOVED.log(
