Keep new flows out of failure domains that the operator takes out of service

Change: the adapter decodes the request into the catalog records DomainCordoned and DomainUncordoned. They pass through the record log to followers like all others; a peer of an earlier version, which does not know them, is not followed. ServerIndex leaves such domains out of the hosts that accept new flows, so openings, their copies and the list of next hosts avoid them; open flows stay and are still searched for there. If all hosts are out of service, the caller gets a reset at once. A restored catalog that lacks the record ends it only after the time in which entries are written again.

--- a/balsamspool/plugins/catalog/delta.py
+++ b/balsamspool/plugins/catalog/delta.py
@@ -37,6 +37,8 @@
             without an outage.
         all_tables: Whether ``records`` contain each route table since the requested
             revision, and not only the newest. Earlier versions do not say so.
+        cordons: Whether ``records`` contain which failure domains are out of service.
+            Earlier versions do not know it.
     """
 
     revision: Revision
@@ -45,6 +47,7 @@
     age: float | None
     outage_age: float | None = None
     all_tables: bool = False
+    cordons: bool = True
 
 
 _logger = logging.getLogger(__name__)
@@ -61,6 +64,7 @@
     age: _Age | None
     outage_age: _Age | None
     all_tables: bool = False
+    cordons: bool = False
 
 
 _encoder = msgspec.msgpack.Encoder(enc_hook=encode_revision)
@@ -90,6 +94,7 @@
         delta.age,
         delta.outage_age,
         delta.all_tables,
+        delta.cordons,
     )
     return _encoder.encode(message)
 
@@ -115,6 +120,7 @@
         message.age,
         message.outage_age,
         message.all_tables,
+        message.cordons,
     )
 
 
--- a/balsamspool/plugins/catalog/events.py
+++ b/balsamspool/plugins/catalog/events.py
@@ -126,3 +126,34 @@
     "their flows have ended, unknown flows are searched for at the hosts of all "
     "services.",
 )
+DOMAIN_CORDONED = log_event(
+    2323,
+    "failure-domain-cordoned",
+    logging.WARNING,
+    "A failure domain was taken out of service; its hosts get no new flows.",
+)
+DOMAIN_UNCORDONED = log_event(
+    2324,
+    "failure-domain-uncordoned",
+    logging.WARNING,
+    "A failure domain is back in service.",
+)
+DOMAIN_UNCORDON_DELAYED = log_event(
+    2325,
+    "failure-domain-uncordon-delayed",
+    logging.WARNING,
+    "The restored catalog no longer lists a failure domain as out of service; it stays "
+    "out for about 2 s because its record may be written again.",
+)
+DOMAIN_UNKNOWN = log_event(
+    2326,
+    "failure-domain-unknown",
+    logging.WARNING,
+    "A failure domain without a backend server was taken out of service.",
+)
+CORDON_IGNORED = log_event(
+    2327,
+    "cordon-ignored",
+    logging.ERROR,
+    "Too many failure domains are out of service; another one is ignored.",
+)
--- a/balsamspool/plugins/catalog/follower.py
+++ b/balsamspool/plugins/catalog/follower.py
@@ -155,10 +155,19 @@
     def apply_delta(self, delta: CatalogDelta) -> bool:
         """Apply what a peer sent unless this process knows newer changes.
 
+        A peer of an earlier version does not know which failure domains are out of
+        service. Its records are better than none, but the position that they reach is
+        not taken over, so that the next answer of the service is a full read.
+
         Returns:
             Whether the peer knew newer changes.
         """
         known = self._revision
+        if not delta.cordons:
+            if known is not None or not delta.complete or self._view.table is not None:
+                return False
+            self._view.replace(Snapshot(delta.revision, delta.records), now())
+            return True
         if self._is_outdated(delta.revision):
             return False
         if known is not None and delta.revision < known:
@@ -237,8 +246,9 @@
         if delta is None:
             self._selector.record_peer_failure(address, now())
             return
-        if self._is_outdated(delta.revision):
-            # The peer has not noticed the restore, and would answer at once again.
+        if self._is_outdated(delta.revision) or not delta.cordons:
+            # The peer has not noticed the restore, or is of an earlier version, and
+            # would answer at once again.
             self._selector.record_peer_failure(address, now())
             return
         self.apply_delta(delta)
--- a/balsamspool/plugins/catalog/model.py
+++ b/balsamspool/plugins/catalog/model.py
@@ -153,6 +153,32 @@
     name: str
 
 
+class DomainCordoned(Struct, frozen=True, tag=True):
+    """The operator took a failure domain out of service.
+
+    Its backend servers keep their flows and get no new ones.
+
+    Attributes:
+        revision: Revision of the record.
+        failure_domain: Name of the failure domain.
+    """
+
+    revision: Revision
+    failure_domain: Label
+
+
+class DomainUncordoned(Struct, frozen=True, tag=True):
+    """The operator took a failure domain back into service.
+
+    Attributes:
+        revision: Revision of the change.
+        failure_domain: Name of the failure domain.
+    """
+
+    revision: Revision
+    failure_domain: Label
+
+
 class RecordIgnored(Struct, frozen=True, tag=True):
     """A record that cannot be used.
 
@@ -167,7 +193,14 @@
     detail: str
 
 
-Record = RoutesPublished | ServerPublished | ServerRemoved | RecordIgnored
+Record = (
+    RoutesPublished
+    | ServerPublished
+    | ServerRemoved
+    | DomainCordoned
+    | DomainUncordoned
+    | RecordIgnored
+)
 
 
 class Snapshot(Struct, frozen=True):
--- a/balsamspool/plugins/catalog/plugin.py
+++ b/balsamspool/plugins/catalog/plugin.py
@@ -104,7 +104,7 @@
         source = kernel.plugin(CatalogSource)
         self._peers = kernel.plugin(CatalogPeers)
         self._listen = settings.listen
-        self._view = CatalogView(settings.flow_seconds)
+        self._view = CatalogView(settings.flow_seconds, kernel.counters)
         self._feed = CatalogFeed()
         self._completeness = Completeness()
         self._selector = UpstreamSelector(
@@ -216,6 +216,13 @@
             "calls": self._follower.calls,
             "upstream": self._upstream_name(),
             "servers": {s.name: s.state.value for s in self._view.servers},
+            "cordons": {
+                domain: {
+                    "revision": str(cordon.revision),
+                    "since_seconds": round(now() - cordon.since, 3),
+                }
+                for domain, cordon in self._view.cordons.domains.items()
+            },
         }
 
     def _upstream_name(self) -> str:
--- a/balsamspool/plugins/catalog/record_log.py
+++ b/balsamspool/plugins/catalog/record_log.py
@@ -1,6 +1,10 @@
 """The newest record of each name, kept so that it can be passed on to peers."""
 
+from msgspec import Struct
+
 from balsamspool.plugins.catalog.model import (
+    DomainCordoned,
+    DomainUncordoned,
     Record,
     RecordIgnored,
     RoutesPublished,
@@ -14,8 +18,23 @@
 # oldest of them gets the whole catalog.
 MAX_REMOVALS = 1_024
 
-# Key of the route table, which is no name, so that no backend server can replace it.
-_ROUTES_KEY = None
+
+class _RoutesKey(Struct, frozen=True):
+    """Key of the route table, which is no name, so that no server can replace it."""
+
+
+class _DomainKey(Struct, frozen=True):
+    """Key of the records of a failure domain, which may have the name of a server.
+
+    Attributes:
+        failure_domain: Name of the failure domain.
+    """
+
+    failure_domain: str
+
+
+_Key = str | _RoutesKey | _DomainKey
+_ROUTES_KEY = _RoutesKey()
 
 
 class RecordLog:
@@ -28,9 +47,9 @@
     __slots__ = ("_complete_since", "_one_table_since", "_records", "_removals")
 
     def __init__(self) -> None:
-        self._records: dict[str | None, Record] = {}
+        self._records: dict[_Key, Record] = {}
         # Names of the removed records, the oldest removal first.
-        self._removals: dict[str | None, None] = {}
+        self._removals: dict[_Key, None] = {}
         # Revision after which no change is missing, None before the first snapshot.
         self._complete_since: Revision | None = None
         # Revision after which at most one route table was published, which is kept.
@@ -54,7 +73,7 @@
             self._one_table_since = earlier if kept else record.revision
         self._records[name] = latest
         self._removals.pop(name, None)
-        if isinstance(record, ServerRemoved):
+        if _is_removal(record):
             self._removals[name] = None
             if len(self._removals) > MAX_REMOVALS:
                 self._forget_oldest_removal()
@@ -70,7 +89,7 @@
             if known.revision <= snapshot.revision:
                 # The time of the removal is not known. A peer must not miss it, so the
                 # removal gets the revision of the snapshot.
-                self._records[name] = ServerRemoved(snapshot.revision, name)
+                self._records[name] = _removal_of(name, snapshot.revision)
                 self._removals[name] = None
         since = self._complete_since
         if since is None or Revision(since).era < Revision(snapshot.revision).era:
@@ -94,9 +113,7 @@
     def listed(self) -> tuple[Record, ...]:
         """Return all records except removals."""
         return tuple(
-            record
-            for record in self._records.values()
-            if not isinstance(record, ServerRemoved)
+            record for record in self._records.values() if not _is_removal(record)
         )
 
     def _forget_oldest_removal(self) -> None:
@@ -116,10 +133,26 @@
     return record
 
 
-def _key_of(record: Record) -> str | None:
+def _is_removal(record: Record) -> bool:
+    return isinstance(record, ServerRemoved | DomainUncordoned)
+
+
+def _removal_of(key: _Key, revision: Revision) -> Record:
+    match key:
+        case _DomainKey(failure_domain):
+            return DomainUncordoned(revision, failure_domain)
+        case str():
+            return ServerRemoved(revision, key)
+        case _RoutesKey():
+            raise ValueError("the route table is never removed")
+
+
+def _key_of(record: Record) -> _Key:
     match record:
         case RoutesPublished():
             return _ROUTES_KEY
+        case DomainCordoned(_, domain) | DomainUncordoned(_, domain):
+            return _DomainKey(domain)
         case ServerPublished(_, server):
             return server.name
         case ServerRemoved(_, name) | RecordIgnored(_, name):
--- a/balsamspool/plugins/catalog/server_index.py
+++ b/balsamspool/plugins/catalog/server_index.py
@@ -4,6 +4,7 @@
 
 from balsamspool.placement.ranking import by_failure_domain
 from balsamspool.plugins.catalog.address_index import AddressIndex
+from balsamspool.plugins.catalog.cordons import Cordons
 from balsamspool.plugins.catalog.model import BackendServer, BackendState
 
 
@@ -13,15 +14,27 @@
     Args:
         servers: Listed backend servers by name; they may change if `clear` is called.
         addresses: The same backend servers by address.
+        cordons: Failure domains that are out of service.
     """
 
-    __slots__ = ("_addresses", "_listed", "_ready", "_ready_domains", "_servers")
+    __slots__ = (
+        "_addresses",
+        "_cordons",
+        "_listed",
+        "_ready",
+        "_ready_domains",
+        "_servers",
+    )
 
     def __init__(
-        self, servers: Mapping[str, BackendServer], addresses: AddressIndex
+        self,
+        servers: Mapping[str, BackendServer],
+        addresses: AddressIndex,
+        cordons: Cordons,
     ) -> None:
         self._servers = servers
         self._addresses = addresses
+        self._cordons = cordons
         self._ready: dict[str, tuple[BackendServer, ...]] = {}
         self._listed: dict[str, tuple[BackendServer, ...]] = {}
         self._ready_domains: dict[str, dict[str, list[BackendServer]]] = {}
@@ -40,10 +53,16 @@
         return found
 
     def ready_by_domain(self, service: str) -> dict[str, list[BackendServer]]:
-        """Return the backend servers that accept new flows, by failure domain."""
+        """Return the backend servers that accept new flows, by failure domain.
+
+        Failure domains that are out of service are left out.
+        """
         found = self._ready_domains.get(service)
         if found is None:
-            found = by_failure_domain(self.ready(service))
+            ready = self.ready(service)
+            found = by_failure_domain(
+                [s for s in ready if s.failure_domain not in self._cordons]
+            )
             self._ready_domains[service] = found
         return found
 
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable, Collection, Sequence
 
 from balsamspool.datagram.settings import FLOW_LIFE_SECONDS
+from balsamspool.kernel.counters import CounterSet
 from balsamspool.plugins.catalog.address_index import AddressIndex
+from balsamspool.plugins.catalog.cordons import Cordons
 from balsamspool.plugins.catalog.events import (
     RECORD_IGNORED,
     SERVER_CHANGED,
@@ -15,6 +17,8 @@
 from balsamspool.plugins.catalog.model import (
     BackendServer,
     BackendState,
+    DomainCordoned,
+    DomainUncordoned,
     Record,
     RecordIgnored,
     Route,
@@ -44,10 +48,12 @@
 
     Args:
         flow_life: Longest life of a flow in seconds.
+        counters: Counters of the process, None to count for nobody.
     """
 
     __slots__ = (
         "_addresses",
+        "_cordons",
         "_recently_removed",
         "_delayed_removals",
         "_index",
@@ -60,11 +66,16 @@
         "_version",
     )
 
-    def __init__(self, flow_life: float = FLOW_LIFE_SECONDS) -> None:
+    def __init__(
+        self,
+        flow_life: float = FLOW_LIFE_SECONDS,
+        counters: CounterSet | None = None,
+    ) -> None:
         self._routes = RouteHistory(flow_life)
         self._servers: dict[str, BackendServer] = {}
         self._addresses = AddressIndex(self._servers, self._routes.is_routed)
-        self._index = ServerIndex(self._servers, self._addresses)
+        self._cordons = Cordons(counters or CounterSet())
+        self._index = ServerIndex(self._servers, self._addresses, self._cordons)
         self._revisions: dict[str, Revision] = {}
         self._delayed_removals: dict[str, DelayedRemoval] = {}
         self._recently_removed: dict[str, RemovedServer] = {}
@@ -88,6 +99,11 @@
         """All listed backend servers."""
         return list(self._servers.values())
 
+    @property
+    def cordons(self) -> Cordons:
+        """Failure domains that are out of service."""
+        return self._cordons
+
     @property
     def recently_removed(self) -> list[BackendServer]:
         """Backend servers that were removed a short time ago."""
@@ -153,7 +169,10 @@
         return self._index.ready(service)
 
     def ready_by_domain(self, service: str) -> dict[str, list[BackendServer]]:
-        """Return the backend servers that accept new flows, by failure domain."""
+        """Return the backend servers that accept new flows, by failure domain.
+
+        Failure domains that are out of service are left out.
+        """
         return self._index.ready_by_domain(service)
 
     def listed(self, service: str) -> tuple[BackendServer, ...]:
@@ -232,6 +251,13 @@
                     self._apply_server(server, revision, created, time)
             case ServerRemoved(revision, name) if self._is_new(name, revision):
                 self._remove_or_delay(name, revision, time)
+            case DomainCordoned(revision, domain):
+                known = {s.failure_domain for s in self._servers.values()}
+                if self._cordons.add(domain, revision, known, time):
+                    self._on_change()
+            case DomainUncordoned(revision, domain):
+                if self._cordons.remove(domain, revision, time):
+                    self._on_change()
             case RecordIgnored(revision, name, detail) if self._is_new(name, revision):
                 RECORD_IGNORED.log(_logger, name=name, revision=revision, detail=detail)
                 self._remove_or_delay(name, revision, time)
@@ -244,8 +270,12 @@
             time: Event loop time in seconds.
         """
         listed = set()
-        for record in snapshot.records:
+        cordoned = set()
+        # The backend servers of a failure domain are applied before its cordon.
+        for record in sorted(snapshot.records, key=_is_cordon):
             match record:
+                case DomainCordoned(_, domain):
+                    cordoned.add(domain)
                 case ServerPublished(_, server):
                     listed.add(server.name)
                 case RecordIgnored(_, name, _):
@@ -256,6 +286,8 @@
             # read. The record of such a server is newer, so the server is kept.
             if name not in listed and self._revisions[name] <= snapshot.revision:
                 self._remove_or_delay(name, snapshot.revision, time)
+        if self._cordons.retain(cordoned, snapshot.revision, time, RELISTING_SECONDS):
+            self._on_change()
 
     def expire(self, time: float) -> None:
         """Complete removals that are due, and forget what flows no longer depend on.
@@ -264,6 +296,8 @@
             time: Event loop time in seconds.
         """
         self._routes.expire(time)
+        if self._cordons.expire(time):
+            self._on_change()
         for name, delayed in list(self._delayed_removals.items()):
             if time >= delayed.until:
                 self._remove_now(name, delayed.removal_revision, time)
@@ -376,3 +410,7 @@
         self._removed_hosts = None
         for callback in self._subscribers:
             callback()
+
+
+def _is_cordon(record: Record) -> bool:
+    return isinstance(record, DomainCordoned)
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -31,6 +31,7 @@
 )
 from balsamspool.datagram.sockets import Address, BatchSocket, DatagramSockets
 from balsamspool.kernel.clock import now
+from balsamspool.kernel.counters import CounterFamily
 from balsamspool.kernel.identity import Role
 from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.kernel.recent import RecentCache
@@ -69,6 +70,12 @@
 # packet of a caller has arrived for QUIET_SECONDS, and after LINGER_SECONDS in any
 # case.
 LINGER_SECONDS = 2.5
+
+REJECTIONS = "balsamspool_datagram_rejections"
+REJECTIONS_HELP = "Opening packets answered by a reset, by reason"
+# No route leads to a service, or no backend server accepts new flows, or all of those
+# that do are in failure domains out of service.
+NO_ROUTE, NO_HOST, OUT_OF_SERVICE = "no-route", "no-host", "out-of-service"
 ROTATION_SECONDS = 1.2
 QUIET_SECONDS = 0.4
 
@@ -111,6 +118,9 @@
         )
         self._placed = counters.counter(PACKETS, PACKETS_HELP, "placed")
         self._rejected = counters.counter(PACKETS, PACKETS_HELP, "rejected")
+        self._rejections = CounterFamily(
+            counters, REJECTIONS, REJECTIONS_HELP, (NO_ROUTE, NO_HOST, OUT_OF_SERVICE)
+        )
         self._ignored = counters.counter(PACKETS, PACKETS_HELP, "ignored")
 
     async def start(self) -> None:
@@ -211,12 +221,13 @@
         key = packet.flow_from_caller
         route = self._catalog.view.route(*service_endpoint(packet))
         if route is None:
-            self._reject(packet, "no-route")
+            self._reject(packet, NO_ROUTE)
             return
         target = choose_target(key, route.targets)
         servers = self._catalog.view.ready_by_domain(target.service)
         if not servers:
-            self._reject(packet, "no-host")
+            ready = self._catalog.view.ready(target.service)
+            self._reject(packet, OUT_OF_SERVICE if ready else NO_HOST)
             return
         choices = order_choices(
             key, target.service, servers, self._board, now(), self._failure_domain
@@ -302,6 +313,7 @@
             FLOW_IGNORED.log(_logger, flow=flow, reason=reason, **self._catalog_state())
             return
         self._rejected.value += 1
+        self._rejections.add(reason)
         self._forwarder.reset(packet)
         FLOW_REJECTED.log(_logger, flow=flow, reason=reason, **self._catalog_state())
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,6 +12,8 @@
 
 from balsamspool.plugins.catalog.model import (
     BackendState,
+    DomainCordoned,
+    DomainUncordoned,
     RecordIgnored,
     RoutesPublished,
     ServerPublished,
@@ -173,6 +175,23 @@
         self.assertIsInstance(record_of(item("op/config", [])), RecordIgnored)
 
 
+class CordonTest(TestCase):
+    def test_an_item_takes_a_failure_domain_out_and_its_removal_back(self):
+        """Guards against an operator's request that is not read."""
+        found = record_of(item("op/evacuate/hall-a", {}))
+        self.assertEqual(found, DomainCordoned(7, "hall-a"))
+        removed = Item("op/evacuate/hall-a", 9, deleted=True)
+        self.assertEqual(record_of(removed), DomainUncordoned(9, "hall-a"))
+
+    def test_an_item_that_cannot_be_read_is_ignored(self):
+        """Guards against a process that stops, or a domain out by mistake."""
+        for value in (b"\xff", b"", [], "x", 1):
+            found = record_of(item("op/evacuate/hall-a", value))
+            self.assertIsInstance(found, RecordIgnored, value)
+        self.assertIsInstance(record_of(item("op/evacuate/", {})), RecordIgnored)
+        self.assertIsNone(record_of(Item("op/evacuate/", 9, deleted=True)))
+
+
 class FolderTest(TestCase):
     def test_the_folder_does_not_shadow_the_standard_module(self):
         """Guards against a folder that replaces the standard module `platform`."""
@@ -191,5 +210,11 @@
         self.assertLess(lines, MAX_LINES)
         for path in (ADAPTER.parent / "balsamspool").rglob("*.py"):
             text = path.read_text()
-            for word in ("/-/", "warmup-left", "store-revision", "op/config"):
+            for word in (
+                "/-/",
+                "warmup-left",
+                "store-revision",
+                "op/config",
+                "evacuat",
+            ):
                 self.assertNotIn(word, text, path)
