Let agents learn the terms of their routes and backend servers from entries

An agent sees all packets of its backend server but doesn't read the catalog, so it knows neither the priority and goal of a route nor the limit of a backend server that warms up. Agents now ask the entry of an opening (QueryTerms), and the entry answers from its catalog (Terms); an entry that places a flow at a warming backend server with a limit tells its agent unasked. Processes of the version before ignore both messages. The route table carries the limit of each service (slow start) and of each request. No decision uses the terms yet.

--- a/balsamspool/datagram/_codec.py
+++ b/balsamspool/datagram/_codec.py
@@ -11,17 +11,21 @@
     Forward,
     Message,
     PacketReturned,
+    QueryTerms,
     Readers,
     Report,
     SmallMessage,
     Subscribe,
+    Terms,
 )
 from balsamspool.placement.load import LoadReport
+from balsamspool.scheduling.terms import RequestTerms, ServerTerms
 
 LAYOUT_VERSION = 1
 
 _FORWARD, _LOCATED, _ENDED, _RETURNED = range(1, 5)
 _SUBSCRIBE, _REPORT, _ANNOUNCE, _READERS = range(5, 9)
+_QUERY_TERMS, _TERMS = range(9, 11)
 # Fields: layout, kind, hops, flags, number of alternatives, service, origin.
 _FORWARD_HEAD = struct.Struct("!BBBBBI4s")
 _FLOW = struct.Struct("!BB12s")
@@ -38,9 +42,17 @@
 # Fields: layout, kind, number of readers, entries, newest revision.
 _READERS_HEAD = struct.Struct("!BBBHQ")
 
+# Fields: layout, kind, endpoint of the route.
+_TERMS_QUERY = struct.Struct("!BB6s")
+# Fields: layout, kind, endpoint of the route, priority, latency objective in ms, limit
+# in ms, slots, warm-up in ms, new flows in 1/256 a second.
+_TERMS_CONTENT = struct.Struct("!BB6sBIIHII")
+
 _UNCONFIRMED, _SKIPPED, _UNSURE = 1, 2, 4
 
 _MEAN_UNIT = 256
+_RATE_UNIT = 256
+_MAX_OCTET = 0xFF
 _MAX_SHORT = 0xFFFF
 _MAX_LONG = 0xFFFFFFFF
 
@@ -114,6 +126,20 @@
                 newest_revision,
             )
             return head + b"".join(readers)
+        case QueryTerms(endpoint):
+            return _TERMS_QUERY.pack(LAYOUT_VERSION, _QUERY_TERMS, endpoint)
+        case Terms(endpoint, request, server):
+            return _TERMS_CONTENT.pack(
+                LAYOUT_VERSION,
+                _TERMS,
+                endpoint,
+                min(request.priority, _MAX_OCTET),
+                min(int(request.goal * 1000), _MAX_LONG),
+                min(int(request.limit * 1000), _MAX_LONG),
+                min(server.slots, _MAX_SHORT),
+                min(int(server.warmup * 1000), _MAX_LONG),
+                min(int(server.flows_per_second * _RATE_UNIT), _MAX_LONG),
+            )
 
 
 def decode(data: bytes) -> Message | None:
@@ -159,6 +185,10 @@
             return Announce(domain, revision, bool(reaches))
         case 8:
             return _decode_readers(data)
+        case 9:
+            return QueryTerms(_TERMS_QUERY.unpack(data)[2])
+        case 10:
+            return _decode_terms(data)
         case _:
             return None
 
@@ -197,5 +227,14 @@
     return Readers(readers, entries, newest_revision)
 
 
+def _decode_terms(data: bytes) -> Terms:
+    _, _, endpoint, priority, goal, limit, slots, warmup, rate = _TERMS_CONTENT.unpack(
+        data
+    )
+    request = RequestTerms(priority, goal / 1000, limit / 1000)
+    server = ServerTerms(max(1, slots), warmup / 1000, rate / _RATE_UNIT)
+    return Terms(endpoint, request, server)
+
+
 def _decode_addresses(data: bytes, start: int, end: int) -> tuple[bytes, ...]:
     return tuple(data[i : i + 4] for i in range(start, end, 4))
--- a/balsamspool/datagram/messages.py
+++ b/balsamspool/datagram/messages.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from balsamspool.placement.load import LoadReport
+from balsamspool.scheduling.terms import RequestTerms, ServerTerms
 
 # Service number in messages whose packet may belong to any service.
 ANY_SERVICE = 0
@@ -123,5 +124,41 @@
     newest_revision: int
 
 
-SmallMessage = FlowLocated | FlowEnded | Subscribe | Report | Announce | Readers
+class QueryTerms(Struct, frozen=True):
+    """An agent asks the entry of an opening for the terms of its route.
+
+    Attributes:
+        endpoint: Address and port of the route, 6 octets.
+    """
+
+    endpoint: bytes
+
+
+class Terms(Struct, frozen=True):
+    """What an agent has to know of a route and of its own backend server.
+
+    Agents don't read the catalog; the entries that place flows at them tell them what
+    they need.
+
+    Attributes:
+        endpoint: Address and port of the route, 6 octets.
+        request: Terms of the requests of the route.
+        server: Terms of the backend server.
+    """
+
+    endpoint: bytes
+    request: RequestTerms
+    server: ServerTerms
+
+
+SmallMessage = (
+    FlowLocated
+    | FlowEnded
+    | Subscribe
+    | Report
+    | Announce
+    | Readers
+    | QueryTerms
+    | Terms
+)
 Message = Forward | PacketReturned | SmallMessage
--- a/balsamspool/plugins/catalog/events.py
+++ b/balsamspool/plugins/catalog/events.py
@@ -157,3 +157,9 @@
     logging.ERROR,
     "Too many failure domains are out of service; another one is ignored.",
 )
+SERVICE_LEFT_OUT = log_event(
+    2328,
+    "service-left-out",
+    logging.WARNING,
+    "The warm-up of a service cannot be read; its backend servers have no limit.",
+)
--- a/balsamspool/plugins/catalog/model.py
+++ b/balsamspool/plugins/catalog/model.py
@@ -17,6 +17,7 @@
 Priority = Annotated[int, Meta(ge=0, le=1_000_000)]
 Version = Annotated[int, Meta(ge=0, le=(1 << 63) - 1)]
 Milliseconds = Annotated[float, Meta(ge=0, le=86_400_000)]
+Rate = Annotated[float, Meta(ge=0, le=1_000_000)]
 # Up to the year 2100: a backend server that claims a later start would replace any
 # other one at its address.
 UnixMilliseconds = Annotated[int, Meta(ge=0, le=4_102_444_800_000)]
@@ -61,6 +62,8 @@
         kind: Kind of the requests.
         goal: Latency objective of a request in seconds.
         priority: Priority, 0 is the highest.
+        limit: Seconds after which the caller of a request no longer waits for it, 0 if
+            it is not known.
     """
 
     name: str
@@ -70,6 +73,21 @@
     kind: RouteKind = RouteKind.SAFE
     goal: float = 1.0
     priority: Priority = 0
+    limit: float = 0.0
+
+
+class SlowStart(Struct, frozen=True):
+    """How many new flows the backend servers of a service bear while they warm up.
+
+    Attributes:
+        service: Name of the service.
+        seconds: Duration of the warm-up after a start in seconds.
+        flows_per_second: New flows a second that one backend server bears.
+    """
+
+    service: Label
+    seconds: float
+    flows_per_second: float
 
 
 class RouteTable(Struct, frozen=True):
@@ -79,11 +97,14 @@
         version: Version of the table; a higher one is newer.
         routes: The routes.
         idle_seconds: Idle time after which the state of a flow may be deleted.
+        slow_starts: Services whose backend servers bear few new flows while they warm
+            up.
     """
 
     version: Version
     routes: tuple[Route, ...]
     idle_seconds: float
+    slow_starts: tuple[SlowStart, ...] = ()
 
 
 class BackendServer(Struct, frozen=True):
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -39,6 +39,7 @@
 from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
 from balsamspool.plugins.catalog.route_history import RouteHistory
 from balsamspool.plugins.catalog.server_index import ServerIndex
+from balsamspool.plugins.catalog.warmups import Warmups
 
 _logger = logging.getLogger(__name__)
 
@@ -64,6 +65,7 @@
         "_servers",
         "_subscribers",
         "_version",
+        "_warmups",
     )
 
     def __init__(
@@ -76,6 +78,7 @@
         self._addresses = AddressIndex(self._servers, self._routes.is_routed)
         self._cordons = Cordons(counters or CounterSet())
         self._index = ServerIndex(self._servers, self._addresses, self._cordons)
+        self._warmups = Warmups(self._cordons)
         self._revisions: dict[str, Revision] = {}
         self._delayed_removals: dict[str, DelayedRemoval] = {}
         self._recently_removed: dict[str, RemovedServer] = {}
@@ -104,6 +107,11 @@
         """Failure domains that are out of service."""
         return self._cordons
 
+    @property
+    def warmups(self) -> Warmups:
+        """How long the listed backend servers still warm up."""
+        return self._warmups
+
     @property
     def recently_removed(self) -> list[BackendServer]:
         """Backend servers that were removed a short time ago."""
@@ -237,8 +245,9 @@
             all_tables: Whether no route table before the record is missing.
         """
         match record:
-            case RoutesPublished():
+            case RoutesPublished(_, table):
                 if self._routes.apply(record, time, all_tables):
+                    self._warmups.record_table(table)
                     self._on_change()
             case ServerPublished(revision, server, created) if self._is_new(
                 server.name, revision
@@ -340,6 +349,7 @@
             self._addresses.discard(before)
         self._servers[server.name] = server
         self._addresses.add(server, created)
+        self._warmups.record(server, time)
         self._on_change()
         if before is None or before.state is not server.state:
             SERVER_CHANGED.log(
@@ -391,6 +401,7 @@
         succeeded = self._addresses.is_succeeded(server)
         self._addresses.discard(server)
         del self._servers[name]
+        self._warmups.forget(name)
         self._delayed_removals.pop(name, None)
         self._revisions[name] = max(revision, self._revisions.get(name, NO_REVISION))
         expired = may_have_expired(self._outage_end, time)
--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -21,7 +21,9 @@
     FlowEnded,
     FlowLocated,
     Forward,
+    QueryTerms,
     Subscribe,
+    Terms,
 )
 from balsamspool.datagram.packet import (
     Packet,
@@ -43,6 +45,8 @@
 from balsamspool.plugins.datagram_agent.flows import FlowTable, HostFlow
 from balsamspool.plugins.datagram_agent.liveness import ServerLiveness
 from balsamspool.plugins.datagram_agent.reporter import LoadReporter
+from balsamspool.plugins.datagram_agent.sent_forwards import SentForwards
+from balsamspool.plugins.datagram_agent.terms import TermsTable
 from balsamspool.plugins.datagram_agent.work import WorkMeter
 
 _logger = logging.getLogger(__name__)
@@ -52,9 +56,6 @@
 # Time within which the backend server must answer an opening packet. A server accepts
 # the packet within a millisecond; the remaining time allows for a slow instance.
 ANSWER_SECONDS = 0.08
-# Number of recent packets to the backend server whose `Forward` messages are kept. The
-# agent needs the message to pass on a packet that the backend server returns.
-REMEMBERED_PACKETS = 4_096
 EXPIRY_SECONDS = 1.0
 # A stopping agent passes packets until none has arrived for QUIET_SECONDS, and for at
 # most LINGER_SECONDS.
@@ -90,10 +91,10 @@
         self._codec = kernel.plugin(PacketCodec)
         self._peer_socket: BatchSocket
         self._server_socket: BatchSocket
-        self._sent_forwards: list[Forward | None] = [None] * REMEMBERED_PACKETS
-        self._sent_count = 0
+        self._sent = SentForwards()
         self._last_packet = 0.0
         self._entries = EntryRegister()
+        self._terms = TermsTable()
         counters = kernel.counters
         self._watch = FlowWatch(counters)
         self._malformed = counters.counter(
@@ -155,6 +156,8 @@
                 self._on_forward(forward)
             case Subscribe(lease, period):
                 self._reporter.subscribe(sender, lease, period)
+            case Terms() as terms:
+                self._terms.record(terms, now())
             case Announce() as announce:
                 self._entries.record(sender[0], announce, now())
                 readers = self._entries.readers_for(announce.failure_domain)
@@ -193,6 +196,7 @@
             # to a backend server of the service of this agent.
             self._pass_on(forward, packet, "other-service")
             return
+        self._query_terms(forward.origin, packet.destination)
         key = packet.flow_from_caller
         flow = self._flows.get(key)
         if flow is not None and flow.ended and not packet.attempt:
@@ -211,6 +215,11 @@
                 ANSWER_SECONDS, self._check_answer, forward, packet
             )
 
+    def _query_terms(self, entry: bytes, endpoint: bytes) -> None:
+        """Ask an entry for the terms of a route if they are not known or are old."""
+        if self._terms.query_due(endpoint, now()):
+            self._send_to_entry(entry, QueryTerms(endpoint))
+
     def _check_answer(self, forward: Forward, packet: Packet) -> None:
         """Pass an opening packet on if the backend server has not answered it."""
         flow = self._flows.get(packet.flow_from_caller)
@@ -236,7 +245,7 @@
         flow.caller_ended = flow.caller_ended or packet.ends or packet.resets
         flow.server_ended = flow.server_ended or packet.resets
         self._delivered.value += 1
-        parts = self._codec.encode(packet, self._store_forward(forward))
+        parts = self._codec.encode(packet, self._sent.store(forward))
         self._server_socket.send(parts, self._backend)
         self._flows.end_if_closed(flow, time)
 
@@ -251,22 +260,9 @@
         """
         if not flow.held or flow.ended or packet.opens:
             return False
-        self._notify_entry(flow.origin, FlowLocated(packet.flow_from_caller))
+        self._send_to_entry(flow.origin, FlowLocated(packet.flow_from_caller))
         return True
 
-    def _store_forward(self, forward: Forward) -> bytes:
-        """Keep the message of a delivered packet and return a tag to find it again."""
-        count = self._sent_count
-        self._sent_count = (count + 1) % (1 << 32)
-        self._sent_forwards[count % REMEMBERED_PACKETS] = forward
-        return count.to_bytes(4, "big")
-
-    def _find_forward(self, tag: bytes) -> Forward | None:
-        count = int.from_bytes(tag, "big")
-        if (self._sent_count - count) % (1 << 32) > REMEMBERED_PACKETS:
-            return None
-        return self._sent_forwards[count % REMEMBERED_PACKETS]
-
     def _on_server(self, data: bytes, sender: Address) -> None:
         packet = self._codec.decode(data)
         if packet is None:
@@ -311,12 +307,12 @@
             self._watch.on_server_packet(key, packet)
         if flow.unconfirmed:
             flow.unconfirmed = False
-            self._notify_entry(flow.origin, FlowLocated(key))
+            self._send_to_entry(flow.origin, FlowLocated(key))
 
     def _on_returned(self, packet: Packet) -> None:
         key = packet.flow_from_caller
         flow = self._flows.get(key)
-        forward = self._find_forward(packet.tag)
+        forward = self._sent.find(packet.tag)
         self._watch.on_server_return(packet, flow)
         if flow is not None and flow.held and not packet.opens:
             self._reset_lost(key, flow, packet)
@@ -331,7 +327,7 @@
         self._watch.on_lost(key, flow)
         caller = (address_of(packet.source), self._caller_port)
         self._peer_socket.send((self._codec.reset(packet),), caller)
-        self._notify_entry(flow.origin, FlowEnded(key))
+        self._send_to_entry(flow.origin, FlowEnded(key))
         self._flows.remove(key, now())
 
     def _pass_on(
@@ -382,7 +378,9 @@
         entry = (socket.inet_ntoa(forward.origin), self._address[1])
         self._peer_socket.send(parts, entry)
 
-    def _notify_entry(self, origin: bytes, message: FlowLocated | FlowEnded) -> None:
+    def _send_to_entry(
+        self, origin: bytes, message: FlowLocated | FlowEnded | QueryTerms
+    ) -> None:
         entry = (socket.inet_ntoa(origin), self._address[1])
         self._peer_socket.send((encode_small(message),), entry)
 
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -17,6 +17,7 @@
     FlowEnded,
     FlowLocated,
     PacketReturned,
+    QueryTerms,
     Readers,
     Report,
 )
@@ -53,6 +54,7 @@
     REMOTE_PERIOD_SECONDS,
     Subscriptions,
 )
+from balsamspool.plugins.datagram_entry.terms import TermsDesk
 
 _logger = logging.getLogger(__name__)
 
@@ -149,6 +151,12 @@
         self._subscriptions = Subscriptions(
             self._kernel, self._catalog, self._board, self._peer_socket
         )
+        self._terms = TermsDesk(
+            self._catalog,
+            self._peer_socket,
+            self._peer_address[1],
+            self._kernel.counters,
+        )
         self._peer_socket.start()
         self._caller_socket.start()
         self._kernel.supervise(self._subscriptions.run, "load subscriptions")
@@ -233,6 +241,8 @@
             key, target.service, servers, self._board, now(), self._failure_domain
         )
         number = service_number(target.service)
+        for choice in choices:
+            self._terms.notify_warming(route, choice.server)
         known_flow = self._flows.get(key)
         if known_flow is not None and packet.attempt:
             self._forward_copy(packet, known_flow, number, choices)
@@ -340,6 +350,8 @@
                 self._flows.discard(key)
             case PacketReturned() as returned:
                 self._search.on_returned(returned, sender[0])
+            case QueryTerms() as query:
+                self._terms.answer(query, sender[0])
             case Readers() as readers:
                 self._subscriptions.record_readers(readers, sender[0])
             case _:
--- /dev/null
+++ b/balsamspool/plugins/datagram_entry/terms.py
@@ -0,0 +1,97 @@
+"""Tells agents the terms of their routes and backend servers."""
+
+import socket
+
+from balsamspool.datagram._codec import encode_small
+from balsamspool.datagram.messages import QueryTerms, Terms
+from balsamspool.datagram.packet import address_of, port_of
+from balsamspool.datagram.sockets import BatchSocket
+from balsamspool.kernel.clock import now
+from balsamspool.kernel.counters import CounterSet
+from balsamspool.kernel.recent import RecentCache
+from balsamspool.plugins.catalog import BackendServer, CatalogPlugin, Route
+from balsamspool.scheduling.terms import RequestTerms
+
+# Shortest time between two notices to the agent of a backend server that warms up.
+NOTICE_SECONDS = 0.25
+# Maximum number of agents in each of the two generations of recent notices.
+MAX_NOTICES = 1_024
+
+TERMS = "balsamspool_datagram_terms"
+TERMS_HELP = "Terms of routes and backend servers that were sent to agents, by cause"
+
+
+class TermsDesk:
+    """Answers agents that ask for terms, and notifies those that have to know at once.
+
+    Nothing is kept for an agent: it asks again when it needs to know.
+
+    Args:
+        catalog: Published routes and backend servers.
+        peers: Socket for messages to agents.
+        port: UDP port of the agents.
+        counters: Counters of the process.
+    """
+
+    __slots__ = ("_answered", "_catalog", "_notified", "_notices", "_peers", "_port")
+
+    def __init__(
+        self,
+        catalog: CatalogPlugin,
+        peers: BatchSocket,
+        port: int,
+        counters: CounterSet,
+    ) -> None:
+        self._catalog = catalog
+        self._peers = peers
+        self._port = port
+        # Event loop time in seconds of the last notice, by address of the agent.
+        self._notices: RecentCache[float] = RecentCache(MAX_NOTICES)
+        self._answered = counters.counter(TERMS, TERMS_HELP, "answer")
+        self._notified = counters.counter(TERMS, TERMS_HELP, "notice")
+
+    def answer(self, query: QueryTerms, agent: str) -> None:
+        """Answer an agent, unless its route or its backend server is not known.
+
+        Args:
+            query: Route of which the agent wants to know the terms.
+            agent: IPv4 address of the agent.
+        """
+        endpoint = query.endpoint
+        route = self._catalog.view.route(address_of(endpoint), port_of(endpoint))
+        if route is None:
+            return
+        services = {target.service for target in route.targets}
+        for server in self._catalog.view.listed_at(agent):
+            if server.service in services:
+                self._answered.value += 1
+                self._send(route, server)
+                return
+
+    def notify_warming(self, route: Route, server: BackendServer) -> None:
+        """Tell an agent that its backend server bears few new flows, if that is so.
+
+        The agent may not have asked yet, or its backend server may have become cold
+        since.
+
+        Args:
+            route: Route of a new flow.
+            server: Backend server to which the flow is sent.
+        """
+        time = now()
+        terms = self._catalog.view.warmups.terms(server, time)
+        if not terms.flows_per_second:
+            return
+        key = socket.inet_aton(server.address)
+        last = self._notices.get(key)
+        if last is None or time - last >= NOTICE_SECONDS:
+            self._notices.put(key, time)
+            self._notified.value += 1
+            self._send(route, server)
+
+    def _send(self, route: Route, server: BackendServer) -> None:
+        endpoint = socket.inet_aton(route.address) + route.port.to_bytes(2, "big")
+        request = RequestTerms(route.priority, route.goal, route.limit)
+        terms = self._catalog.view.warmups.terms(server, now())
+        message = Terms(endpoint, request, terms)
+        self._peers.send((encode_small(message),), (server.address, self._port))
--- a/tests/test_datagram_agent.py
+++ b/tests/test_datagram_agent.py
@@ -11,6 +11,7 @@
     FlowLocated,
     Forward,
     PacketReturned,
+    QueryTerms,
     Report,
     Subscribe,
 )
@@ -34,6 +35,8 @@
         self.forward(packet(SYN, ack=1))
         data, _ = self.backend.take()[0]
         self.assertEqual(data[:27], packet(SYN, ack=1)[:27])
+        query = QueryTerms(CODEC.decode(packet(SYN)).destination)
+        self.assertEqual(self.peers.take_messages(), [(query, ENTRY)])
         sent = answer(SYN | ACK, seq=99)
         self.reply(sent)
         self.assertEqual(self.peers.take(), [(sent, (CALLER[0], 8172))])
