Adapt a test to the reader of the store's answers

The test of pages from two eras replaced a method that moved into HttpReader; it failed with an AttributeError since then, and checks the same again.

--- a/tests/test_catalog_restore.py
+++ b/tests/test_catalog_restore.py
@@ -288,7 +288,7 @@
         """Guards against a snapshot whose pages are from before and after a restore."""
         copy = self.store.copy()
         await self.store.put("servers/i-4", entry(4))
-        get, calls = self.source._get, []
+        get, calls = self.source._reader.get, []
 
         async def restore_after_the_first_page(*arguments):
             answer = await get(*arguments)
@@ -297,7 +297,9 @@
                 await self.store.restore(copy)
             return answer
 
-        self.source._get = restore_after_the_first_page
+        self.source._reader = SimpleNamespace(
+            get=restore_after_the_first_page, close=self.source._reader.close
+        )
         snapshot = await self.source.read()
         self.assertEqual(len(snapshot.records), 3)
         self.assertEqual({r.revision.era for r in snapshot.records}, {2})
