Separate the decision about an opening packet from what follows it

Change: OpeningPolicy.decide returns PlaceAt, Reject, Ignore or AwaitCatalog, and _on_opening matches on it. OpeningLog counts and logs what was decided. Endpoints are built by endpoint_of. Logs, counters and packets stay as they were.

Tests: test_datagram_entry, _terms, _decisions, _search, _fuzz, _other_services, _stalled, test_cordons and test_placement pass unchanged.

--- a/balsamspool/datagram/packet.py
+++ b/balsamspool/datagram/packet.py
@@ -98,6 +98,11 @@
     return int.from_bytes(endpoint[4:6], "big")
 
 
+def endpoint_of(address: str, port: int) -> bytes:
+    """Return the endpoint of an IPv4 address in dotted form and a port."""
+    return socket.inet_aton(address) + port.to_bytes(2, "big")
+
+
 def service_endpoint(packet: Packet) -> tuple[str, int]:
     """Return address and port of the route to which a caller sent a packet."""
     return address_of(packet.destination), port_of(packet.destination)
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -6,10 +6,7 @@
 
 from balsamspool.datagram._codec import decode, service_number
 from balsamspool.datagram.events import (
-    FLOW_IGNORED,
     FLOW_MOVED,
-    FLOW_PLACED,
-    FLOW_REJECTED,
     HOST_AVOIDED,
 )
 from balsamspool.datagram.messages import (
@@ -25,29 +22,30 @@
     Packet,
     PacketCodec,
     flow_id,
-    service_endpoint,
 )
 from balsamspool.datagram.settings import (
     DatagramSettings,
 )
 from balsamspool.datagram.sockets import Address, BatchSocket, DatagramSockets
 from balsamspool.kernel.clock import now
-from balsamspool.kernel.counters import CounterFamily
 from balsamspool.kernel.identity import Role
 from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.kernel.recent import RecentCache
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.kernel.settings import split_endpoint
 from balsamspool.placement.load import GONE_PERIODS, LoadBoard
-from balsamspool.placement.opening import Choice, order_choices
-from balsamspool.placement.rendezvous import choose_target
-from balsamspool.plugins.catalog import CatalogPlugin, Route
+from balsamspool.placement.opening import Choice
+from balsamspool.plugins.catalog import CatalogPlugin
 from balsamspool.plugins.datagram_entry.decision_log import HOST_GONE, DecisionLog
 from balsamspool.plugins.datagram_entry.flow import EntryFlow
-from balsamspool.plugins.datagram_entry.forwarder import (
-    PACKETS,
-    PACKETS_HELP,
-    Forwarder,
+from balsamspool.plugins.datagram_entry.forwarder import Forwarder
+from balsamspool.plugins.datagram_entry.opening_log import OpeningLog
+from balsamspool.plugins.datagram_entry.openings import (
+    AwaitCatalog,
+    Ignore,
+    OpeningPolicy,
+    PlaceAt,
+    Reject,
 )
 from balsamspool.plugins.datagram_entry.search import FlowSearch
 from balsamspool.plugins.datagram_entry.subscriptions import (
@@ -72,12 +70,6 @@
 # packet of a caller has arrived for QUIET_SECONDS, and after LINGER_SECONDS in any
 # case.
 LINGER_SECONDS = 2.5
-
-REJECTIONS = "balsamspool_datagram_rejections"
-REJECTIONS_HELP = "Opening packets answered by a reset, by reason"
-# No route leads to a service, or no backend server accepts new flows, or all of those
-# that do are in failure domains out of service.
-NO_ROUTE, NO_HOST, OUT_OF_SERVICE = "no-route", "no-host", "out-of-service"
 ROTATION_SECONDS = 1.2
 QUIET_SECONDS = 0.4
 
@@ -106,6 +98,10 @@
         self._codec = kernel.plugin(PacketCodec)
         self._catalog = kernel.plugin(CatalogPlugin)
         self._board = LoadBoard()
+        self._openings = OpeningPolicy(
+            self._catalog, self._board, identity.failure_domain
+        )
+        self._opening_log = OpeningLog(self._catalog, kernel.counters)
         self._log = DecisionLog(self._catalog, self._board, kernel.counters)
         self._flows: RecentCache[EntryFlow] = RecentCache(MAX_KNOWN_FLOWS)
         self._caller_socket: BatchSocket
@@ -118,12 +114,6 @@
         self._malformed = counters.counter(
             "balsamspool_datagram_malformed", "Datagrams that could not be read"
         )
-        self._placed = counters.counter(PACKETS, PACKETS_HELP, "placed")
-        self._rejected = counters.counter(PACKETS, PACKETS_HELP, "rejected")
-        self._rejections = CounterFamily(
-            counters, REJECTIONS, REJECTIONS_HELP, (NO_ROUTE, NO_HOST, OUT_OF_SERVICE)
-        )
-        self._ignored = counters.counter(PACKETS, PACKETS_HELP, "ignored")
 
     async def start(self) -> None:
         """Open the sockets and start forwarding."""
@@ -202,7 +192,7 @@
         if len(self._waiting_packets) < MAX_WAITING_PACKETS:
             self._waiting_packets.append(packet)
         else:
-            self._ignored.value += 1
+            self._opening_log.overflowed()
 
     def _handle_waiting(self) -> None:
         """Handle the packets that waited for the first catalog."""
@@ -227,22 +217,22 @@
 
     def _on_opening(self, packet: Packet) -> None:
         key = packet.flow_from_caller
-        route = self._catalog.view.route(*service_endpoint(packet))
-        if route is None:
-            self._reject(packet, NO_ROUTE)
-            return
-        target = choose_target(key, route.targets)
-        servers = self._catalog.view.ready_by_domain(target.service)
-        if not servers:
-            ready = self._catalog.view.ready(target.service)
-            self._reject(packet, OUT_OF_SERVICE if ready else NO_HOST)
-            return
-        choices = order_choices(
-            key, target.service, servers, self._board, now(), self._failure_domain
-        )
-        number = service_number(target.service)
+        match self._openings.decide(key, packet.attempt):
+            case PlaceAt() as place:
+                self._place(packet, key, place)
+            case Reject(reason):
+                self._forwarder.reset(packet)
+                self._opening_log.rejected(key, reason)
+            case Ignore(reason):
+                self._opening_log.ignored(key, reason)
+            case AwaitCatalog():
+                self._keep_waiting(packet)
+
+    def _place(self, packet: Packet, key: bytes, place: PlaceAt) -> None:
+        choices = place.choices
+        number = service_number(place.service)
         for choice in choices:
-            self._terms.notify_warming(route, choice.server)
+            self._terms.notify_warming(place.route, choice.server)
         known_flow = self._flows.get(key)
         if known_flow is not None and packet.attempt:
             self._forward_copy(packet, known_flow, number, choices)
@@ -251,10 +241,9 @@
         flow = EntryFlow(number, hosts)
         self._flows.put(key, flow)
         self._log.reopened(key)
-        self._placed.value += 1
         self._board.record_placed(choices[0].server.address)
         self._forwarder.forward(packet, flow.service, hosts, unconfirmed=True)
-        self._log_placed(key, route, choices)
+        self._opening_log.placed(key, place)
 
     def _forward_copy(
         self, packet: Packet, flow: EntryFlow, service: int, choices: list[Choice]
@@ -310,31 +299,6 @@
             return self._board.silent(address)
         return self._board.seems_gone(address)
 
-    def _reject(self, packet: Packet, reason: str) -> None:
-        """Answer an opening packet by a reset, or drop it.
-
-        It is dropped if the catalog is old, or if it is a copy.
-        """
-        flow = flow_id(packet.flow_from_caller)
-        if packet.attempt or not self._catalog.fresh:
-            # An earlier copy of the packet may have opened the flow through an entry
-            # that knows the route.
-            self._ignored.value += 1
-            FLOW_IGNORED.log(_logger, flow=flow, reason=reason, **self._catalog_state())
-            return
-        self._rejected.value += 1
-        self._rejections.add(reason)
-        self._forwarder.reset(packet)
-        FLOW_REJECTED.log(_logger, flow=flow, reason=reason, **self._catalog_state())
-
-    def _catalog_state(self) -> dict[str, object]:
-        """Return the route table by which a flow is handled, and the catalog's age."""
-        table, age = self._catalog.view.table, self._catalog.age
-        return {
-            "routes_version": table.version if table else None,
-            "age_seconds": None if age is None else round(age, 3),
-        }
-
     def _on_peer(self, data: bytes, sender: Address) -> None:
         match decode(data):
             case Report(load):
@@ -380,18 +344,3 @@
     def _is_of_another_service(self, agent: str, flow: EntryFlow) -> bool:
         listed = self._catalog.view.listed_at(agent)
         return any(service_number(s.service) != flow.service for s in listed)
-
-    def _log_placed(self, key: bytes, route: Route, choices: list[Choice]) -> None:
-        first = choices[0]
-        FLOW_PLACED.log(
-            _logger,
-            flow=flow_id(key),
-            route=route.name,
-            service=first.server.service,
-            server=first.server.name,
-            cost=round(first.cost, 2),
-            load_age=round(first.age, 3) if first.age is not None else None,
-            next=[f"{c.server.name}:{c.cost:.2f}" for c in choices[1:]],
-            catalog_version=self._catalog.view.version,
-            **self._catalog_state(),
-        )
--- a/balsamspool/plugins/datagram_entry/terms.py
+++ b/balsamspool/plugins/datagram_entry/terms.py
@@ -4,7 +4,7 @@
 
 from balsamspool.datagram._codec import encode_small
 from balsamspool.datagram.messages import QueryTerms, Terms
-from balsamspool.datagram.packet import address_of, port_of
+from balsamspool.datagram.packet import address_of, endpoint_of, port_of
 from balsamspool.datagram.sockets import BatchSocket
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.counters import CounterSet
@@ -90,7 +90,7 @@
             self._send(route, server)
 
     def _send(self, route: Route, server: BackendServer) -> None:
-        endpoint = socket.inet_aton(route.address) + route.port.to_bytes(2, "big")
+        endpoint = endpoint_of(route.address, route.port)
         request = RequestTerms(route.priority, route.goal, route.limit)
         terms = self._catalog.view.warmups.terms(server, now())
         message = Terms(endpoint, request, terms)
