Serve an explanation of placements on the admin port of entries

Cause: only the entry knows the reports and the flows that it has placed since, so nobody else can tell where a new flow would go.

Change: plug-ins name JSON pages (Plugin.json_pages), which the admin plug-in serves. The entry answers GET /explain with the decision of OpeningPolicy, the candidates with their inputs, and what keeps other hosts out. It decides on a copy of the board, because the board keeps sums of the load for 0.1 s. order_cost is the key by which choices are sorted, shown as it is used.

--- a/balsamspool/kernel/registry.py
+++ b/balsamspool/kernel/registry.py
@@ -6,8 +6,8 @@
 
 import importlib
 import pkgutil
-from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING, TypeVar
+from collections.abc import Callable, Iterable, Mapping
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from msgspec import Struct
 
@@ -19,6 +19,10 @@
 if TYPE_CHECKING:
     from balsamspool.kernel.lifecycle import Kernel
 
+# Returns a value that can be encoded as JSON, for the arguments of a query. It only
+# reads, and raises a `ResultError` for arguments that are not valid.
+JsonPage = Callable[[Mapping[str, str]], Any]
+
 
 class Plugin:
     """Base of all plug-ins.
@@ -58,6 +62,10 @@
         """Return values for the status page of the process by name."""
         return {}
 
+    def json_pages(self) -> dict[str, JsonPage]:
+        """Return pages that the admin plug-in serves, by path."""
+        return {}
+
 
 P = TypeVar("P", bound=Plugin)
 
--- a/balsamspool/placement/load.py
+++ b/balsamspool/placement/load.py
@@ -1,6 +1,7 @@
 """Load of the backend servers, as their agents report it."""
 
 from collections.abc import Mapping, Sequence
+from copy import copy
 from typing import Protocol
 
 from msgspec import Struct
@@ -88,6 +89,17 @@
         """Whether no host has reported yet."""
         return not self._hosts
 
+    def copy(self) -> "LoadBoard":
+        """Return a board of the same loads that caches its own sums.
+
+        Reading the copy changes nothing here. It must not be recorded into, because the
+        loads are shared.
+        """
+        board = LoadBoard()
+        for name in self.__slots__:
+            setattr(board, name, copy(getattr(self, name)))
+        return board
+
     def record(self, address: str, report: LoadReport, time: float) -> bool:
         """Record a report.
 
--- a/balsamspool/placement/opening.py
+++ b/balsamspool/placement/opening.py
@@ -97,14 +97,21 @@
             avoided.append(_choice(server, board, load, time, avoided=True))
         if len(choices) == CHOICES:
             break
-    choices.sort(
-        key=lambda c: (
-            c.cost + DOMAIN_PENALTY * (c.server.failure_domain != failure_domain)
-        )
-    )
+    choices.sort(key=lambda c: order_cost(c, failure_domain))
     return [*choices, *avoided][:CHOICES]
 
 
+def order_cost(choice: Choice, failure_domain: str) -> float:
+    """Return the cost by which a choice is ordered, with penalties.
+
+    Args:
+        choice: The choice.
+        failure_domain: Failure domain of the entry.
+    """
+    elsewhere = choice.server.failure_domain != failure_domain
+    return choice.cost + DOMAIN_PENALTY * elsewhere
+
+
 def _choice(
     server: Placeable,
     board: LoadBoard,
--- a/balsamspool/plugins/admin/plugin.py
+++ b/balsamspool/plugins/admin/plugin.py
@@ -1,10 +1,13 @@
-"""Plug-in that answers readiness probes and serves metrics and status."""
+"""Plug-in that answers readiness probes and serves metrics, status and pages."""
+
+from urllib.parse import parse_qsl
 
 import msgspec
 
+from balsamspool.kernel.errors import ResultError
 from balsamspool.kernel.identity import Role
 from balsamspool.kernel.lifecycle import Kernel, ProcessState
-from balsamspool.kernel.registry import Plugin, register
+from balsamspool.kernel.registry import JsonPage, Plugin, register
 from balsamspool.kernel.settings import Section, split_endpoint
 from balsamspool.minihttp.server import Page, PageServer
 
@@ -31,7 +34,7 @@
 
 @register("admin", roles=[Role.DATAGRAM_ENTRY, Role.DATAGRAM_AGENT])
 class AdminPlugin(Plugin):
-    """Serves the readiness probe, ``/metrics`` and ``/status``.
+    """Serves the readiness probe, ``/metrics``, ``/status`` and pages of plug-ins.
 
     Args:
         kernel: Kernel that runs the plug-in.
@@ -80,7 +83,14 @@
             case "/healthz":
                 return Page(200, b"ok\n")
             case _:
-                return Page(404, b"")
+                return self._plugin_page(path, query)
+
+    def _plugin_page(self, path: str, query: str) -> Page:
+        for plugin in self._kernel.plugins.values():
+            page = plugin.json_pages().get(path)
+            if page is not None:
+                return _json_page(page, query)
+        return Page(404, b"")
 
     def _metrics(self) -> Page:
         # Imported here so that a process that is never scraped starts faster.
@@ -103,3 +113,11 @@
             },
         }
         return Page(200, msgspec.json.encode(body), "application/json")
+
+
+def _json_page(page: JsonPage, query: str) -> Page:
+    try:
+        body = page(dict(parse_qsl(query)))
+    except ResultError as error:
+        return Page(400, f"{error}\n".encode())
+    return Page(200, msgspec.json.encode(body), "application/json")
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -9,6 +9,7 @@
     FLOW_MOVED,
     HOST_AVOIDED,
 )
+from balsamspool.datagram.explanation import EXPLAIN_PATH
 from balsamspool.datagram.messages import (
     ANY_SERVICE,
     FlowEnded,
@@ -31,12 +32,13 @@
 from balsamspool.kernel.identity import Role
 from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.kernel.recent import RecentCache
-from balsamspool.kernel.registry import Plugin, register
+from balsamspool.kernel.registry import JsonPage, Plugin, register
 from balsamspool.kernel.settings import split_endpoint
 from balsamspool.placement.load import GONE_PERIODS, LoadBoard
 from balsamspool.placement.opening import Choice
 from balsamspool.plugins.catalog import CatalogPlugin
 from balsamspool.plugins.datagram_entry.decision_log import HOST_GONE, DecisionLog
+from balsamspool.plugins.datagram_entry.explainer import FlowExplainer
 from balsamspool.plugins.datagram_entry.flow import EntryFlow
 from balsamspool.plugins.datagram_entry.forwarder import Forwarder
 from balsamspool.plugins.datagram_entry.opening_log import OpeningLog
@@ -102,6 +104,7 @@
             self._catalog, self._board, identity.failure_domain
         )
         self._opening_log = OpeningLog(self._catalog, kernel.counters)
+        self._explainer = FlowExplainer(kernel, self._catalog, self._board)
         self._log = DecisionLog(self._catalog, self._board, kernel.counters)
         self._flows: RecentCache[EntryFlow] = RecentCache(MAX_KNOWN_FLOWS)
         self._caller_socket: BatchSocket
@@ -169,6 +172,10 @@
             **self._log.status(),
         }
 
+    def json_pages(self) -> dict[str, JsonPage]:
+        """Return the page that explains where a new flow would go."""
+        return {EXPLAIN_PATH: self._explainer.page}
+
     def _on_catalog(self) -> None:
         view = self._catalog.view
         if self._waiting_packets and view.table is not None:
