--- a/balsamspool/commands/inspect.py
+++ b/balsamspool/commands/inspect.py
@@ -1,18 +1,18 @@
 """Command ``inspect``: state of the processes that serve opaque flows."""
 
-import asyncio
 from dataclasses import dataclass
 from typing import Any
 
 import msgspec
-from aiohttp import ClientError, ClientSession, ClientTimeout
 
-from balsamspool.commands.codes import ARGUMENT_INVALID, ExitCode
-from balsamspool.commands.fleet import CONCURRENT_READS, STATUS_SECONDS
+from balsamspool.commands.admin_pages import (
+    AdminAnswer,
+    check_endpoints,
+    read_pages,
+)
+from balsamspool.commands.codes import ExitCode
 from balsamspool.commands.output import print_json, print_table
 from balsamspool.commands.registry import command
-from balsamspool.kernel.errors import ResultError
-from balsamspool.kernel.settings import split_endpoint
 
 _HEADER = (
     "instance",
@@ -58,12 +58,8 @@
         *endpoints: Address and admin port of each process, such as 10.1.0.10:9464.
         json: Print the status pages as JSON in place of a table.
     """
-    if not endpoints:
-        raise ResultError(
-            ARGUMENT_INVALID, "no endpoints given; name addresses with admin ports"
-        )
-    _check_endpoints(endpoints)
-    found = await _read_all(endpoints)
+    check_endpoints(endpoints)
+    found = [_decode(answer) for answer in await read_pages(endpoints, "/status")]
     if json:
         print_json({status.endpoint: status.page for status in found})
     else:
@@ -74,31 +70,11 @@
     return ExitCode.OK if met else ExitCode.NOT_MET
 
 
-def _check_endpoints(endpoints: tuple[str, ...]) -> None:
-    for endpoint in endpoints:
-        try:
-            split_endpoint(endpoint)
-        except ValueError as error:
-            raise ResultError(ARGUMENT_INVALID, str(error)) from error
-
-
-async def _read_all(endpoints: tuple[str, ...]) -> list[ProcessStatus]:
-    limit = asyncio.Semaphore(CONCURRENT_READS)
-    timeout = ClientTimeout(total=STATUS_SECONDS)
-    async with ClientSession(timeout=timeout) as session:
-        reads = [_read(session, limit, endpoint) for endpoint in endpoints]
-        return list(await asyncio.gather(*reads))
-
-
-async def _read(
-    session: ClientSession, limit: asyncio.Semaphore, endpoint: str
-) -> ProcessStatus:
+def _decode(answer: AdminAnswer) -> ProcessStatus:
     try:
-        async with limit, session.get(f"http://{endpoint}/status") as answer:
-            page = msgspec.json.decode(await answer.read())
-    except (ClientError, TimeoutError, OSError, msgspec.DecodeError):
-        return ProcessStatus(endpoint, None)
-    return ProcessStatus(endpoint, page)
+        return ProcessStatus(answer.endpoint, msgspec.json.decode(answer.body))
+    except msgspec.DecodeError:
+        return ProcessStatus(answer.endpoint, None)
 
 
 def _row(status: ProcessStatus) -> tuple[Any, ...]:
--- a/tests/datagram_fakes.py
+++ b/tests/datagram_fakes.py
@@ -38,6 +38,7 @@
     Target,
 )
 from balsamspool.plugins.catalog.peers import CatalogPeers  # noqa: E402
+from balsamspool.plugins.catalog.revision import Revision  # noqa: E402
 from balsamspool.plugins.catalog.source import CatalogSource  # noqa: E402
 
 FIN, SYN, RST, ACK, BOUNCED = 1, 2, 4, 64, 128
@@ -148,7 +149,7 @@
 
     def __init__(self):
         self.records = []
-        self.revision = 10
+        self.revision = Revision(10)
         self.failure = None
         self.past = Changes(10, ())
         self.reads = 0
@@ -187,7 +188,7 @@
 
     def publish(self, *records):
         """Pass records to the waiting watch."""
-        self.revision = max(r.revision for r in records)
+        self.revision = Revision(max(r.revision for r in records))
         self.queue.put_nowait(Changes(self.revision, records))
 
 
