Show failure domains out of service in inspect

Cause: the table of `inspect` did not show whether an entry knows that a failure domain is out of service; only the JSON did.

Change: a column with the names of the failure domains, or a dash.

--- a/balsamspool/commands/inspect.py
+++ b/balsamspool/commands/inspect.py
@@ -22,6 +22,7 @@
     "routes",
     "revision",
     "catalog age s",
+    "out of service",
     "flows",
     "in work",
     "avoided",
@@ -80,8 +81,9 @@
 def _row(status: ProcessStatus) -> tuple[Any, ...]:
     page = status.page
     if page is None:
-        return (status.endpoint, None, None, "unreachable", *[None] * 6)
+        return (status.endpoint, None, None, "unreachable", *[None] * 7)
     age = status.value("catalog", "age_seconds")
+    cordons = status.value("catalog", "cordons")
     flows = status.value("datagram-entry", "flows")
     avoided = status.value("datagram-entry", "avoided")
     if flows is None:
@@ -94,6 +96,7 @@
         status.value("catalog", "routes_version"),
         status.value("catalog", "revision"),
         None if age is None else round(age, 1),
+        ",".join(sorted(cordons)) if cordons else None,
         flows,
         status.value("datagram-agent", "in_work"),
         None if avoided is None else len(avoided),
