Move passing on and resets of the agent into a module of their own

Change: PacketPasser (passing.py) holds pass_on, the return to the entry and the reset. The test of the hops takes MAX_HOPS from there. Behaviour is unchanged.

Tests: tests.test_datagram_agent and tests.test_datagram_flow_watch, 41 passed.

--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -1,20 +1,9 @@
 """Plug-in of the agent: passes packets to and from its backend server."""
 
 import asyncio
-import logging
 import socket
 
-from balsamspool.datagram._codec import (
-    decode,
-    encode_small,
-    forward_head,
-    returned_head,
-    service_number,
-)
-from balsamspool.datagram.events import (
-    OPENING_DROPPED,
-    OPENING_PASSED_ON,
-)
+from balsamspool.datagram._codec import decode, encode_small, service_number
 from balsamspool.datagram.messages import (
     ANY_SERVICE,
     Announce,
@@ -29,7 +18,6 @@
     Packet,
     PacketCodec,
     address_of,
-    flow_id,
 )
 from balsamspool.datagram.settings import (
     DatagramAgentSettings,
@@ -44,15 +32,12 @@
 from balsamspool.plugins.datagram_agent.flow_watch import FlowWatch
 from balsamspool.plugins.datagram_agent.flows import FlowTable, HostFlow
 from balsamspool.plugins.datagram_agent.liveness import ServerLiveness
+from balsamspool.plugins.datagram_agent.passing import PacketPasser
 from balsamspool.plugins.datagram_agent.reporter import LoadReporter
 from balsamspool.plugins.datagram_agent.sent_forwards import SentForwards
 from balsamspool.plugins.datagram_agent.terms import TermsTable
 from balsamspool.plugins.datagram_agent.work import WorkMeter
 
-_logger = logging.getLogger(__name__)
-
-# Maximum number of agents that pass on one packet.
-MAX_HOPS = 16
 # Time within which the backend server must answer an opening packet. A server accepts
 # the packet within a millisecond; the remaining time allows for a slow instance.
 ANSWER_SECONDS = 0.08
@@ -104,7 +89,6 @@
         help_text = "Packets by what was done with them"
         self._delivered = counters.counter(packets, help_text, "delivered")
         self._to_callers = counters.counter(packets, help_text, "to-caller")
-        self._passed_on = counters.counter(packets, help_text, "passed-on")
         self._openings = counters.counter(packets, help_text, "opening")
         self._evicted = counters.counter(
             "balsamspool_datagram_flows_evicted", "Flows removed from a full table"
@@ -126,6 +110,14 @@
         self._reporter = LoadReporter(
             self._kernel, self._peer_socket, self._meter, self._flows, self._liveness
         )
+        self._passer = PacketPasser(
+            self._peer_socket,
+            self._codec,
+            self._flows,
+            self._watch,
+            (self._address[1], self._caller_port),
+            self._kernel.counters,
+        )
         self._peer_socket.start()
         self._server_socket.start()
         self._kernel.supervise(self._expire, "flow expiry")
@@ -179,13 +171,13 @@
             was_passed_on = flow is not None and flow.passed_on
             if forward.service not in (ANY_SERVICE, self._service):
                 forward.unsure |= not self._flows.is_complete(now())
-                self._pass_on(forward, packet, "other-service")
+                self._passer.pass_on(forward, packet, "other-service")
                 return
             if was_passed_on or not self._liveness.responsive:
                 # A silent backend server does not return a packet of a flow that it
                 # does not hold, so the search for the flow would end at this host.
                 forward.skipped = True
-                self._pass_on(forward, packet, "silent")
+                self._passer.pass_on(forward, packet, "silent")
                 return
         self._deliver(forward, packet)
 
@@ -194,7 +186,7 @@
         if forward.service != self._service:
             # The entry chose this address for another service. The address now belongs
             # to a backend server of the service of this agent.
-            self._pass_on(forward, packet, "other-service")
+            self._passer.pass_on(forward, packet, "other-service")
             return
         self._query_terms(forward.origin, packet.destination)
         key = packet.flow_from_caller
@@ -209,7 +201,7 @@
             # The packet goes to another host, because the backend server is silent. It
             # was delivered to the backend server as well, to find out whether the
             # server answers again.
-            self._pass_on(forward, packet, "silent")
+            self._passer.pass_on(forward, packet, "silent")
         elif not known:
             asyncio.get_running_loop().call_later(
                 ANSWER_SECONDS, self._check_answer, forward, packet
@@ -226,7 +218,7 @@
         if flow is None or flow.accepted or flow.passed_on:
             return
         self._liveness.record_unanswered(now(), flow.last_packet)
-        self._pass_on(forward, packet, "no-answer")
+        self._passer.pass_on(forward, packet, "no-answer")
 
     def _deliver(self, forward: Forward, packet: Packet) -> None:
         time = now()
@@ -320,64 +312,15 @@
         if flow is not None and not flow.accepted:
             self._flows.remove(key, now())
         if forward is not None:
-            self._pass_on(forward, packet, "refused")
+            self._passer.pass_on(forward, packet, "refused")
 
     def _reset_lost(self, key: bytes, flow: HostFlow, packet: Packet) -> None:
         """Reset a flow that the backend server held and no longer holds."""
         self._watch.on_lost(key, flow)
-        caller = (address_of(packet.source), self._caller_port)
-        self._peer_socket.send((self._codec.reset(packet),), caller)
+        self._passer.reset(packet)
         self._send_to_entry(flow.origin, FlowEnded(key))
         self._flows.remove(key, now())
 
-    def _pass_on(
-        self, forward: Forward, packet: Packet, reason: str = "not-held"
-    ) -> None:
-        """Send a packet to the next host, or back to its entry if there is none."""
-        hops = forward.hops + 1
-        key = packet.flow_from_caller
-        self._watch.on_pass(forward, packet, self._flows.get(key), reason)
-        if not forward.alternatives or hops > MAX_HOPS:
-            self._return_or_drop(forward, packet, reason)
-            return
-        if packet.opens:
-            flow = self._flows.get(key)
-            if flow is not None:
-                flow.passed_on = True
-            OPENING_PASSED_ON.log(
-                _logger,
-                flow=flow_id(key),
-                to=address_of(forward.alternatives[0]),
-                reason=reason,
-                hops=hops,
-            )
-        onward = Forward(
-            forward.service,
-            forward.origin,
-            hops,
-            True,
-            forward.skipped,
-            forward.alternatives[1:],
-            forward.payload,
-            forward.unsure,
-        )
-        self._passed_on.value += 1
-        parts = [forward_head(onward), *self._codec.encode(packet, bytes(4))]
-        next_agent = socket.inet_ntoa(forward.alternatives[0])
-        self._peer_socket.send(parts, (next_agent, self._address[1]))
-
-    def _return_or_drop(self, forward: Forward, packet: Packet, reason: str) -> None:
-        if packet.opens:
-            OPENING_DROPPED.log(
-                _logger, flow=flow_id(packet.flow_from_caller), reason=reason
-            )
-            return
-        self._watch.on_returned_to_entry(reason)
-        head = returned_head(forward.hops + 1, forward.skipped, forward.unsure)
-        parts = [head, *self._codec.encode(packet, bytes(4))]
-        entry = (socket.inet_ntoa(forward.origin), self._address[1])
-        self._peer_socket.send(parts, entry)
-
     def _send_to_entry(
         self, origin: bytes, message: FlowLocated | FlowEnded | QueryTerms
     ) -> None:
--- a/tests/test_datagram_agent.py
+++ b/tests/test_datagram_agent.py
@@ -15,7 +15,7 @@
     Report,
     Subscribe,
 )
-from balsamspool.plugins.datagram_agent import flows, plugin
+from balsamspool.plugins.datagram_agent import flows, passing
 from tests.datagram_agent_case import BACKEND, ENTRY, NEXT, SETTINGS, AgentCase
 from tests.datagram_fakes import (
     ACK,
@@ -233,7 +233,7 @@
         message = Forward(
             service_number("portal"),
             bytes(4),
-            plugin.MAX_HOPS,
+            passing.MAX_HOPS,
             True,
             False,
             (socket.inet_aton(NEXT),),
