Keep openings at a cold backend server within its limit

Cause: an agent learns that its backend server warms up and how many new flows it bears, but delivered each opening all the same.

Change: OpeningAdmission (datagram_agent/openings.py) judges each opening: it is delivered, or passed on at once with the reason warming-up. If no host is left, the caller of a first copy gets a reset at once; a later copy is dropped, because an earlier one may have opened the flow elsewhere. Copies of an admitted opening are delivered without being counted again; copies of one that was kept out are kept out for 2 s. warmup_excess and warmup_slack are settings of the agent, filled in from the published bounds. Events 2427 and 2428, the metric balsamspool_datagram_cold_openings and two fields of /status show the limit at work; a refusal is event 2403 with the reason warming-up.

Tests: tests.test_slow_start, 36 passed. Of tests.test_datagram_terms one fails, test_an_opening_of_an_unknown_route_asks_its_entry: its agent is in its first second, its terms say that the backend server is cold, and the test expects the second opening to be delivered. It is unchanged here. The same check at an agent that runs for longer is test_an_agent_of_a_cold_backend_server_asks_for_terms_once.

--- a/balsamspool/datagram/events.py
+++ b/balsamspool/datagram/events.py
@@ -148,3 +148,17 @@
     "No host of a route's known services holds a flow; hosts of other services are "
     "queried, because the flow may have opened under an unknown route table.",
 )
+BACKEND_SERVER_COLD = log_event(
+    2427,
+    "backend-server-cold",
+    logging.INFO,
+    "An entry told the agent that its backend server warms up and bears a limited "
+    "number of new flows.",
+)
+OPENINGS_KEPT_OUT = log_event(
+    2428,
+    "openings-kept-out",
+    logging.INFO,
+    "Opening packets were not delivered because the backend server warms up and has "
+    "reached its limit; at most one line a second.",
+)
--- a/balsamspool/datagram/settings.py
+++ b/balsamspool/datagram/settings.py
@@ -34,12 +34,18 @@
         outbound: IPv4 address and port at which the packets of the backend server
             arrive.
         flow_seconds: Longest life of a flow in seconds.
+        warmup_excess: Factor by which the openings in one second may exceed the
+            published limit of a backend server that warms up.
+        warmup_slack: Number of openings in one second by which they may exceed it
+            besides.
     """
 
     service: str
     backend: str
     outbound: str
     flow_seconds: Annotated[float, Meta(gt=0, le=86_400)] = FLOW_LIFE_SECONDS
+    warmup_excess: Annotated[float, Meta(ge=0, le=100)] = 1.0
+    warmup_slack: Annotated[float, Meta(ge=0, le=10_000)] = 0.0
 
     def problem(self) -> tuple[str, str] | None:
         """Return the field and what is wrong with it, or None if all is valid."""
--- a/balsamspool/plugins/datagram_agent/flows.py
+++ b/balsamspool/plugins/datagram_agent/flows.py
@@ -28,6 +28,7 @@
             seconds, None before the first.
         unconfirmed: Whether the entry has not been notified yet that this host holds
             the flow.
+        opening_delivered: Whether an opening packet was sent to the backend server.
         accepted: Whether the backend server accepted the flow.
         held: Whether the backend server is known to hold the flow, because it sent more
             than its acceptance.
@@ -44,6 +45,7 @@
     last_from_caller: float = 0.0
     last_from_server: float | None = None
     unconfirmed: bool = False
+    opening_delivered: bool = False
     accepted: bool = False
     held: bool = False
     passed_on: bool = False
--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -28,11 +28,20 @@
 from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.kernel.settings import split_endpoint
+from balsamspool.placement.slow_start import OpeningLimit
 from balsamspool.plugins.datagram_agent.entries import EntryRegister
 from balsamspool.plugins.datagram_agent.flow_watch import FlowWatch
 from balsamspool.plugins.datagram_agent.flows import FlowTable, HostFlow
 from balsamspool.plugins.datagram_agent.liveness import ServerLiveness
-from balsamspool.plugins.datagram_agent.passing import PacketPasser
+from balsamspool.plugins.datagram_agent.openings import (
+    WARMING_UP,
+    Deliver,
+    Drop,
+    OpeningAdmission,
+    PassOn,
+    Refuse,
+)
+from balsamspool.plugins.datagram_agent.passing import PacketPasser, has_next_host
 from balsamspool.plugins.datagram_agent.reporter import LoadReporter
 from balsamspool.plugins.datagram_agent.sent_forwards import SentForwards
 from balsamspool.plugins.datagram_agent.terms import TermsTable
@@ -71,6 +80,8 @@
         self._backend = split_endpoint(settings.backend)
         self._outbound_address = split_endpoint(settings.outbound)
         self._flow_life = settings.flow_seconds
+        self._warmup_excess = settings.warmup_excess
+        self._warmup_slack = settings.warmup_slack
         self._caller_port = split_endpoint(settings.address)[1]
         self._address = (identity.address, identity.data_port)
         self._codec = kernel.plugin(PacketCodec)
@@ -104,6 +115,8 @@
         self._meter = WorkMeter(started)
         self._flows = FlowTable(self._meter, self._flow_life, started, self._evicted)
         self._liveness = ServerLiveness()
+        limit = OpeningLimit(self._warmup_excess, self._warmup_slack, started)
+        self._admission = OpeningAdmission(limit, self._kernel.counters)
         sockets = self._kernel.plugin(DatagramSockets)
         self._peer_socket = sockets.open(self._address, self._on_peer)
         self._server_socket = sockets.open(self._outbound_address, self._on_server)
@@ -131,7 +144,7 @@
             await asyncio.sleep(QUIET_SECONDS / 4)
 
     def status(self) -> dict[str, object]:
-        """Return the load of the backend server."""
+        """Return the load of the backend server, and its limit while it warms up."""
         return {
             "service": self._service_name,
             "flows": len(self._flows),
@@ -140,6 +153,7 @@
             "responsive": self._liveness.responsive,
             "subscribers": self._reporter.subscribers,
             "entries": len(self._entries),
+            **self._admission.status(now()),
         }
 
     def _on_peer(self, data: bytes, sender: Address) -> None:
@@ -150,6 +164,7 @@
                 self._reporter.subscribe(sender, lease, period)
             case Terms() as terms:
                 self._terms.record(terms, now())
+                self._admission.learn(terms.server, now())
             case Announce() as announce:
                 self._entries.record(sender[0], announce, now())
                 readers = self._entries.readers_for(announce.failure_domain)
@@ -195,7 +210,16 @@
             # The known flow has ended, and the caller uses the port for a new flow.
             self._flows.remove(key, now())
             flow = None
-        known = flow is not None
+        has_next = has_next_host(forward)
+        match self._admission.judge(packet, flow, has_next, now()):
+            case Deliver():
+                self._deliver_opening(forward, packet, known=flow is not None)
+            case PassOn() | Drop():
+                self._passer.pass_on(forward, packet, WARMING_UP)
+            case Refuse():
+                self._passer.reset(packet)
+
+    def _deliver_opening(self, forward: Forward, packet: Packet, known: bool) -> None:
         self._deliver(forward, packet)
         if not self._liveness.responsive:
             # The packet goes to another host, because the backend server is silent. It
@@ -226,6 +250,7 @@
         if forward.unconfirmed:
             self._watch.on_search(forward, packet, flow)
         flow.origin = forward.origin
+        flow.opening_delivered = flow.opening_delivered or packet.opens
         flow.last_packet = flow.last_from_caller = time
         if forward.unconfirmed:
             flow.unconfirmed = not self._confirm_held(packet, flow)
