Let a test of terms wait until a cold backend server takes openings

The terms of the test say that the backend server is cold. Since the limit of new flows there, an agent admits nothing to it in its first second, so the second opening was passed on. The test waits for that second and checks the same as before.

--- a/tests/test_datagram_terms.py
+++ b/tests/test_datagram_terms.py
@@ -5,6 +5,7 @@
 
 from balsamspool.datagram._codec import decode, encode_small
 from balsamspool.datagram.messages import QueryTerms, Terms
+from balsamspool.placement.slow_start import UNKNOWN_SECONDS
 from balsamspool.plugins.catalog.model import (
     DomainCordoned,
     DomainUncordoned,
@@ -70,6 +71,8 @@
 class AgentTermsTest(AgentCase):
     async def test_an_opening_of_an_unknown_route_asks_its_entry(self):
         """Guards against an agent that never learns the terms of a route."""
+        # An agent that has just started admits nothing to a cold backend server.
+        await asyncio.sleep(UNKNOWN_SECONDS)
         self.forward(packet(SYN))
         sent = [m for m, a in self.peers.take_messages() if a == ENTRY]
         self.assertEqual(sent, [QueryTerms(ENDPOINT)])
