Test that calls lost at the end of a silent outage delay no change

Cause: tests/test_catalog_in_force.py and test_catalog_lost_answer.py lose calls at fixed moments of a silence of 1 s; none covers a call that begins in the last moments of a longer one. SilentSource also answered a watch that had begun in a silence if it was due after the silence, and the emulator's service let such a watch fail after 1 s whatever its wait was.

--- a/emulator/catalog_service.py
+++ b/emulator/catalog_service.py
@@ -269,7 +269,7 @@
                 does not answer.
         """
         begun = now()
-        await self._start_answer(reader)
+        await self._start_answer(reader, wait)
         end = now() + wait
         era = self.era
         while True:
@@ -321,10 +321,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _start_answer(self, reader: str) -> None:
+    async def _start_answer(self, reader: str, wait: float = 0.0) -> None:
         self.calls += 1
         await asyncio.sleep(ANSWER_SECONDS)
-        await self._apply_condition(reader)
+        await self._apply_condition(reader, wait)
         if self.away:
             raise ResultError(CATALOG_UNAVAILABLE, "away")
 
@@ -333,20 +333,26 @@
         if held is not None:
             await held.wait()
 
-    async def _apply_condition(self, reader: str) -> None:
-        """Fail or delay an answer according to the condition for a reader."""
+    async def _apply_condition(self, reader: str, wait: float = 0.0) -> None:
+        """Fail or delay an answer according to the condition for a reader.
+
+        Args:
+            reader: Name of the process.
+            wait: Seconds for which the call still waits for changes; the reader gives
+                an unanswered call up only after them.
+        """
         match self.conditions.get(reader, self.condition):
             case Refusing():
                 raise ResultError(CATALOG_UNAVAILABLE, "refused")
             case Silent():
-                await self._time_out()
+                await self._time_out(wait)
             case Slow(seconds):
                 await asyncio.sleep(min(seconds, TIMEOUT_SECONDS))
                 if seconds >= TIMEOUT_SECONDS:
                     raise ResultError(CATALOG_UNAVAILABLE, "too slow")
             case Losing(share):
                 if self._rng.random() < share:
-                    await self._time_out()
+                    await self._time_out(wait)
 
     async def _lose_if_lost(self, reader: str, begun: float, end: float) -> None:
         """Give no answer to a call that was lost while it waited.
@@ -358,11 +364,10 @@
         """
         lost_at = max(self._all_lost_at, self._lost_at.get(reader, -math.inf))
         if lost_at >= begun:
-            await asyncio.sleep(max(0.0, end - now()))
-            await self._time_out()
+            await self._time_out(max(0.0, end - now()))
 
-    async def _time_out(self) -> None:
-        await asyncio.sleep(TIMEOUT_SECONDS)
+    async def _time_out(self, wait: float) -> None:
+        await asyncio.sleep(wait + TIMEOUT_SECONDS)
         raise ResultError(CATALOG_UNAVAILABLE, "no answer")
 
 
--- a/tests/silent_source.py
+++ b/tests/silent_source.py
@@ -30,6 +30,21 @@
         self.silences = 0
         self.silent = False
 
+    @property
+    def calls(self):
+        """Number of calls that have begun."""
+        return self.reads + self.updates + self.watches
+
+    async def silence_past_call(self, seconds, after):
+        """Stay silent until a call has begun after `seconds`, and `after` more."""
+        self.silent, self.silences = True, self.silences + 1
+        await asyncio.sleep(seconds)
+        calls = self.calls
+        while self.calls == calls:
+            await asyncio.sleep(STEP_SECONDS)
+        await asyncio.sleep(after)
+        self.silent = False
+
     async def silence(self, seconds):
         """Answer neither the calls in progress nor those that begin meanwhile."""
         self.silent, self.silences = True, self.silences + 1
@@ -42,17 +57,17 @@
 
     async def read(self):
         self.reads += 1
-        await self._answer(now(), 0.0, self.silences)
+        await self._answer(now(), 0.0, self._silences_at_begin())
         return Snapshot(self.revision, tuple(self.records))
 
     async def changes(self, after):
         self.updates += 1
-        await self._answer(now(), 0.0, self.silences)
+        await self._answer(now(), 0.0, self._silences_at_begin())
         return self._changes(after)
 
     async def watch(self, after, wait):
         self.watches += 1
-        begin, silences = now(), self.silences
+        begin, silences = now(), self._silences_at_begin()
         while self.revision <= after and now() < begin + wait:
             await asyncio.sleep(STEP_SECONDS)
         await self._answer(begin, wait, silences)
@@ -64,6 +79,10 @@
         newer = tuple(r for r in self.records if r.revision > after)
         return Changes(self.revision, newer)
 
+    def _silences_at_begin(self):
+        """Return what tells later whether a call was lost, None if it is already."""
+        return None if self.silent else self.silences
+
     async def _answer(self, begin, wait, silences):
         if self.silent or silences != self.silences:
             await asyncio.sleep(begin + wait + ANSWER_SECONDS - now())
