Take failure domains out of service in the emulator

Cause: the emulator's service knew no record of the operator that takes a failure domain out of service, so no run had one beside other troubles. Change: the service stores DomainCordoned and DomainUncordoned, in its history and restores; the operator writes lost ones again. "cordon" is broken by an opening in such a domain 3 s after the request, as for routes, through an entry that was in touch; a disturbance of the service defers the limit until 4 s after its end. "listing" is broken by a process that keeps other domains out of service than the service lists. Open flows stay under the checks "reset" and "stray".

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -23,6 +23,7 @@
 CHECK_SCALE = 0.3
 CHECK_SECONDS = 30.0
 CHECK_TROUBLES = 8
+CHECK_CORDONS = 1
 
 
 class Commands:
@@ -37,6 +38,7 @@
         log: bool = False,
         fleet: str = "small",
         restores: int = 0,
+        cordons: int = CHECK_CORDONS,
     ) -> None:
         """Run seeds with random troubles and print the broken promises.
 
@@ -48,12 +50,13 @@
             log: Print the log lines of all processes.
             fleet: ``small``, ``shared``, ``grown`` or ``large``, as for ``load``.
             restores: Restores of the catalog in each run besides.
+            cordons: Failure domains out of service in each run besides.
         """
         _set_logging(log)
         failed = 0
         for seed in range(first, first + seeds):
             workload = _workload(fleet, CHECK_SCALE, seconds)
-            trial = run_trial(workload, seed, troubles, restores)
+            trial = run_trial(workload, seed, troubles, restores, cordons)
             failed += bool(trial.violations)
             for violation in trial.violations[:5]:
                 sys.stdout.write(
--- a/emulator/backend_server.py
+++ b/emulator/backend_server.py
@@ -166,8 +166,14 @@
     def _on_opening(self, segment: Segment, key: bytes, flow: _Flow | None) -> None:
         if flow is None:
             flow = self._flows[key] = _Flow(self._rng.getrandbits(31) + 1, {})
+            plan = self.plan
             opening = Opening(
-                key, self.plan.name, self.plan.service, _sent_time(segment), now()
+                key,
+                plan.name,
+                plan.service,
+                plan.failure_domain,
+                _sent_time(segment),
+                now(),
             )
             self._history.openings.append(opening)
         self._send_reply(segment, flow, Flag.ACCEPTS)
--- a/emulator/catalog_checks.py
+++ b/emulator/catalog_checks.py
@@ -1,7 +1,7 @@
 """Checks what processes knew of the catalog, above all after a restore of it."""
 
 from collections import defaultdict
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Set
 
 from balsamspool.plugins.catalog.model import BackendServer
 from balsamspool.plugins.catalog.view import CatalogView
@@ -52,6 +52,22 @@
             yield Violation("listing", time, f"{instance} differs in {different}")
 
 
+def check_cordons(
+    cordons: Set[str], views: Mapping[str, CatalogView], time: float
+) -> Iterator[Violation]:
+    """Yield the processes that keep other failure domains out of service.
+
+    Args:
+        cordons: Failure domains that the catalog lists as out of service.
+        views: View of each process that runs, by its instance.
+        time: Time in seconds, well after the last change.
+    """
+    for instance, view in views.items():
+        different = sorted(cordons ^ view.cordons.domains.keys())
+        if different:
+            yield Violation("listing", time, f"{instance} differs in {different}")
+
+
 def drain_reports(history: History) -> dict[str, Drained]:
     """Return the report by which each draining backend server must be known as such.
 
--- a/emulator/catalog_service.py
+++ b/emulator/catalog_service.py
@@ -15,6 +15,8 @@
 from balsamspool.plugins.catalog.model import (
     BackendServer,
     Changes,
+    DomainCordoned,
+    DomainUncordoned,
     RoutesPublished,
     RouteTable,
     ServerPublished,
@@ -28,8 +30,15 @@
 TIMEOUT_SECONDS = 1.0
 FIRST_NUMBER = 1
 _ROUTES_NAME = "routes"
-
-Record = RoutesPublished | ServerPublished | ServerRemoved
+_DOMAIN_PREFIX = "domain/"
+
+Record = (
+    RoutesPublished
+    | ServerPublished
+    | ServerRemoved
+    | DomainCordoned
+    | DomainUncordoned
+)
 
 
 class Serving(Struct, frozen=True):
@@ -113,7 +122,9 @@
             case ServerPublished(_, _, created):
                 self.records[name] = record
                 self.created[name] = created
-            case RoutesPublished():
+            case DomainUncordoned():
+                self.records.pop(name, None)
+            case RoutesPublished() | DomainCordoned():
                 self.records[name] = record
         self.changes.append(record)
         self.times.append(time)
@@ -186,6 +197,12 @@
         )
         return {record.server.name: record.server for record in found}
 
+    @property
+    def cordons(self) -> set[str]:
+        """Failure domains that are listed as out of service."""
+        records = self._state.records.values()
+        return {r.failure_domain for r in records if isinstance(r, DomainCordoned)}
+
     def publish_routes(self, table: RouteTable) -> None:
         """Publish a route table."""
         self._append(_ROUTES_NAME, RoutesPublished(self._next_revision(), table))
@@ -201,6 +218,17 @@
         if name in self._state.records:
             self._append(name, ServerRemoved(self._next_revision(), name))
 
+    def cordon_domain(self, domain: str) -> None:
+        """List a failure domain as out of service."""
+        record = DomainCordoned(self._next_revision(), domain)
+        self._append(_name_of(record), record)
+
+    def uncordon_domain(self, domain: str) -> None:
+        """List a failure domain as in service again."""
+        if domain in self.cordons:
+            record = DomainUncordoned(self._next_revision(), domain)
+            self._append(_name_of(record), record)
+
     def leave(self) -> None:
         """Answer nobody until `restore` is called."""
         self.away = True
@@ -415,6 +443,8 @@
             return server.name
         case ServerRemoved(_, name):
             return name
+        case DomainCordoned(_, domain) | DomainUncordoned(_, domain):
+            return _DOMAIN_PREFIX + domain
 
 
 def _in_era(record: Record, era: int) -> Record:
--- a/emulator/checks.py
+++ b/emulator/checks.py
@@ -10,7 +10,7 @@
     check_catalog,
     drain_reports,
 )
-from emulator.history import History, OpenFlow, Result
+from emulator.history import DomainOut, History, OpenFlow, Result
 from emulator.violation import (
     DISTURBANCE_GRACE_SECONDS,
     Violation,
@@ -20,6 +20,8 @@
 
 # Time within which every entry applies a published route table.
 ROUTES_APPLY_SECONDS = 3.0
+# Time within which no entry opens flows in a failure domain out of service any more.
+CORDON_APPLY_SECONDS = 3.0
 # An open flow is misdirected if during STRAY_SECONDS none of its packets reach its own
 # backend server and at least MIN_STRAY_PACKETS reach other backend servers.
 STRAY_SECONDS = 2.0
@@ -38,6 +40,7 @@
         *_repeated_runs(history),
         *_misrouted_openings(history),
         *_late_openings(history),
+        *_cordoned_openings(history),
         *_false_resets(history),
         *_stray_packets(history),
         *check_catalog(history),
@@ -105,6 +108,42 @@
             yield Violation("drain", opening.time, f"opening at {opening.server}")
 
 
+def _cordoned_openings(history: History) -> Iterator[Violation]:
+    """Yield openings in failure domains that were out of service long enough."""
+    for out in history.domains_out:
+        begin, end = _closed_span(history, out)
+        for opening in history.openings:
+            if opening.failure_domain != out.failure_domain:
+                continue
+            if not begin < opening.time <= end:
+                continue
+            entries = {entry for _, entry in history.sent_via[opening.flow]}
+            since = max(out.time, opening.time - CORDON_APPLY_SECONDS)
+            if not find_disturbance(history, entries, since, opening.time):
+                detail = f"opening at {opening.server} in {out.failure_domain}"
+                yield Violation("cordon", opening.time, detail)
+
+
+def _closed_span(history: History, out: DomainOut) -> tuple[float, float]:
+    """Return begin and end of the span in which every entry must know of a cordon.
+
+    A disturbance of the catalog defers the begin until the entries are in touch again.
+    A cordon that a restore loses counts up to the restore, and again from the time at
+    which the operator writes it again.
+    """
+    begin, end = out.time + CORDON_APPLY_SECONDS, out.until
+    for restored in history.restores:
+        if restored.lost(out.time):
+            end = min(end, restored.left)
+        elif restored.covers(out.time, begin):
+            begin = restored.returned + CORDON_APPLY_SECONDS
+    for found in history.disturbances:
+        known = found.end + DISTURBANCE_GRACE_SECONDS
+        if found.name == "catalog" and found.start <= begin and known >= out.time:
+            begin = max(begin, known + CORDON_APPLY_SECONDS)
+    return begin, end
+
+
 def _false_resets(history: History) -> Iterator[Violation]:
     """Yield resets of flows that are open at their backend server."""
     for reset in history.resets:
--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -8,14 +8,19 @@
 
 from balsamspool.kernel.clock import now
 from emulator.caller import FlowUse, RequestKind
-from emulator.catalog_checks import check_views
+from emulator.catalog_checks import check_cordons, check_views
 from emulator.checks import check, check_answered_share
 from emulator.clock import PausedClockLoop
 from emulator.fleet import Fleet, FleetPlan, ServicePlan
 from emulator.history import History, Result
 from emulator.traffic import Demand, Traffic, Wave
 from emulator.trouble_runner import apply_troubles
-from emulator.troubles import Trouble, draw_restores, draw_troubles
+from emulator.troubles import (
+    Trouble,
+    draw_cordons,
+    draw_restores,
+    draw_troubles,
+)
 from emulator.violation import Violation
 
 # Time before the traffic starts, in which the reports of all agents arrive and catalog
@@ -151,6 +156,7 @@
     seed: int,
     troubles: list[Trouble] | int = 0,
     restores: int = 0,
+    cordons: int = 0,
 ) -> Trial:
     """Run a workload on a paused clock.
 
@@ -159,16 +165,22 @@
         seed: Seed of the random number generator.
         troubles: The troubles, or the number of troubles to draw.
         restores: Number of restores of the catalog to draw besides.
+        cordons: Number of failure domains to take out of service besides. They are
+            drawn apart, so that the other troubles of a seed stay the same.
 
     Returns:
         The outcome of the run.
     """
     with asyncio.Runner(loop_factory=PausedClockLoop) as runner:
-        return runner.run(_run(workload, seed, troubles, restores))
+        return runner.run(_run(workload, seed, troubles, restores, cordons))
 
 
 async def _run(
-    workload: Workload, seed: int, troubles: list[Trouble] | int, restores: int
+    workload: Workload,
+    seed: int,
+    troubles: list[Trouble] | int,
+    restores: int,
+    cordons: int,
 ) -> Trial:
     rng = random.Random(seed)
     fleet = Fleet(workload.fleet, rng)
@@ -183,6 +195,9 @@
     if restores:
         drawn = draw_restores(rng, restores, 1.0, last)
         troubles = sorted((*troubles, *drawn), key=lambda trouble: trouble.at)
+    if cordons:
+        drawn = draw_cordons(random.Random(f"cordons {seed}"), cordons, 1.0, last)
+        troubles = sorted((*troubles, *drawn), key=lambda trouble: trouble.at)
     begin = now()
     end = begin + workload.seconds
     await apply_troubles(fleet, traffic, troubles)
@@ -190,7 +205,11 @@
     await traffic.stop(FINISH_SECONDS)
     counters = _counters(fleet)
     summary = _summary(fleet, kinds)
-    differing = list(check_views(fleet.catalog.servers, fleet.views(), now()))
+    views = fleet.views()
+    differing = [
+        *check_views(fleet.catalog.servers, views, now()),
+        *check_cordons(fleet.catalog.cordons, views, now()),
+    ]
     await fleet.stop()
     violations = check(fleet.history)
     if troubles:
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -297,6 +297,22 @@
         self.catalog.restore(age + away)
         self._registration.write_again()
 
+    async def cordon_domain(self, domain: str, seconds: float) -> None:
+        """Take a failure domain out of service for a while.
+
+        Nothing happens if it is out of service, or the last one in service.
+
+        Args:
+            domain: Name of the failure domain.
+            seconds: Duration in seconds.
+        """
+        out = self._registration.cordons
+        if domain in out or len(out) + 1 >= len(self.plan.failure_domains):
+            return
+        self._registration.cordon(domain)
+        await asyncio.sleep(seconds)
+        self._registration.uncordon(domain)
+
     async def freeze(self, process: EmulatedProcess, seconds: float) -> None:
         """Suspend a process, which then gets the answers of the catalog that it missed.
 
--- a/emulator/history.py
+++ b/emulator/history.py
@@ -67,6 +67,7 @@
         flow: Key of the flow.
         server: Name of the backend server.
         service: Its service.
+        failure_domain: Its failure domain.
         sent: Time in seconds at which the caller sent this copy.
         time: Time in seconds at which it arrived.
     """
@@ -74,6 +75,7 @@
     flow: bytes
     server: str
     service: str
+    failure_domain: str
     sent: float
     time: float
 
@@ -142,6 +144,21 @@
     available: bool
 
 
+class DomainOut(Struct):
+    """A span in which the operator had a failure domain out of service.
+
+    Attributes:
+        failure_domain: Name of the failure domain.
+        time: Time in seconds at which the service that publishes the catalog accepted
+            it.
+        until: Time in seconds at which the operator took it back.
+    """
+
+    failure_domain: str
+    time: float
+    until: float = math.inf
+
+
 class RoutesChanged(Struct, frozen=True):
     """The service that publishes the catalog accepted a route table.
 
@@ -162,6 +179,7 @@
     __slots__ = (
         "catalog_runs",
         "disturbances",
+        "domains_out",
         "drained",
         "flows",
         "forged",
@@ -182,6 +200,7 @@
         self.flows: dict[bytes, OpenFlow] = {}
         self.resets: list[SystemReset] = []
         self.disturbances: list[Disturbance] = []
+        self.domains_out: list[DomainOut] = []
         self.drained: list[Drained] = []
         self.routes: list[RoutesChanged] = []
         self.forged: list[str] = []
--- a/emulator/registration.py
+++ b/emulator/registration.py
@@ -21,7 +21,7 @@
 )
 from emulator.catalog_history import ServerGone
 from emulator.catalog_service import CatalogService
-from emulator.history import Drained, History, RoutesChanged
+from emulator.history import DomainOut, Drained, History, RoutesChanged
 from emulator.segment import endpoint
 
 # The catalog drops a crashed backend server after it has missed this many heartbeats.
@@ -59,6 +59,13 @@
         self._spawn = spawn
         self._rng = rng
         self._table: RouteTable | None = None
+        # Failure domains that the operator wants out of service, by name.
+        self._cordons: dict[str, DomainOut] = {}
+
+    @property
+    def cordons(self) -> set[str]:
+        """Failure domains that the operator wants out of service."""
+        return set(self._cordons)
 
     def publish_table(self, table: RouteTable) -> None:
         """Publish a route table."""
@@ -72,6 +79,17 @@
         }
         self._history.routes.append(RoutesChanged(table.version, now(), services))
 
+    def cordon(self, domain: str) -> None:
+        """Take a failure domain out of service."""
+        self._catalog.cordon_domain(domain)
+        out = self._cordons[domain] = DomainOut(domain, now())
+        self._history.domains_out.append(out)
+
+    def uncordon(self, domain: str) -> None:
+        """Take a failure domain back into service."""
+        self._catalog.uncordon_domain(domain)
+        self._cordons.pop(domain).until = now()
+
     def register(self, server: EmulatedServer) -> None:
         """Publish a backend server that has just started."""
         self._catalog.publish_server(_entry(server, COLD_SECONDS))
@@ -122,12 +140,23 @@
 
     async def _publish_again(self, delay: float) -> None:
         await asyncio.sleep(delay)
+        if self._catalog.away:
+            return
+        self._write_cordons_again()
         listed, newest = self._catalog.table, self._table
-        if self._catalog.away or newest is None:
+        if newest is None:
             return
         if listed is None or listed.version < newest.version:
             self.publish_table(newest)
 
+    def _write_cordons_again(self) -> None:
+        listed = self._catalog.cordons
+        for domain in sorted(self._cordons.keys() - listed):
+            self.uncordon(domain)
+            self.cordon(domain)
+        for domain in sorted(listed - self._cordons.keys()):
+            self._catalog.uncordon_domain(domain)
+
     async def _register_as_warm(self, server: EmulatedServer) -> None:
         """Publish that a backend server is warm, once its cold phase has passed."""
         await asyncio.sleep(COLD_SECONDS)
--- a/emulator/trouble_runner.py
+++ b/emulator/trouble_runner.py
@@ -15,6 +15,7 @@
     Burst,
     CatalogTrouble,
     ChangeRoutes,
+    CordonDomain,
     CrashServer,
     CutPath,
     DisconnectServer,
@@ -90,6 +91,10 @@
                 await self._disconnect(seconds)
             case ChangeRoutes():
                 self._change_routes()
+            case CordonDomain(position=position, seconds=seconds):
+                domains = fleet.plan.failure_domains
+                domain = domains[int(position * len(domains))]
+                await fleet.cordon_domain(domain, seconds)
             case Burst(factor=factor, seconds=seconds):
                 self._traffic.rate_factor = factor
                 await asyncio.sleep(seconds)
--- a/emulator/troubles.py
+++ b/emulator/troubles.py
@@ -24,6 +24,13 @@
 # Longest pause between two restores that follow each other closely, and their share.
 SECOND_RESTORE_SECONDS = 4.0
 SECOND_RESTORE_SHARE = 0.3
+# Bounds of the time for which a failure domain is out of service.
+OUT_SECONDS = (4.0, 7.0)
+# Bounds of an earlier time out of service and of the pause after it, and share of the
+# failure domains that have one.
+EARLIER_OUT_SECONDS = (0.2, 2.0)
+PAUSE_SECONDS = (0.1, 1.5)
+EARLIER_OUT_SHARE = 0.5
 # Longest time after a restore until the next table, and share of the restores that lose
 # a drain report.
 NEXT_CHANGE_SECONDS = 1.5
@@ -168,6 +175,18 @@
     """A route gets other targets."""
 
 
+class CordonDomain(Trouble, frozen=True):
+    """The operator takes a failure domain out of service and back.
+
+    Attributes:
+        position: Position of the failure domain in the list of all, from 0 to 1.
+        seconds: Duration in seconds.
+    """
+
+    position: float
+    seconds: float
+
+
 class Burst(Trouble, frozen=True):
     """Callers send more requests than usual.
 
@@ -228,6 +247,29 @@
     return rng.choice(makers)()
 
 
+def draw_cordons(
+    rng: random.Random, count: int, begin: float, end: float
+) -> list[Trouble]:
+    """Draw failure domains that the operator takes out of service.
+
+    Args:
+        rng: Random number generator.
+        count: Number of them; some are out of service twice within a short time.
+        begin: Earliest time in seconds.
+        end: Latest time in seconds.
+    """
+    drawn: list[Trouble] = []
+    for _ in range(count):
+        at, position = rng.uniform(begin, end), rng.random()
+        if rng.random() < EARLIER_OUT_SHARE:
+            seconds = rng.uniform(*EARLIER_OUT_SECONDS)
+            drawn.append(CordonDomain(at=at, position=position, seconds=seconds))
+            at += seconds + rng.uniform(*PAUSE_SECONDS)
+        seconds = rng.uniform(*OUT_SECONDS)
+        drawn.append(CordonDomain(at=at, position=position, seconds=seconds))
+    return drawn
+
+
 def draw_restores(
     rng: random.Random, count: int, begin: float, end: float
 ) -> list[Trouble]:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -3,6 +3,8 @@
 import logging
 from unittest import TestCase, mock
 
+from balsamspool.placement.ranking import by_failure_domain
+from balsamspool.plugins.catalog.cordons import Cordons
 from balsamspool.plugins.catalog.model import Target
 from balsamspool.plugins.catalog.server_index import ServerIndex
 from balsamspool.plugins.datagram_entry import holders as holders_module
@@ -12,10 +14,11 @@
 from emulator.experiment import large_workload, run_trial, small_workload
 from emulator.history import History, Run
 from emulator.segment import SegmentCodec
-from emulator.troubles import DrainServer, PowerOff, RollingRestart
+from emulator.troubles import CordonDomain, DrainServer, PowerOff, RollingRestart
 
 WORKLOAD = small_workload(30.0, 0.3)
 TROUBLES = 8
+CORDONS = 2
 SEEDS = range(1, 5)
 # Runs that failed before a fault was fixed: seed, number of troubles, seconds, cause.
 REGRESSIONS = (
@@ -50,6 +53,14 @@
                 self.assertEqual(trial.violations, [])
                 self.assertGreater(len(trial.history.outcomes), 500)
 
+    def test_promises_hold_while_failure_domains_are_out_of_service(self):
+        """Guards against flows in such a domain after a fault, and flows lost there."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                trial = run_trial(WORKLOAD, seed, TROUBLES, cordons=CORDONS)
+                self.assertEqual(trial.violations, [])
+                self.assertGreaterEqual(len(trial.history.domains_out), 1)
+
     def test_seeds_of_earlier_failures_pass(self):
         """Guards against regressions of faults that the emulator found."""
         for seed, troubles, seconds, cause in REGRESSIONS:
@@ -109,6 +120,24 @@
             found = self.broken_promises(small_workload(20.0, 1.0), 1, drains)
         self.assertIn("drain", found)
 
+    def test_new_flows_in_a_domain_out_of_service_are_noticed(self):
+        def ready_by_domain(self, service):
+            return by_failure_domain(self.ready(service))
+
+        out = [CordonDomain(at=1.0, position=0.0, seconds=6.0)]
+        with mock.patch.object(ServerIndex, "ready_by_domain", ready_by_domain):
+            found = self.broken_promises(small_workload(8.0, 0.3), 1, out)
+        self.assertEqual(found, {"cordon"})
+
+    def test_a_domain_that_stays_out_of_service_is_noticed(self):
+        def remove(self, domain, revision, time):
+            return False
+
+        out = [CordonDomain(at=1.0, position=0.0, seconds=2.0)]
+        with mock.patch.object(Cordons, "remove", remove):
+            found = self.broken_promises(small_workload(8.0, 0.3), 1, out)
+        self.assertEqual(found, {"listing"})
+
     def test_a_reset_of_an_open_flow_is_noticed(self):
         def search(self, packet, *args):
             self.reset_lost(packet, "planted")
