Take a failure domain out of service in the soak of real processes

Cause: the soak's hosts were all in one failure domain, and no run wrote or removed the store's item that takes one out of service. Its callers kept their flows, so hardly a flow was opened in the middle of a run. Change: entries and hosts of a run are in two failure domains in rotation. Two more callers of each service open a flow for each request. A "cordon" violation is an opening there 3 s after the item was written, unless an unplanned fault lasted less than 7 s before; resets of open flows there count as before.

--- a/faults/packet_checks.py
+++ b/faults/packet_checks.py
@@ -3,11 +3,16 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from faults.packet_history import BrokenFlow, PacketHistory
+from faults.packet_history import BrokenFlow, Opening, PacketHistory
 
 # Time after the end of an unplanned fault within which a reset is not a violation.
 RESET_GRACE_SECONDS = 4.0
 
+# Time after which a failure domain that is listed as out of service gets no new flow.
+CORDON_SECONDS = 3.0
+# Time after the end of an unplanned fault until all machines are in touch again.
+IN_TOUCH_SECONDS = 4.0
+
 
 def packet_violations(history: PacketHistory) -> list[str]:
     """Return one line for each violation of a guarantee."""
@@ -15,6 +20,7 @@
         *_check_requests(history),
         *_check_flows(history),
         *_check_late_openings(history),
+        *_check_domains_out(history),
         *(f"exit: {name} exited unexpectedly" for name in history.exits),
         *(f"task: {name} failed" for name in sorted(set(history.restarted_tasks))),
         *(
@@ -40,6 +46,30 @@
         yield f"drain: opening at {opening.machine} after {opening.seconds:.2f} s"
 
 
+def _check_domains_out(history: PacketHistory) -> Iterator[str]:
+    for out in history.domains_out:
+        for opening in history.openings:
+            if (
+                opening.failure_domain == out.failure_domain
+                and out.start + CORDON_SECONDS < opening.time <= out.end
+                and not _precedes_recovery(history, opening)
+            ):
+                seconds = opening.time - out.start
+                yield f"cordon: opening at {opening.machine} after {seconds:.2f} s"
+
+
+def _precedes_recovery(history: PacketHistory, opening: Opening) -> bool:
+    """Return whether a machine may not know of a cordon because of a fault.
+
+    The history does not tell through which machine a flow was opened, so a fault of any
+    machine or of the store can explain it.
+    """
+    return any(
+        fault.start <= opening.time <= fault.end + IN_TOUCH_SECONDS + CORDON_SECONDS
+        for fault in history.unplanned_faults
+    )
+
+
 def _check_flows(history: PacketHistory) -> Iterator[str]:
     for broken in history.broken_flows:
         if broken.holder is not None and broken.reason == "reset":
--- a/faults/packet_history.py
+++ b/faults/packet_history.py
@@ -53,6 +53,36 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class DomainOut:
+    """A span in which a failure domain was listed as out of service.
+
+    Attributes:
+        failure_domain: Name of the failure domain.
+        start: Time from which it was listed in seconds.
+        end: Time up to which it was listed in seconds.
+    """
+
+    failure_domain: str
+    start: float
+    end: float
+
+
+@dataclass(frozen=True, slots=True)
+class Opening:
+    """A flow that a backend server accepted.
+
+    Attributes:
+        machine: Number of the machine of the backend server.
+        failure_domain: Its failure domain.
+        time: Time in seconds.
+    """
+
+    machine: int
+    failure_domain: str
+    time: float
+
+
 @dataclass(slots=True)
 class PacketHistory:
     """Everything that was observed in one run.
@@ -66,6 +96,8 @@
         unplanned_faults: Unplanned faults, which can explain resets and late openings.
         runs: Service of the backend server and data of each request that ran.
         late_openings: Flows that draining backend servers accepted too late.
+        domains_out: Failure domains that were out of service.
+        openings: Flows that backend servers accepted.
         forged: Number of packets that were altered between sender and receiver.
         exits: Numbers and names of processes that exited unexpectedly.
         restarted_tasks: Machines and names of tasks that failed and started again.
@@ -80,6 +112,8 @@
     unplanned_faults: list[UnplannedFault] = field(default_factory=list)
     runs: list[tuple[str, bytes]] = field(default_factory=list)
     late_openings: list[LateOpening] = field(default_factory=list)
+    domains_out: list[DomainOut] = field(default_factory=list)
+    openings: list[Opening] = field(default_factory=list)
     forged: int = 0
     exits: list[str] = field(default_factory=list)
     restarted_tasks: list[str] = field(default_factory=list)
--- a/faults/packet_runner.py
+++ b/faults/packet_runner.py
@@ -4,6 +4,7 @@
 import random
 import tempfile
 from asyncio import Task
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP
@@ -14,11 +15,14 @@
 from balsamspool.kernel.events import TASK_RESTARTED
 from faults.packet_history import (
     BrokenFlow,
+    DomainOut,
     LateOpening,
+    Opening,
     PacketHistory,
     UnplannedFault,
 )
 from faults.packet_schedule import (
+    CordonDomain,
     DisturbStore,
     DrainServer,
     DropHistory,
@@ -32,6 +36,7 @@
     RestartServer,
     StopProcess,
     is_planned,
+    make_cordons,
     make_odd_entries,
     make_schedule,
 )
@@ -42,6 +47,10 @@
 from standins.tcp_proxy import PassThrough
 
 SERVICES = {1: "portal", 2: "records"}
+# The first host of each service is in the first failure domain, which stays in service,
+# so that every flow can open.
+FAILURE_DOMAINS = ("hall-a", "hall-b")
+CORDONED_DOMAIN = FAILURE_DOMAINS[1]
 LOAD_SECONDS = 10.0
 # Time after which a caller stops waiting for an answer.
 DEADLINE_SECONDS = 3.0
@@ -51,6 +60,8 @@
 DRAIN_SECONDS = 3.0
 # Mean time between two requests of a flow.
 MEAN_PAUSE_SECONDS = 0.08
+# Callers of each service that open a flow for each request.
+OPENING_CALLERS = 2
 # Number of names under which odd entries are written; later ones replace earlier ones.
 ODD_NAMES = 4
 
@@ -84,7 +95,12 @@
     with tempfile.TemporaryDirectory() as temporary:
         directory = Path(log_directory or temporary)
         async with run_packet_fleet(
-            directory, SERVICES, size.hosts, size.entries, proxies=True
+            directory,
+            SERVICES,
+            size.hosts,
+            size.entries,
+            proxies=True,
+            failure_domains=FAILURE_DOMAINS,
         ) as fleet:
             return await _Runner(fleet, seed, size).run()
 
@@ -121,15 +137,17 @@
         until = monotonic() + LOAD_SECONDS
         load = []
         for route, service in SERVICES.items():
-            for number in range(self._size.callers):
+            for number in range(self._size.callers + OPENING_CALLERS):
                 caller = self._fleet.caller(len(SERVICES) * number + route)
                 await caller.start()
                 self._callers.append(caller)
-                work = self._run_caller(caller, route, service, until)
+                kept = number < self._size.callers
+                work = self._run_caller(caller, route, service, until, kept)
                 load.append(asyncio.create_task(work))
         steps = make_schedule(self._seed, self._machine_numbers())
         odd = asyncio.create_task(self._write_odd_entries())
-        await self._inject(steps)
+        cordons = make_cordons(self._seed)
+        await self._inject(sorted((*steps, *cordons), key=lambda step: step.at))
         await asyncio.gather(odd, *load)
         await self._recover()
         self._record_results()
@@ -145,9 +163,17 @@
         return Machines(tuple(range(entries)), agents)
 
     async def _run_caller(
-        self, caller: CallerSocket, route: int, service: str, until: float
+        self, caller: CallerSocket, route: int, service: str, until: float, kept: bool
     ) -> None:
-        """Send requests over a flow; open a new flow when the current one breaks."""
+        """Send requests over a flow, or over a new flow each.
+
+        Args:
+            caller: Socket of the caller.
+            route: Number of the route.
+            service: Name of its service.
+            until: Time at which to end in seconds.
+            kept: Whether a flow is kept until it breaks.
+        """
         while monotonic() < until:
             flow = caller.flow(self._fleet.service_address(route))
             answered = 0
@@ -156,11 +182,17 @@
                 while monotonic() < until:
                     await self._send_request(flow, service)
                     answered += 1
-                    await asyncio.sleep(self._rng.expovariate(1 / MEAN_PAUSE_SECONDS))
+                    if not kept:
+                        break
+                    await self._pause()
                 flow.close()
+                await self._pause()
             except FlowBroken as error:
                 self._record_broken_flow(flow, str(error), answered > 0)
 
+    async def _pause(self) -> None:
+        await asyncio.sleep(self._rng.expovariate(1 / MEAN_PAUSE_SECONDS))
+
     async def _send_request(self, flow: CallerFlow, service: str) -> None:
         self._request_count += 1
         data = f"{service}/{self._request_count}".encode()
@@ -179,7 +211,7 @@
         broken = BrokenFlow(flow.source, monotonic(), reason, had_answer, holder)
         self._history.broken_flows.append(broken)
 
-    async def _inject(self, steps: tuple[Step[Fault], ...]) -> None:
+    async def _inject(self, steps: Sequence[Step[Fault]]) -> None:
         started = monotonic()
         running: list[Task[None]] = []
         for step in steps:
@@ -229,6 +261,8 @@
             case PublishRoutes(versions):
                 for _ in range(versions):
                     await self._fleet.publish_routes(SERVICES)
+            case CordonDomain(seconds):
+                await self._cordon(seconds)
 
     async def _kill(self, number: int, seconds: float) -> None:
         if number in self._stopped:
@@ -281,6 +315,14 @@
             self._history.late_openings.append(late)
         await self._fleet.list_server(machine, "ready")
 
+    async def _cordon(self, seconds: float) -> None:
+        await self._fleet.set_cordon(CORDONED_DOMAIN, listed=True)
+        start = monotonic()
+        await asyncio.sleep(seconds)
+        out = DomainOut(CORDONED_DOMAIN, start, monotonic())
+        self._history.domains_out.append(out)
+        await self._fleet.set_cordon(CORDONED_DOMAIN, listed=False)
+
     async def _recover(self) -> None:
         """Send requests over each route until it answers or the time limit passes."""
         end = monotonic() + RECOVERY_TIMEOUT_SECONDS
@@ -305,6 +347,10 @@
         for number, machine in enumerate(self._machines):
             if machine.server is not None:
                 self._history.forged += machine.server.forged
+                domain = machine.failure_domain
+                self._history.openings += [
+                    Opening(number, domain, time) for time in machine.server.openings
+                ]
             process = machine.process
             if process is not None and process.returncode is not None:
                 self._history.exits.append(f"{number} {machine.name}")
--- a/faults/packet_schedule.py
+++ b/faults/packet_schedule.py
@@ -13,6 +13,14 @@
 MIN_DURATION_SECONDS, MAX_DURATION_SECONDS = 0.3, 3.0
 FAULTS_PER_SCHEDULE = 5
 ODD_ENTRIES_PER_SCHEDULE = 8
+# Ranges of the time at which a failure domain is taken out of service, of its duration,
+# and of the duration of an earlier time out of service and of the pause after it.
+CORDON_AT_SECONDS = (0.8, 2.5)
+CORDON_SECONDS = (4.0, 5.5)
+EARLIER_CORDON_SECONDS = (0.2, 1.0)
+CORDON_PAUSE_SECONDS = (0.1, 0.5)
+# Probability that a failure domain is taken out of service twice.
+EARLIER_CORDON_PROBABILITY = 0.5
 # Probability that a fault starts at most 0.2 s after the fault drawn before it.
 SIMULTANEOUS_PROBABILITY = 0.35
 
@@ -90,6 +98,13 @@
     versions: int
 
 
+@dataclass(frozen=True, slots=True)
+class CordonDomain:
+    """The operator takes a failure domain out of service and back."""
+
+    seconds: float
+
+
 Fault = (
     KillProcess
     | FreezeProcess
@@ -101,6 +116,7 @@
     | RefuseCalls
     | DropHistory
     | PublishRoutes
+    | CordonDomain
 )
 
 PLANNED_KINDS = (StopProcess, ReloadProcess, DrainServer, DropHistory, PublishRoutes)
@@ -143,6 +159,22 @@
     return tuple(Step(number * step, entry) for number, entry in enumerate(entries))
 
 
+def make_cordons(seed: int) -> tuple[Step[Fault], ...]:
+    """Return when the operator takes a failure domain out of service.
+
+    They are drawn apart from the faults, so that the faults of a seed stay the same.
+    """
+    rng = random.Random(f"cordons {seed}")
+    at = rng.uniform(*CORDON_AT_SECONDS)
+    steps: list[Step[Fault]] = []
+    if rng.random() < EARLIER_CORDON_PROBABILITY:
+        seconds = rng.uniform(*EARLIER_CORDON_SECONDS)
+        steps.append(Step(at, CordonDomain(seconds)))
+        at += seconds + rng.uniform(*CORDON_PAUSE_SECONDS)
+    steps.append(Step(at, CordonDomain(rng.uniform(*CORDON_SECONDS))))
+    return tuple(steps)
+
+
 def is_planned(seed: int) -> bool:
     """Return whether all faults of a seed are planned changes."""
     return seed % 3 == 0
--- a/standins/packet_fleet.py
+++ b/standins/packet_fleet.py
@@ -11,7 +11,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from itertools import count
+from itertools import count, cycle
 from pathlib import Path
 from signal import SIGKILL, SIGTERM
 
@@ -37,6 +37,7 @@
 INTERNAL_PORTS = (7720, 7735)
 ADMIN_PORT = 9464
 CONTROL_PORT = 8166
+DEFAULT_DOMAIN = "hall-a"
 READY_PATH = "/-/ready"
 PROBE_INTERVAL_SECONDS = 0.5
 # Consecutive missed probes after which the fabric stops using an entry.
@@ -53,6 +54,7 @@
         name: Name of the instance.
         role: ``entry`` or ``agent``.
         address: IPv4 address of the machine.
+        failure_domain: Its failure domain.
         service: Name of the service, agents only.
         server: The backend server, agents only.
         server_name: Name under which the backend server is listed.
@@ -65,6 +67,7 @@
     name: str
     role: str
     address: str
+    failure_domain: str = DEFAULT_DOMAIN
     service: str = ""
     server: PacketServer | None = None
     server_name: str = ""
@@ -148,15 +151,22 @@
         await self.store.put("op/config", document | {"services": []})
         return self._version
 
-    async def add_entry(self, proxied: bool = False) -> Machine:
+    async def set_cordon(self, domain: str, listed: bool) -> None:
+        """Write or remove the store item that takes a failure domain out of service."""
+        await self.store.put(f"op/evacuate/{domain}", {} if listed else None)
+
+    async def add_entry(
+        self, proxied: bool = False, failure_domain: str = DEFAULT_DOMAIN
+    ) -> Machine:
         """Start an entry.
 
         Args:
             proxied: Whether the entry reaches the store through its own proxy.
+            failure_domain: Its failure domain.
         """
         number = self._next_number()
         address = f"{self.network}.0.{10 + number}"
-        machine = Machine(f"entry-{number}", "entry", address)
+        machine = Machine(f"entry-{number}", "entry", address, failure_domain)
         if proxied:
             listen = (f"{self.network}.2.{10 + number}", STORE_PORT)
             machine.proxy = TcpProxy(listen, self.store_address)
@@ -165,16 +175,24 @@
         self.entries.append(machine)
         return machine
 
-    async def add_host(self, service: str, request_seconds: float = 0.01) -> Machine:
+    async def add_host(
+        self,
+        service: str,
+        request_seconds: float = 0.01,
+        failure_domain: str = DEFAULT_DOMAIN,
+    ) -> Machine:
         """Start a backend server and its agent, and list the backend server.
 
         Args:
             service: Name of the service.
             request_seconds: Duration of each request in seconds.
+            failure_domain: Its failure domain.
         """
         number = self._next_number()
         address = f"{self.network}.1.{10 + number}"
-        machine = Machine(f"{service}-{number}", "agent", address, service)
+        machine = Machine(
+            f"{service}-{number}", "agent", address, failure_domain, service
+        )
         machine.server = PacketServer(
             service,
             (address, APP_PORT),
@@ -199,7 +217,7 @@
         item = {
             "service": machine.service,
             "addr": f"{machine.address}:{APP_PORT}",
-            "zone": "hall-a",
+            "zone": machine.failure_domain,
             "version": "v1",
             "concurrency": 2,
             "state": state,
@@ -284,7 +302,7 @@
         sections: dict[str, object] = {
             "process": {
                 "instance": machine.name,
-                "failure_domain": "hall-a",
+                "failure_domain": machine.failure_domain,
                 "address": machine.address,
                 "data_port": INTERNAL_PORTS[0],
                 "peer_port": INTERNAL_PORTS[1],
@@ -321,6 +339,7 @@
     hosts: int,
     entries: int,
     proxies: bool = False,
+    failure_domains: tuple[str, ...] = (DEFAULT_DOMAIN,),
 ) -> AsyncIterator[PacketFleet]:
     """Run a fleet until the block ends; stop all its processes.
 
@@ -330,6 +349,8 @@
         hosts: Hosts of each service.
         entries: Number of entries.
         proxies: Whether each entry reaches the store through a proxy.
+        failure_domains: Failure domains of the entries, and of the hosts of each
+            service, assigned in rotation.
     """
     fleet = PacketFleet(directory)
     runner = web.AppRunner(fleet.store.application(), access_log=None)
@@ -339,10 +360,10 @@
     probes: asyncio.Task[None] | None = None
     try:
         for service in services.values():
-            for _ in range(hosts):
-                await fleet.add_host(service)
-        for _ in range(entries):
-            await fleet.add_entry(proxies)
+            for _, domain in zip(range(hosts), cycle(failure_domains), strict=False):
+                await fleet.add_host(service, failure_domain=domain)
+        for _, domain in zip(range(entries), cycle(failure_domains), strict=False):
+            await fleet.add_entry(proxies, domain)
         await fleet.wait_ready(*fleet.agents, *fleet.entries)
         probes = asyncio.create_task(fleet.probe_entries())
         yield fleet
--- a/standins/packet_server.py
+++ b/standins/packet_server.py
@@ -62,8 +62,8 @@
         self.accepting = True
         # Number of received packets with a wrong checksum or the flag BOUNCED.
         self.forged = 0
-        # Monotonic time in seconds at which the last flow was accepted.
-        self.last_opening = 0.0
+        # Monotonic times in seconds at which flows were accepted.
+        self.openings: list[float] = []
         self._request_seconds = request_seconds
         self._on_run = on_run
         self._flows: dict[tuple[Endpoint, Endpoint], ServedFlow] = {}
@@ -75,6 +75,11 @@
         """Number of flows, including those that a caller has not acknowledged."""
         return len(self._flows)
 
+    @property
+    def last_opening(self) -> float:
+        """Monotonic time in seconds at which the last flow was accepted, 0 for none."""
+        return self.openings[-1] if self.openings else 0.0
+
     async def start(self) -> None:
         """Open the socket."""
         loop = asyncio.get_running_loop()
@@ -124,7 +129,7 @@
                 return
             flow = ServedFlow(random.getrandbits(31))
             self._flows[packet.source, packet.destination] = flow
-            self.last_opening = monotonic()
+            self.openings.append(monotonic())
         self._send(packet, SYN | ACK, b"", flow.sequence)
 
     def _handle_packet(
--- a/tests/test_packet_faults.py
+++ b/tests/test_packet_faults.py
@@ -4,9 +4,22 @@
 from unittest import TestCase
 
 from faults.packet_checks import packet_violations
-from faults.packet_history import BrokenFlow, LateOpening, PacketHistory, UnplannedFault
+from faults.packet_history import (
+    BrokenFlow,
+    DomainOut,
+    LateOpening,
+    Opening,
+    PacketHistory,
+    UnplannedFault,
+)
 from faults.packet_runner import FleetSize, run_packet_seed
-from faults.packet_schedule import Machines, is_planned, make_odd_entries, make_schedule
+from faults.packet_schedule import (
+    Machines,
+    is_planned,
+    make_cordons,
+    make_odd_entries,
+    make_schedule,
+)
 from standins.odd_entries import HARMFUL_ENTRIES
 
 CALLER = ("100.64.0.1", 20_001)
@@ -29,6 +42,13 @@
                 history = asyncio.run(run_packet_seed(seed, FleetSize()))
                 self.assertEqual(packet_violations(history), [], history.faults)
                 self.assertGreater(history.answered, 100)
+                out = history.domains_out[-1]
+                opened = {
+                    o.failure_domain
+                    for o in history.openings
+                    if out.start < o.time <= out.end
+                }
+                self.assertIn("hall-a", opened)
 
 
 class ScheduleTest(TestCase):
@@ -44,6 +64,15 @@
             self.assertLessEqual(set(HARMFUL_ENTRIES), set(written))
             self.assertEqual(make_odd_entries(seed), make_odd_entries(seed))
 
+    def test_a_domain_is_out_of_service_in_each_schedule(self):
+        """Guards against a soak that takes no failure domain out of service."""
+        lengths = set()
+        for seed in range(20):
+            steps = make_cordons(seed)
+            self.assertEqual(steps, make_cordons(seed))
+            lengths.add(len(steps))
+        self.assertEqual(lengths, {1, 2})
+
     def test_planned_seeds_have_planned_faults_only(self):
         """Guards against unplanned faults in a run that counts as planned."""
         for seed in range(0, 60, 3):
@@ -87,6 +116,18 @@
         found.unplanned_faults.append(UnplannedFault(frozenset(), 9.0, 11.0))
         self.assertEqual(self.violated_guarantees(found), {"reset"})
 
+    def test_an_opening_in_a_domain_out_of_service_is_found(self):
+        found = self.history(domains_out=[DomainOut("b", 10.0, 15.0)])
+        found.openings += [Opening(2, "a", 14.0), Opening(3, "b", 12.9)]
+        found.openings.append(Opening(3, "b", 15.1))
+        self.assertEqual(self.violated_guarantees(found), set())
+        found.openings.append(Opening(3, "b", 14.0))
+        self.assertEqual(self.violated_guarantees(found), {"cordon"})
+        found.unplanned_faults.append(UnplannedFault(frozenset(), 5.0, 6.9))
+        self.assertEqual(self.violated_guarantees(found), {"cordon"})
+        found.unplanned_faults.append(UnplannedFault(frozenset(), 11.0, 11.5))
+        self.assertEqual(self.violated_guarantees(found), set())
+
     def test_a_flow_broken_by_a_planned_change_is_found(self):
         found = self.history(planned=True, broken_flows=[broken("no answer", None)])
         self.assertEqual(self.violated_guarantees(found), {"planned"})
