Reset flows at once that a restart of the whole fleet has lost

What callers saw: after a loss of power of all machines, flows from before got no answer until the entries had run for 2.2 s. A request that may be repeated and has a deadline of 1.8 s was lost by that wait. Cause: entries that start wait for hosts whose catalog entries may have expired in an outage. The history explained the removals only in the simple case, and was judged only once, before all hosts had registered. Change: judge_restart (catalog/fleet_restart.py) decides from the history, the listed and the removed hosts whether all of them have just started: each one warms up, their starts lie within 5 s, each host that is gone has a successor at its address, and those whose address is not known are as many as the started hosts without a known predecessor. It is judged again whenever the view changes during the wait; the wait then ends, and the read that ends it is the one that ended it before, so no call is added. A successor completes the delayed removal of its predecessor. Outages after the start are waited for as before.

--- a/balsamspool/plugins/catalog/address_index.py
+++ b/balsamspool/plugins/catalog/address_index.py
@@ -59,6 +59,10 @@
         else:
             self._names.pop(server.address, None)
 
+    def created(self, server: BackendServer) -> Revision:
+        """Return the revision at which an entry was created, 0 if unknown."""
+        return Revision(self._created[server.name])
+
     def at(self, address: str) -> list[BackendServer]:
         """Return the backend servers that are listed at an address."""
         return [self._servers[name] for name in self._names.get(address, ())]
--- a/balsamspool/plugins/catalog/completeness.py
+++ b/balsamspool/plugins/catalog/completeness.py
@@ -57,6 +57,23 @@
         """
         self._removals_explained = changes is not None and explains_removals(changes)
 
+    def record_restart(self) -> None:
+        """Record that all backend servers have started anew since any earlier outage.
+
+        None that is about to be listed again holds a flow then.
+        """
+        self._removals_explained = True
+
+    def awaits_relisting(self, time: float) -> bool:
+        """Return whether entries that expired before the first answer may come back.
+
+        Args:
+            time: Event loop time in seconds.
+        """
+        first = self._first_answer
+        recent = first is None or time < first + RELISTING_SECONDS
+        return recent and not self._removals_explained
+
     def seconds_until_complete(self, time: float) -> float:
         """Return the seconds until the catalog lists every live backend server.
 
--- a/balsamspool/plugins/catalog/cordons.py
+++ b/balsamspool/plugins/catalog/cordons.py
@@ -65,6 +65,11 @@
         """The failure domains out of service, by name."""
         return dict(self._cordons)
 
+    @property
+    def any_ended(self) -> bool:
+        """Whether this process has seen a failure domain come back."""
+        return bool(self._ended)
+
     def ended(self, failure_domain: str) -> float | None:
         """Return the event loop time in seconds at which a domain last came back."""
         return self._ended.get(failure_domain)
--- a/balsamspool/plugins/catalog/events.py
+++ b/balsamspool/plugins/catalog/events.py
@@ -163,3 +163,18 @@
     logging.WARNING,
     "The warm-up of a service cannot be read; its backend servers have no limit.",
 )
+FLEET_RESTARTED = log_event(
+    2329,
+    "fleet-restarted",
+    logging.WARNING,
+    "All backend servers have just started, so none that is not listed holds a flow; "
+    "unknown flows are reset without waiting for entries that may be listed again.",
+)
+FLEET_RESTART_UNPROVEN = log_event(
+    2330,
+    "fleet-restart-unproven",
+    logging.INFO,
+    "Entries were removed without a known reason, and it is not certain that all "
+    "backend servers have just started; unknown flows wait until entries are listed "
+    "again.",
+)
--- a/balsamspool/plugins/catalog/plugin.py
+++ b/balsamspool/plugins/catalog/plugin.py
@@ -125,7 +125,11 @@
             CallMetrics(kernel.counters),
         )
         self._refresher = CatalogRefresher(
-            source, self._view, self._completeness, self._follower
+            source,
+            self._view,
+            self._completeness,
+            self._follower,
+            kernel.counters,
         )
         self._pauses = 0
         self._exchange = CatalogExchange(
--- a/balsamspool/plugins/catalog/refresher.py
+++ b/balsamspool/plugins/catalog/refresher.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from balsamspool.kernel.clock import now
+from balsamspool.kernel.counters import CounterSet
 from balsamspool.kernel.errors import ResultError
 from balsamspool.plugins.catalog.codes import CATALOG_HISTORY_LOST
 from balsamspool.plugins.catalog.completeness import (
@@ -19,6 +20,7 @@
 )
 from balsamspool.plugins.catalog.follower import CatalogFollower
 from balsamspool.plugins.catalog.model import Changes
+from balsamspool.plugins.catalog.restart_watch import FleetRestartWatch
 from balsamspool.plugins.catalog.revision import Revision
 from balsamspool.plugins.catalog.source import CatalogSource
 from balsamspool.plugins.catalog.view import CatalogView
@@ -41,6 +43,7 @@
         view: View of the catalog; it is changed in place.
         completeness: Records which removals in the history were planned.
         follower: Provides the revision up to which the view is known.
+        counters: Counters of the process, None to count for nobody.
     """
 
     __slots__ = (
@@ -53,6 +56,8 @@
         "_started",
         "_view",
         "_requested",
+        "_restart_watch",
+        "_view_changed",
     )
 
     def __init__(
@@ -61,12 +66,16 @@
         view: CatalogView,
         completeness: Completeness,
         follower: CatalogFollower,
+        counters: CounterSet | None = None,
     ) -> None:
         self._source = source
         self._follower = follower
         self._view = view
         self._completeness = completeness
+        self._restart_watch = FleetRestartWatch(view, completeness, counters)
         self._requested = asyncio.Event()
+        self._view_changed = asyncio.Event()
+        view.subscribe(self._view_changed.set)
         self._started = 0.0
         self._finished = 0.0
         self._callbacks: list[Callable[[], None]] = []
@@ -101,11 +110,32 @@
             await self._requested.wait()
             self._requested.clear()
             await self._read()
-            # Until the catalog lists every live backend server, a read cannot show
-            # where an unknown flow belongs, so an earlier read would be of no use.
-            until_complete = self._completeness.seconds_until_complete(now())
-            until_removals = self._view.seconds_until_removals(now())
-            await asyncio.sleep(max(MIN_PAUSE_SECONDS, until_complete, until_removals))
+            await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait until another read can show where an unknown flow belongs.
+
+        Until the catalog lists every live backend server, a read would be of no use.
+        That it does may be shown earlier by what it lists meanwhile.
+        """
+        end = now() + self._seconds_until_useful()
+        await asyncio.sleep(MIN_PAUSE_SECONDS)
+        self._restart_watch.judge()
+        try:
+            async with asyncio.timeout_at(end):
+                while self._seconds_until_useful() > 0.0:
+                    self._view_changed.clear()
+                    await self._view_changed.wait()
+                    self._restart_watch.judge()
+        except TimeoutError:
+            return
+
+    def _seconds_until_useful(self) -> float:
+        time = now()
+        return max(
+            self._completeness.seconds_until_complete(time),
+            self._view.seconds_until_removals(time),
+        )
 
     async def _read(self) -> None:
         started = now()
@@ -157,6 +187,7 @@
         history = await self._source.history(revision)
         self._history_read = True
         self._completeness.record_history(history)
+        self._restart_watch.record_history(history)
         if history is not None:
             self._view.learn_history(history.records)
         HISTORY_READ.log(
--- a/balsamspool/plugins/catalog/route_history.py
+++ b/balsamspool/plugins/catalog/route_history.py
@@ -67,6 +67,11 @@
         """Route table in force, None before the first."""
         return self._table
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Services to which the table in force directs new flows."""
+        return frozenset(self._routed_services)
+
     def is_complete(self, endpoint: Endpoint, time: float) -> bool:
         """Return whether all services are known that may hold flows of a route.
 
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -14,6 +14,7 @@
     SERVER_REMOVED,
     SERVER_REPORT_OUTDATED,
 )
+from balsamspool.plugins.catalog.fleet_restart import FleetState, Listing
 from balsamspool.plugins.catalog.model import (
     BackendServer,
     BackendState,
@@ -227,6 +228,27 @@
         ends = [delayed.until for delayed in self._delayed_removals.values()]
         return max(0.0, max(ends, default=time) - time)
 
+    def fleet_state(self, time: float) -> FleetState:
+        """Return the listed and removed backend servers, to judge their restart.
+
+        Args:
+            time: Event loop time in seconds.
+        """
+        delayed = [self._servers[name] for name in self._delayed_removals]
+        return FleetState(
+            tuple(
+                Listing(server, self._addresses.created(server))
+                for server in self._servers.values()
+                if server.name not in self._delayed_removals
+            ),
+            (
+                *self._recently_removed.values(),
+                *(RemovedServer(server, time) for server in delayed),
+            ),
+            self._routes.services,
+            self._cordons.any_ended,
+        )
+
     def record_outage(self, time: float) -> None:
         """Record that the publishing service did not answer at a time in seconds."""
         if self._outage_end is None or time > self._outage_end:
@@ -349,6 +371,7 @@
             self._addresses.discard(before)
         self._servers[server.name] = server
         self._addresses.add(server, created)
+        self._remove_succeeded(server, time)
         self._warmups.record(server, time)
         self._on_change()
         if before is None or before.state is not server.state:
@@ -387,6 +410,13 @@
             return
         self._remove_now(name, revision, time)
 
+    def _remove_succeeded(self, successor: BackendServer, time: float) -> None:
+        """Complete the delayed removals of those that a backend server succeeds."""
+        for server in list(self._addresses.others(successor)):
+            delayed = self._delayed_removals.get(server.name)
+            if delayed is not None and self._addresses.is_succeeded(server):
+                self._remove_now(server.name, delayed.removal_revision, time)
+
     def _may_be_relisted(self, server: BackendServer, time: float) -> bool:
         """Return whether a removed entry may have expired and may be listed again."""
         if may_have_expired(self._outage_end, time):
--- a/tests/datagram_entry_case.py
+++ b/tests/datagram_entry_case.py
@@ -32,6 +32,12 @@
 
 class EntryCase(PausedClockTestCase):
     source_type = FakeSource
+    # Longer than the time within which expired catalog entries are listed again.
+    settle_seconds = 3.0
+
+    def fill_source(self):
+        """Fill the catalog before the entry starts."""
+        self.source.records = [routes(1), *published(2, *self.servers)]
 
     async def asyncSetUp(self):
         sections = {
@@ -41,7 +47,7 @@
         self.kernel = FakeKernel(Role.DATAGRAM_ENTRY, "10.0.1.1", sections)
         self.source = self.source_type()
         self.servers = [server(n) for n in range(1, 6)]
-        self.source.records = [routes(1), *published(2, *self.servers)]
+        self.fill_source()
         self.kernel.known.append(self.source)
         self.catalog = CatalogPlugin(self.kernel)
         self.kernel.known.append(self.catalog)
@@ -53,9 +59,7 @@
         self.reporting = {s.address for s in self.servers}
         reports = asyncio.create_task(self.report())
         self.kernel.tasks.append(reports)
-        # Waits longer than the time within which expired catalog entries are listed
-        # again.
-        await asyncio.sleep(3)
+        await asyncio.sleep(self.settle_seconds)
         self.peers.take()
 
     async def asyncTearDown(self):
