Search again for lost flows when hosts of other services were listed

What callers saw: a flow that waited for the catalog was dropped if a host of another service had been listed since the search, and was not searched for again before the caller's next packet, up to 1.6 s later. Cause: the search did not cover that host, and the entry treated this like hosts that a search has no room for. Change: if the catalog has changed since the search, the entry searches again. Flows that still can't be searched for everywhere are dropped after that search, as before. Test: test_a_host_of_another_service_is_queried_when_it_is_listed; it fails without the change.

--- a/balsamspool/plugins/datagram_entry/search.py
+++ b/balsamspool/plugins/datagram_entry/search.py
@@ -342,7 +342,11 @@
             if self._holders.knows_more_services(packet, flow):
                 self.search(packet, flow.missing_since)
             elif not self._holders.asked_all_services(packet, flow):
-                self._drop_unknown(packet, 0, "services-unknown")
+                if flow.catalog_version != self._catalog.view.version:
+                    # Hosts that have been listed since the search were not queried.
+                    self.search(packet, flow.missing_since)
+                else:
+                    self._drop_unknown(packet, 0, "services-unknown")
             elif self._holders.queried_all_listed(packet, flow):
                 self.reset_lost(packet, HELD_NOWHERE)
             else:
--- a/tests/test_fleet_restart.py
+++ b/tests/test_fleet_restart.py
@@ -479,6 +479,13 @@
             self.kernel.counters.values()["balsamspool_catalog_fleet_restarts"], 1
         )
 
+    async def test_a_host_of_another_service_is_queried_when_it_is_listed(self):
+        """Guards against a lost flow that waits for the caller's next packet."""
+        self.receive(DATA)
+        await asyncio.sleep(0.6)
+        self.register(new(3), new(4, service="records"))
+        self.assertLess(await self.seconds_until_reset(1.0), 0.3)
+
     async def test_the_evidence_costs_no_more_calls_than_the_wait(self):
         """Guards against calls to the platform for each host that registers."""
         history_reads = []
