--- a/balsamspool/plugins/catalog/model.py
+++ b/balsamspool/plugins/catalog/model.py
@@ -235,6 +235,23 @@
     revision: Revision
     records: tuple[Record, ...]
 
+    @property
+    def server_names(self) -> set[str]:
+        """Names of the backend servers, also of those whose record cannot be used."""
+        names = set()
+        for record in self.records:
+            match record:
+                case ServerPublished(_, server):
+                    names.add(server.name)
+                case RecordIgnored(_, name, _):
+                    names.add(name)
+        return names
+
+    @property
+    def cordoned_domains(self) -> set[str]:
+        """Names of the failure domains that are out of service."""
+        return {r.failure_domain for r in self.records if isinstance(r, DomainCordoned)}
+
 
 class Changes(Struct, frozen=True):
     """Records that changed after a revision.
--- a/balsamspool/plugins/catalog/removals.py
+++ b/balsamspool/plugins/catalog/removals.py
@@ -1,6 +1,6 @@
 """Backend servers that are no longer listed, or are about to be removed."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from msgspec import Struct
 
@@ -72,6 +72,155 @@
         return self.removed + REMOVED_RETENTION_SECONDS
 
 
+class RemovedServers:
+    """Backend servers that were removed a short time ago, by name."""
+
+    __slots__ = ("_hosts", "_servers")
+
+    def __init__(self) -> None:
+        self._servers: dict[str, RemovedServer] = {}
+        self._hosts: dict[str, RemovedServer] | None = None
+
+    @property
+    def all(self) -> Collection[RemovedServer]:
+        """All of them, in the order of their removal."""
+        return self._servers.values()
+
+    def get(self, name: str) -> RemovedServer | None:
+        """Return the removed backend server of a name, or None."""
+        return self._servers.get(name)
+
+    def add(self, removed: RemovedServer) -> None:
+        """Remember a backend server that is no longer listed."""
+        self._servers[removed.server.name] = removed
+        self._hosts = None
+
+    def discard(self, name: str) -> None:
+        """Forget a backend server that is listed again."""
+        if self._servers.pop(name, None) is not None:
+            self._hosts = None
+
+    def of(self, service: str) -> tuple[RemovedServer, ...]:
+        """Return the removed backend servers of a service.
+
+        The entry of a backend server expires if the server cannot reach the publishing
+        service. Such a server still holds its flows.
+        """
+        return tuple(r for r in self.all if r.server.service == service)
+
+    def except_of(self, services: Collection[str]) -> tuple[RemovedServer, ...]:
+        """Return the removed backend servers of all other services."""
+        return tuple(r for r in self.all if r.server.service not in services)
+
+    def hosts(self, listed: Iterable[BackendServer]) -> dict[str, RemovedServer]:
+        """Return the last backend server of each address that lists none any more.
+
+        A server at another port of the address is another program of the instance.
+
+        Args:
+            listed: Backend servers that are listed now. They are read again only after
+                `clear_hosts`, or if a removed backend server has changed.
+        """
+        if self._hosts is None:
+            places = {(server.address, server.port) for server in listed}
+            self._hosts = {
+                removed.server.address: removed
+                for removed in self.all
+                if (removed.server.address, removed.server.port) not in places
+            }
+        return self._hosts
+
+    def clear_hosts(self) -> None:
+        """Record that the listed backend servers have changed."""
+        self._hosts = None
+
+    def expire(self, time: float) -> bool:
+        """Forget those whose flows have ended, and return whether there were any.
+
+        Args:
+            time: Event loop time in seconds.
+        """
+        due = [name for name, removed in self._servers.items() if time >= removed.until]
+        for name in due:
+            self.discard(name)
+        return bool(due)
+
+
+class DelayedRemovals:
+    """Removals that wait, by name, because their entries may be listed again."""
+
+    __slots__ = ("_delayed", "_outage_end")
+
+    def __init__(self) -> None:
+        self._delayed: dict[str, DelayedRemoval] = {}
+        self._outage_end: float | None = None
+
+    @property
+    def names(self) -> Collection[str]:
+        """Names of the backend servers whose removal waits."""
+        return self._delayed.keys()
+
+    def record_outage(self, time: float) -> None:
+        """Record that the publishing service did not answer at a time in seconds."""
+        if self._outage_end is None or time > self._outage_end:
+            self._outage_end = time
+
+    def may_have_expired(self, time: float) -> bool:
+        """Return whether a removal at a time may be an effect of an outage."""
+        return may_have_expired(self._outage_end, time)
+
+    def may_be_relisted(
+        self,
+        service: str,
+        ready: Collection[BackendServer],
+        removed: Iterable[RemovedServer],
+        time: float,
+    ) -> bool:
+        """Return whether a removed entry may have expired and may be listed again.
+
+        Args:
+            service: Service of its backend server.
+            ready: The backend servers of the service that accept new flows.
+            removed: Backend servers that were removed a short time ago.
+            time: Event loop time in seconds.
+        """
+        if self.may_have_expired(time):
+            return True
+        delayed = sum(1 for server in ready if server.name in self._delayed)
+        return is_mass_removal(service, len(ready), delayed, removed, time)
+
+    def add(self, name: str, revision: Revision, time: float) -> None:
+        """Delay a removal.
+
+        Args:
+            name: Name of the backend server.
+            revision: Revision of the removal.
+            time: Event loop time in seconds.
+        """
+        self._delayed[name] = DelayedRemoval(revision, time + RELISTING_SECONDS)
+
+    def discard(self, name: str) -> None:
+        """Forget a removal that has taken effect or was reversed."""
+        self._delayed.pop(name, None)
+
+    def get(self, name: str) -> DelayedRemoval | None:
+        """Return the removal of a backend server that waits, or None."""
+        return self._delayed.get(name)
+
+    def due(self, time: float) -> list[tuple[str, Revision]]:
+        """Return the names and revisions of the removals that wait no longer."""
+        return [
+            (name, delayed.removal_revision)
+            for name, delayed in self._delayed.items()
+            if time >= delayed.until
+        ]
+
+    def seconds_left(self, time: float) -> float:
+        """Return the seconds until all of them have taken effect."""
+        ends = [delayed.until for delayed in self._delayed.values()]
+        return max(0.0, max(ends, default=time) - time)
+
+
 def may_have_expired(outage_end: float | None, time: float) -> bool:
     """Return whether a removal may be an effect of an outage of the service.
 
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -31,10 +31,9 @@
 )
 from balsamspool.plugins.catalog.removals import (
     RELISTING_SECONDS,
-    DelayedRemoval,
+    DelayedRemovals,
     RemovedServer,
-    is_mass_removal,
-    may_have_expired,
+    RemovedServers,
 )
 from balsamspool.plugins.catalog.report_order import is_newer_report, is_older_report
 from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
@@ -56,11 +55,9 @@
     __slots__ = (
         "_addresses",
         "_cordons",
-        "_recently_removed",
-        "_delayed_removals",
+        "_delayed",
         "_index",
-        "_outage_end",
-        "_removed_hosts",
+        "_removed",
         "_revisions",
         "_routes",
         "_servers",
@@ -81,10 +78,8 @@
         self._index = ServerIndex(self._servers, self._addresses, self._cordons)
         self._warmups = Warmups(self._cordons)
         self._revisions: dict[str, Revision] = {}
-        self._delayed_removals: dict[str, DelayedRemoval] = {}
-        self._recently_removed: dict[str, RemovedServer] = {}
-        self._outage_end: float | None = None
-        self._removed_hosts: dict[str, RemovedServer] | None = None
+        self._delayed = DelayedRemovals()
+        self._removed = RemovedServers()
         self._version = 0
         self._subscribers: list[Callable[[], None]] = []
 
@@ -116,25 +111,15 @@
     @property
     def recently_removed(self) -> list[BackendServer]:
         """Backend servers that were removed a short time ago."""
-        return [removed.server for removed in self._recently_removed.values()]
+        return [removed.server for removed in self._removed.all]
 
     def listed_at(self, address: str) -> list[BackendServer]:
         """Return the backend servers that are listed at an address."""
         return self._addresses.at(address)
 
     def removed_hosts(self) -> dict[str, RemovedServer]:
-        """Return the last backend server of each address that lists none any more.
-
-        A server at another port of the address is another program of the instance.
-        """
-        if self._removed_hosts is None:
-            listed = {(s.address, s.port) for s in self._servers.values()}
-            self._removed_hosts = {
-                removed.server.address: removed
-                for removed in self._recently_removed.values()
-                if (removed.server.address, removed.server.port) not in listed
-            }
-        return self._removed_hosts
+        """Return the last backend server of each address that lists none any more."""
+        return self._removed.hosts(self._servers.values())
 
     def route(self, address: str, port: int) -> Route | None:
         """Return the route at an address, or None."""
@@ -189,26 +174,14 @@
         return self._index.listed(service)
 
     def recently_removed_from(self, service: str) -> tuple[RemovedServer, ...]:
-        """Return the backend servers of a service that were removed a short time ago.
-
-        The entry of a backend server expires if the server cannot reach the publishing
-        service. Such a server still holds its flows.
-        """
-        return tuple(
-            removed
-            for removed in self._recently_removed.values()
-            if removed.server.service == service
-        )
+        """Return the backend servers of a service that were removed lately."""
+        return self._removed.of(service)
 
     def recently_removed_except(
         self, services: Collection[str]
     ) -> tuple[RemovedServer, ...]:
         """Return the backend servers of other services that were removed lately."""
-        return tuple(
-            removed
-            for removed in self._recently_removed.values()
-            if removed.server.service not in services
-        )
+        return self._removed.except_of(services)
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call a function after each change of routes or backend servers."""
@@ -217,7 +190,7 @@
     @property
     def has_delayed_removals(self) -> bool:
         """Whether the removal of any backend server is delayed."""
-        return bool(self._delayed_removals)
+        return bool(self._delayed.names)
 
     def seconds_until_removals(self, time: float) -> float:
         """Return the seconds until all delayed removals have taken effect.
@@ -225,8 +198,7 @@
         Args:
             time: Event loop time in seconds.
         """
-        ends = [delayed.until for delayed in self._delayed_removals.values()]
-        return max(0.0, max(ends, default=time) - time)
+        return self._delayed.seconds_left(time)
 
     def fleet_state(self, time: float) -> FleetState:
         """Return the listed and removed backend servers, to judge their restart.
@@ -234,25 +206,18 @@
         Args:
             time: Event loop time in seconds.
         """
-        delayed = [self._servers[name] for name in self._delayed_removals]
+        delayed = [RemovedServer(self._servers[n], time) for n in self._delayed.names]
+        listed = (s for n, s in self._servers.items() if n not in self._delayed.names)
         return FleetState(
-            tuple(
-                Listing(server, self._addresses.created(server))
-                for server in self._servers.values()
-                if server.name not in self._delayed_removals
-            ),
-            (
-                *self._recently_removed.values(),
-                *(RemovedServer(server, time) for server in delayed),
-            ),
+            tuple(Listing(s, self._addresses.created(s)) for s in listed),
+            (*self._removed.all, *delayed),
             self._routes.services,
             self._cordons.any_ended,
         )
 
     def record_outage(self, time: float) -> None:
         """Record that the publishing service did not answer at a time in seconds."""
-        if self._outage_end is None or time > self._outage_end:
-            self._outage_end = time
+        self._delayed.record_outage(time)
 
     def learn_history(self, records: Sequence[Record]) -> None:
         """Learn earlier route tables from records before the first read."""
@@ -300,18 +265,10 @@
             snapshot: All records.
             time: Event loop time in seconds.
         """
-        listed = set()
-        cordoned = set()
         # The backend servers of a failure domain are applied before its cordon.
         for record in sorted(snapshot.records, key=_is_cordon):
-            match record:
-                case DomainCordoned(_, domain):
-                    cordoned.add(domain)
-                case ServerPublished(_, server):
-                    listed.add(server.name)
-                case RecordIgnored(_, name, _):
-                    listed.add(name)
             self.apply(record, time, all_tables=False)
+        listed, cordoned = snapshot.server_names, snapshot.cordoned_domains
         for name in list(self._servers):
             # The snapshot may miss a backend server that was added while its pages were
             # read. The record of such a server is newer, so the server is kept.
@@ -329,17 +286,9 @@
         self._routes.expire(time)
         if self._cordons.expire(time):
             self._on_change()
-        for name, delayed in list(self._delayed_removals.items()):
-            if time >= delayed.until:
-                self._remove_now(name, delayed.removal_revision, time)
-        expired = [
-            name
-            for name, removed in self._recently_removed.items()
-            if time >= removed.until
-        ]
-        for name in expired:
-            del self._recently_removed[name]
-        if expired:
+        for name, revision in self._delayed.due(time):
+            self._remove_now(name, revision, time)
+        if self._removed.expire(time):
             self._on_change()
 
     def _is_new(self, name: str, revision: Revision) -> bool:
@@ -353,7 +302,7 @@
         listed = self._servers.get(server.name)
         if listed is not None:
             return is_older_report(server, listed)
-        removed = self._recently_removed.get(server.name)
+        removed = self._removed.get(server.name)
         return removed is not None and not is_newer_report(server, removed.server)
 
     def _apply_server(
@@ -365,8 +314,8 @@
     ) -> None:
         before = self._servers.get(server.name)
         self._revisions[server.name] = revision
-        self._delayed_removals.pop(server.name, None)
-        self._recently_removed.pop(server.name, None)
+        self._delayed.discard(server.name)
+        self._removed.discard(server.name)
         if before is not None:
             self._addresses.discard(before)
         self._servers[server.name] = server
@@ -393,17 +342,17 @@
                 revision, self._revisions.get(name, NO_REVISION)
             )
             return
-        if name in self._delayed_removals:
+        if name in self._delayed.names:
             return
         may_be_relisted = (
             server.state is BackendState.READY
             and not self._addresses.is_succeeded(server)
-            and self._may_be_relisted(server, time)
+            and self._delayed.may_be_relisted(
+                server.service, self.ready(server.service), self._removed.all, time
+            )
         )
         if may_be_relisted:
-            self._delayed_removals[name] = DelayedRemoval(
-                revision, time + RELISTING_SECONDS
-            )
+            self._delayed.add(name, revision, time)
             SERVER_REMOVAL_DELAYED.log(
                 _logger, server=name, service=server.service, revision=revision
             )
@@ -413,29 +362,20 @@
     def _remove_succeeded(self, successor: BackendServer, time: float) -> None:
         """Complete the delayed removals of those that a backend server succeeds."""
         for server in list(self._addresses.others(successor)):
-            delayed = self._delayed_removals.get(server.name)
+            delayed = self._delayed.get(server.name)
             if delayed is not None and self._addresses.is_succeeded(server):
                 self._remove_now(server.name, delayed.removal_revision, time)
 
-    def _may_be_relisted(self, server: BackendServer, time: float) -> bool:
-        """Return whether a removed entry may have expired and may be listed again."""
-        if may_have_expired(self._outage_end, time):
-            return True
-        ready = self.ready(server.service)
-        delayed = sum(1 for s in ready if s.name in self._delayed_removals)
-        removed = self._recently_removed.values()
-        return is_mass_removal(server.service, len(ready), delayed, removed, time)
-
     def _remove_now(self, name: str, revision: Revision, time: float) -> None:
         server = self._servers[name]
         succeeded = self._addresses.is_succeeded(server)
         self._addresses.discard(server)
         del self._servers[name]
         self._warmups.forget(name)
-        self._delayed_removals.pop(name, None)
+        self._delayed.discard(name)
         self._revisions[name] = max(revision, self._revisions.get(name, NO_REVISION))
-        expired = may_have_expired(self._outage_end, time)
-        self._recently_removed[name] = RemovedServer(server, time, expired, succeeded)
+        expired = self._delayed.may_have_expired(time)
+        self._removed.add(RemovedServer(server, time, expired, succeeded))
         self._on_change()
         SERVER_REMOVED.log(
             _logger,
@@ -448,7 +388,7 @@
     def _on_change(self) -> None:
         self._version += 1
         self._index.clear()
-        self._removed_hosts = None
+        self._removed.clear_hosts()
         for callback in self._subscribers:
             callback()
 
