Limit the part of an entry's link that searches for lost flows may use

Cause: each packet of a lost flow is copied to up to 61 hosts, again with each repetition by its caller. The copies filled the link, so openings and the searches themselves were lost, callers repeated both, and the link stayed full after the failure. Change: a token bucket of a quarter of the link (setting link_mbps, from the platform's limits) for all copies but the first packet of a search. What is postponed is tried again with the caller's next packet.

--- a/balsamspool/datagram/settings.py
+++ b/balsamspool/datagram/settings.py
@@ -25,6 +25,16 @@
         return endpoint_problem("address", self.address)
 
 
+class DatagramEntrySettings(DatagramSettings, frozen=True, kw_only=True):
+    """Settings of the datagram entry.
+
+    Attributes:
+        link_mbps: Rate of the link of the instance in Mbit/s, None for no limit.
+    """
+
+    link_mbps: Annotated[float, Meta(gt=0, le=1_000_000)] | None = None
+
+
 class DatagramAgentSettings(DatagramSettings, frozen=True, kw_only=True):
     """Settings of the datagram agent.
 
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -24,9 +24,7 @@
     PacketCodec,
     flow_id,
 )
-from balsamspool.datagram.settings import (
-    DatagramSettings,
-)
+from balsamspool.datagram.settings import DatagramEntrySettings
 from balsamspool.datagram.sockets import Address, BatchSocket, DatagramSockets
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.identity import Role
@@ -50,6 +48,7 @@
     Reject,
 )
 from balsamspool.plugins.datagram_entry.search import FlowSearch
+from balsamspool.plugins.datagram_entry.search_budget import SearchBudget
 from balsamspool.plugins.datagram_entry.subscriptions import (
     REMOTE_PERIOD_SECONDS,
     Subscriptions,
@@ -88,14 +87,15 @@
         kernel: Kernel that runs the plug-in.
     """
 
-    settings_type = DatagramSettings
+    settings_type = DatagramEntrySettings
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
-        settings: DatagramSettings = kernel.settings.section("datagram-entry")
+        settings: DatagramEntrySettings = kernel.settings.section("datagram-entry")
         identity = kernel.identity
         self._caller_address = split_endpoint(settings.address)
         self._peer_address = (identity.address, identity.data_port)
+        self._link_mbps = settings.link_mbps
         self._failure_domain = identity.failure_domain
         self._codec = kernel.plugin(PacketCodec)
         self._catalog = kernel.plugin(CatalogPlugin)
@@ -140,6 +140,7 @@
             self._kernel.counters,
             self._log,
             self._failure_domain,
+            SearchBudget(self._link_mbps, self._kernel.counters),
         )
         self._subscriptions = Subscriptions(
             self._kernel, self._catalog, self._board, self._peer_socket
--- a/balsamspool/plugins/datagram_entry/search.py
+++ b/balsamspool/plugins/datagram_entry/search.py
@@ -24,6 +24,7 @@
 )
 from balsamspool.plugins.datagram_entry.holders import PossibleHolders
 from balsamspool.plugins.datagram_entry.missing import MissingFlows
+from balsamspool.plugins.datagram_entry.search_budget import SearchBudget
 
 # Delays before the retries of a search. The entry retries on its own because an agent
 # that has just started may have missed the first packet, and callers wait longer after
@@ -49,9 +50,11 @@
         counters: Counters of the process.
         log: Logs what is decided for a flow.
         failure_domain: Failure domain of the entry.
+        budget: Limits the copies of packets that are sent.
     """
 
     __slots__ = (
+        "_budget",
         "_catalog",
         "_codec",
         "_flow_missing",
@@ -79,7 +82,9 @@
         counters: CounterSet,
         log: DecisionLog,
         failure_domain: str,
+        budget: SearchBudget,
     ) -> None:
+        self._budget = budget
         self._catalog = catalog
         self._flows = flows
         self._codec = codec
@@ -273,7 +278,12 @@
 
     def _query_remaining(self, packet: Packet, flow: EntryFlow) -> None:
         """Query the hosts that are unlikely to hold a flow, in several short chains."""
-        remaining, flow.remaining_hosts = flow.remaining_hosts, ()
+        remaining = flow.remaining_hosts
+        if not self._budget.allows(
+            len(packet.data) * -(-len(remaining) // CHAIN_HOSTS), len(remaining)
+        ):
+            return
+        flow.remaining_hosts = ()
         if flow.unanswered and flow.unanswered % 2 == 0:
             # A host that does not answer hides those after it in its chain, so the
             # chains of every second search run in the opposite direction.
@@ -314,6 +324,8 @@
         if flow.awaited_agents is None:
             flow.awaited_agents = dict.fromkeys(map(socket.inet_ntoa, flow.hosts), 1)
         for agent in sorted(flow.awaited_agents):
+            if not self._budget.allows(len(packet.data), 0):
+                return
             host = (socket.inet_aton(agent),)
             self._forwarder.forward(packet, flow.service, host, unconfirmed=True)
 
--- a/benchmarks/opaque_flows.py
+++ b/benchmarks/opaque_flows.py
@@ -14,7 +14,7 @@
 from balsamspool.commands.output import print_table
 from balsamspool.datagram._codec import encode_small
 from balsamspool.datagram.messages import FlowLocated
-from balsamspool.datagram.settings import DatagramAgentSettings, DatagramSettings
+from balsamspool.datagram.settings import DatagramAgentSettings, DatagramEntrySettings
 from balsamspool.kernel.identity import Role
 from balsamspool.plugins.catalog import CatalogPlugin
 from balsamspool.plugins.catalog.plugin import CatalogSettings
@@ -49,7 +49,7 @@
 
 async def _entry(flows: int, hosts: int) -> list[tuple[str, str, str]]:
     sections = {
-        "datagram-entry": DatagramSettings(address="10.0.1.1:8172"),
+        "datagram-entry": DatagramEntrySettings(address="10.0.1.1:8172"),
         "catalog": CatalogSettings(),
     }
     kernel = FakeKernel(Role.DATAGRAM_ENTRY, "10.0.1.1", sections)
--- a/emulator/process.py
+++ b/emulator/process.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, TypeVar, cast
 
-from balsamspool.datagram.settings import DatagramAgentSettings, DatagramSettings
+from balsamspool.datagram.settings import DatagramAgentSettings, DatagramEntrySettings
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.counters import CounterSet
 from balsamspool.kernel.identity import Identity, Role
@@ -215,7 +215,7 @@
         address = f"{self.address}:{CALLER_PORT}"
         return {
             "catalog": CatalogSettings(listen=f"{self.address}:{CONTROL_PORT}"),
-            "datagram-entry": DatagramSettings(address=address),
+            "datagram-entry": DatagramEntrySettings(address=address),
             "datagram-agent": DatagramAgentSettings(
                 address=address,
                 service=self._service,
--- a/tests/datagram_entry_case.py
+++ b/tests/datagram_entry_case.py
@@ -4,7 +4,7 @@
 
 from balsamspool.datagram._codec import encode_small, returned_head
 from balsamspool.datagram.messages import FlowLocated, Report
-from balsamspool.datagram.settings import DatagramSettings
+from balsamspool.datagram.settings import DatagramEntrySettings
 from balsamspool.kernel.identity import Role
 from balsamspool.placement.load import LoadReport
 from balsamspool.plugins.catalog import CatalogPlugin
@@ -32,6 +32,7 @@
 
 class EntryCase(PausedClockTestCase):
     source_type = FakeSource
+    link_mbps: float | None = None
     # Longer than the time within which expired catalog entries are listed again.
     settle_seconds = 3.0
 
@@ -41,7 +42,9 @@
 
     async def asyncSetUp(self):
         sections = {
-            "datagram-entry": DatagramSettings(address="10.0.1.1:8172"),
+            "datagram-entry": DatagramEntrySettings(
+                address="10.0.1.1:8172", link_mbps=self.link_mbps
+            ),
             "catalog": CatalogSettings(),
         }
         self.kernel = FakeKernel(Role.DATAGRAM_ENTRY, "10.0.1.1", sections)
