Learn times of requests at agents and the work that is left

Cause: an agent counts requests in progress, so a request that runs seven times longer than the mean, or a host that is 2.4 times slower, looks like any other.

Change: WorkLeft keeps the requests in progress in the order in which they began, takes as many as there are slots as running, and sums the expected rest of each. ServiceTimes learns from the time in a slot. It leaves out fast errors without being stuck after a long first request, counts long requests as at most three medians, forgets after 10 s, and ignores a clock that stands still. Requests that were given up teach nothing. /status of the agent shows work_left and the learned times.

Tests: tests.test_work_left.

--- a/balsamspool/plugins/datagram_agent/flows.py
+++ b/balsamspool/plugins/datagram_agent/flows.py
@@ -4,8 +4,11 @@
 
 from balsamspool.kernel.counters import Counter
 from balsamspool.plugins.datagram_agent.work import WorkMeter
+from balsamspool.scheduling.work_left import WorkLeft
 
 MAX_FLOWS = 65_536
+# A flow key ends with the address and port of its route.
+ENDPOINT_OCTETS = 6
 # A request without an answer for this long no longer counts as in progress.
 MAX_REQUEST_SECONDS = 10.0
 # Time after which an idle flow is removed that one side has ended.
@@ -71,6 +74,7 @@
         "_flows",
         "_incomplete_at",
         "_meter",
+        "_work_left",
     )
 
     def __init__(
@@ -82,12 +86,18 @@
         self._incomplete_at = started
         self._flows: dict[bytes, HostFlow] = {}
         self._meter = meter
+        self._work_left = WorkLeft()
         self._ended_count = 0
 
     def __len__(self) -> int:
         """Return the number of flows that have not ended."""
         return len(self._flows) - self._ended_count
 
+    @property
+    def work_left(self) -> WorkLeft:
+        """Work of the requests in progress."""
+        return self._work_left
+
     def is_complete(self, time: float) -> bool:
         """Return whether the table has each open flow of the backend server.
 
@@ -118,15 +128,24 @@
             flow = self._flows[key] = HostFlow(origin, time)
         return flow
 
-    def record_request(self, flow: HostFlow, time: float) -> None:
+    def record_request(self, key: bytes, flow: HostFlow, time: float) -> None:
         """Record data of a caller: a request is in progress until data is sent back."""
         if flow.request_since is None:
             flow.request_since = time
             self._meter.begin(time)
+            self._work_left.begin(key, key[-ENDPOINT_OCTETS:], time)
 
-    def record_answer(self, flow: HostFlow, time: float) -> float | None:
+    def record_answer(
+        self, key: bytes, flow: HostFlow, time: float, answered: bool = True
+    ) -> float | None:
         """Record data of the backend server, which ends the request in progress.
 
+        Args:
+            key: Key of the flow.
+            flow: The flow.
+            time: Event loop time in seconds.
+            answered: Whether the request was answered, and not given up.
+
         Returns:
             Seconds for which the request was in progress, None without a request.
         """
@@ -135,14 +154,15 @@
         seconds = time - flow.request_since
         flow.request_since = None
         self._meter.end(time)
+        self._work_left.end(key, time, answered)
         return seconds
 
-    def end_if_closed(self, flow: HostFlow, time: float) -> None:
+    def end_if_closed(self, key: bytes, flow: HostFlow, time: float) -> None:
         """Stop counting a flow and its request if both sides have ended the flow."""
         if flow.caller_ended and flow.server_ended and not flow.ended:
             flow.ended = True
             self._ended_count += 1
-            self.record_answer(flow, time)
+            self.record_answer(key, flow, time, answered=False)
 
     def remove(self, key: bytes, time: float) -> None:
         """Remove a flow and its request in progress."""
@@ -150,7 +170,7 @@
         if flow is None:
             return
         self._ended_count -= flow.ended
-        self.record_answer(flow, time)
+        self.record_answer(key, flow, time, answered=False)
 
     def expire(self, time: float) -> None:
         """Remove idle flows, and requests that have waited too long for an answer."""
@@ -161,10 +181,10 @@
         ]
         for key in idle:
             self.remove(key, time)
-        for flow in self._flows.values():
+        for key, flow in self._flows.items():
             since = flow.request_since
             if since is not None and time - since > MAX_REQUEST_SECONDS:
-                self.record_answer(flow, time)
+                self.record_answer(key, flow, time, answered=False)
 
     def _longest_idle(self, flow: HostFlow) -> float:
         if flow.ended:
--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -145,6 +145,7 @@
             "flows": len(self._flows),
             "in_work": self._meter.in_progress,
             "mean_work": round(self._meter.mean(now()), 2),
+            **self._flows.work_left.status(now()),
             "responsive": self._liveness.responsive,
             "subscribers": self._reporter.subscribers,
             "entries": len(self._entries),
@@ -158,6 +159,7 @@
                 self._reporter.subscribe(sender, lease, period)
             case Terms() as terms:
                 self._terms.record(terms, now())
+                self._flows.work_left.set_slots(terms.server.slots, now())
             case Announce() as announce:
                 self._entries.record(sender[0], announce, now())
                 readers = self._entries.readers_for(announce.failure_domain)
@@ -241,13 +243,13 @@
             # Only packets of accepted flows count as requests, because an entry that
             # searches for a flow may send its packets to a backend server that is not
             # running.
-            self._flows.record_request(flow, time)
+            self._flows.record_request(packet.flow_from_caller, flow, time)
         flow.caller_ended = flow.caller_ended or packet.ends or packet.resets
         flow.server_ended = flow.server_ended or packet.resets
         self._delivered.value += 1
         parts = self._codec.encode(packet, self._sent.store(forward))
         self._server_socket.send(parts, self._backend)
-        self._flows.end_if_closed(flow, time)
+        self._flows.end_if_closed(packet.flow_from_caller, flow, time)
 
     def _confirm_held(self, packet: Packet, flow: HostFlow) -> bool:
         """Notify an entry immediately if its packet is of a flow that is held here.
@@ -283,7 +285,7 @@
         caller = (address_of(packet.destination), self._caller_port)
         self._peer_socket.send((data,), caller)
         if flow is not None:
-            self._flows.end_if_closed(flow, time)
+            self._flows.end_if_closed(key, flow, time)
 
     def _record_answer(
         self, key: bytes, flow: HostFlow, packet: Packet, time: float
@@ -293,7 +295,7 @@
             flow.accepted = True
             self._watch.on_accepted(key, flow, packet)
         if packet.length:
-            seconds = self._flows.record_answer(flow, time)
+            seconds = self._flows.record_answer(key, flow, time)
             if seconds is not None:
                 self._answer_time.observe(seconds)
         flow.server_ended = flow.server_ended or packet.ends or packet.resets
