Place new flows by the time until a request would be finished

Cause: the cost of a host was a count of requests per slot, blind to the speed of the host and to the length of its requests.

Change: a load report may tell the work left and the service time. If any host of the service does, the cost is the expected seconds until a request of the flow would be finished, as a multiple of the mean service time of the service, so the penalty of another failure domain and the log field keep their unit. Hosts that tell no work are compared by their requests times that mean. Without any such report the cost is the one of before. No process fills the fields yet.

--- a/balsamspool/placement/load.py
+++ b/balsamspool/placement/load.py
@@ -35,6 +35,9 @@
         flows: Open flows.
         responsive: Whether the backend server answers.
         period: Seconds until the next report.
+        work_left: Expected seconds until a new request would begin, None if the agent
+            does not tell.
+        service_time: Expected seconds of a request of the recent mix, 0 if not known.
     """
 
     in_progress: int
@@ -42,6 +45,8 @@
     flows: int
     responsive: bool
     period: float
+    work_left: float | None = None
+    service_time: float = 0.0
 
 
 class HostLoad(Struct):
@@ -65,11 +70,13 @@
         work_per_flow: Mean number of requests in progress per open flow.
         remote_work: Mean number of requests in progress of a host in another failure
             domain, or of any host if none of them reports.
+        service_time: Mean of the known service times in seconds, 0 if none is known.
         computed: Event loop time in seconds at which the load was computed.
     """
 
     work_per_flow: float
     remote_work: float
+    service_time: float
     computed: float
 
 
@@ -116,6 +123,11 @@
         """Return the latest load of a host, None if it never reported."""
         return self._hosts.get(address)
 
+    def has_work(self, address: str) -> bool:
+        """Return whether the latest report of a host tells its work left."""
+        load = self._hosts.get(address)
+        return load is not None and load.report.work_left is not None
+
     def service_load(
         self,
         service: str,
@@ -191,6 +203,7 @@
         return ServiceLoad(
             work_per_flow=len(reports) * _mean_work(reports) / max(1, flows),
             remote_work=_mean_work(remote or reports),
+            service_time=_mean_service_time(reports),
             computed=time,
         )
 
@@ -208,3 +221,8 @@
     if not reports:
         return 0.0
     return sum(report.mean_in_progress for report in reports) / len(reports)
+
+
+def _mean_service_time(reports: Sequence[LoadReport]) -> float:
+    known = [report.service_time for report in reports if report.service_time > 0]
+    return sum(known) / len(known) if known else 0.0
--- a/balsamspool/placement/opening.py
+++ b/balsamspool/placement/opening.py
@@ -13,7 +13,7 @@
 
 from msgspec import Struct
 
-from balsamspool.placement.load import LoadBoard, ServiceLoad
+from balsamspool.placement.load import HostLoad, LoadBoard, LoadReport, ServiceLoad
 from balsamspool.placement.ranking import Located, rank_by_domain
 
 # Number of servers from which the least loaded is chosen. With three of the failure
@@ -26,12 +26,18 @@
 # Number of requests in progress that a new flow is expected to add before the next
 # report of its host.
 WORK_PER_PLACED_FLOW = 0.5
+# The same where the work left is known. A report that is late or old can't yet tell of
+# the request with which a flow opens.
+REQUESTS_PER_PLACED_FLOW = 1.0
 # Penalty in expected requests per slot that is added to the cost of a host in another
 # failure domain than the entry. Traffic between failure domains costs money, but
 # waiting costs more.
 DOMAIN_PENALTY = 0.3
 # Factor by which a backend server is slower while it warms up.
 WARMUP_FACTOR = 1.6
+# Bounds of the service time of a host relative to the mean of its service. A backend
+# server that answers errors quickly must not get all flows.
+MIN_SHARE, MAX_SHARE = 0.5, 4.0
 
 
 class Placeable(Located, Protocol):
@@ -51,15 +57,23 @@
 
     Attributes:
         server: The backend server.
-        cost: Expected requests in progress per slot.
+        cost: Expected requests in progress per slot. If the service time is known, the
+            expected seconds as a multiple of the mean service time of the service.
         age: Seconds since the last report of its host, None if there was none.
         avoided: Whether its host is silent or the backend server does not answer.
+        seconds: Expected seconds until a request of the flow is finished, None if no
+            host of the service reports its work.
+        work_left: Work left that its host reported in seconds, None if it did not.
+        service_time: Expected seconds of a request there, None as for ``seconds``.
     """
 
     server: Placeable
     cost: float
     age: float | None
     avoided: bool
+    seconds: float | None = None
+    work_left: float | None = None
+    service_time: float | None = None
 
 
 def order_choices(
@@ -113,19 +127,74 @@
     avoided: bool,
 ) -> Choice:
     load = board.load(server.address)
+    age = None if load is None else time - load.received
+    if service_load.service_time <= 0:
+        cost = _cost(server, _requests(load, service_load))
+        return Choice(server, cost, age, avoided)
+    service_time = _service_time(server, load, service_load)
+    wait = _wait(server, load, service_load, service_time, time)
+    seconds = wait + service_time
+    return Choice(
+        server,
+        seconds / service_load.service_time,
+        age,
+        avoided,
+        seconds,
+        None if load is None else load.report.work_left,
+        service_time,
+    )
+
+
+def _requests(load: HostLoad | None, service_load: ServiceLoad) -> float:
+    """Return the number of requests that a new flow is expected to meet."""
     if load is None:
-        cost = _cost(server, service_load.remote_work)
-        return Choice(server, cost, None, avoided)
-    report = load.report
-    # The reported mean is still low for a host that has just received many flows, so
-    # the requests that its flows are expected to have in progress count too.
+        return service_load.remote_work
+    work = CURRENT_WEIGHT * load.report.in_progress
+    work += (1 - CURRENT_WEIGHT) * _sustained(load.report, service_load)
+    return work + WORK_PER_PLACED_FLOW * load.placed
+
+
+def _sustained(report: LoadReport, service_load: ServiceLoad) -> float:
+    """Return the number of requests that the open flows keep in progress.
+
+    The reported mean is still low for a host that has just received many flows, so the
+    requests that its flows are expected to have in progress count too.
+    """
     expected = report.flows * service_load.work_per_flow
-    sustained = (report.mean_in_progress + expected) / 2
-    work = CURRENT_WEIGHT * report.in_progress + (1 - CURRENT_WEIGHT) * sustained
-    work += WORK_PER_PLACED_FLOW * load.placed
-    return Choice(server, _cost(server, work), time - load.received, avoided)
+    return (report.mean_in_progress + expected) / 2
 
 
 def _cost(server: Placeable, work: float) -> float:
     factor = WARMUP_FACTOR if server.warmup > 0 else 1.0
     return factor * (work + WORK_PER_PLACED_FLOW) / max(1, server.slots)
+
+
+def _service_time(
+    server: Placeable, load: HostLoad | None, service_load: ServiceLoad
+) -> float:
+    """Return the expected time of a request at a backend server in seconds."""
+    mean = service_load.service_time
+    learned = load.report.service_time if load is not None else 0.0
+    expected = min(max(learned or mean, MIN_SHARE * mean), MAX_SHARE * mean)
+    # What was learned before a backend server became cold does not hold any more.
+    return max(expected, WARMUP_FACTOR * mean) if server.warmup > 0 else expected
+
+
+def _wait(
+    server: Placeable,
+    load: HostLoad | None,
+    service_load: ServiceLoad,
+    service_time: float,
+    time: float,
+) -> float:
+    """Return the expected seconds until a new request begins at a backend server."""
+    each = service_time / max(1, server.slots)
+    if load is None:
+        return service_load.remote_work * each
+    report = load.report
+    if report.work_left is None or report.service_time <= 0:
+        return _requests(load, service_load) * each
+    current = max(0.0, report.work_left - max(0.0, time - load.received))
+    sustained = _sustained(report, service_load) * each
+    wait = CURRENT_WEIGHT * current + (1 - CURRENT_WEIGHT) * sustained
+    return wait + REQUESTS_PER_PLACED_FLOW * load.placed * each
