Report work left and service time to entries that understand it

Cause: the layout of a report is fixed, and an entry of the version before drops a longer one.

Change: message 11, WorkReport, has all fields of a report, the work left and the service time in 15 octets for 13. An agent sends it to an entry that sent terms, for 600 s.

Its assertions stay.

--- a/balsamspool/datagram/_codec.py
+++ b/balsamspool/datagram/_codec.py
@@ -1,5 +1,6 @@
 """Binary layout of the messages between entries and agents."""
 
+import math
 import struct
 
 from xxhash import xxh32_intdigest
@@ -17,6 +18,7 @@
     SmallMessage,
     Subscribe,
     Terms,
+    WorkReport,
 )
 from balsamspool.placement.load import LoadReport
 from balsamspool.scheduling.terms import RequestTerms, ServerTerms
@@ -25,7 +27,7 @@
 
 _FORWARD, _LOCATED, _ENDED, _RETURNED = range(1, 5)
 _SUBSCRIBE, _REPORT, _ANNOUNCE, _READERS = range(5, 9)
-_QUERY_TERMS, _TERMS = range(9, 11)
+_QUERY_TERMS, _TERMS, _WORK_REPORT = range(9, 12)
 # Fields: layout, kind, hops, flags, number of alternatives, service, origin.
 _FORWARD_HEAD = struct.Struct("!BBBBBI4s")
 _FLOW = struct.Struct("!BB12s")
@@ -37,6 +39,9 @@
 # Fields: layout, kind, responsive, requests in progress, mean number of requests in
 # progress in 1/256, flows, period in ms.
 _LOAD = struct.Struct("!BBBHIHH")
+# Fields: layout, kind, responsive, requests in progress, mean number of requests in
+# progress in 1/64, flows, period in ms, work left in ms, service time in 1/4 ms.
+_WORK = struct.Struct("!BBBHHHHHH")
 # Fields: layout, kind, whether the entry reaches the service, failure domain, revision.
 _ANNOUNCEMENT = struct.Struct("!BBBIQ")
 # Fields: layout, kind, number of readers, entries, newest revision.
@@ -51,6 +56,8 @@
 _UNCONFIRMED, _SKIPPED, _UNSURE = 1, 2, 4
 
 _MEAN_UNIT = 256
+_WORK_MEAN_UNIT = 64
+_SERVICE_TIME_UNIT = 4_000
 _RATE_UNIT = 256
 _MAX_OCTET = 0xFF
 _MAX_SHORT = 0xFFFF
@@ -113,6 +120,8 @@
                 min(load.flows, _MAX_SHORT),
                 min(int(load.period * 1000), _MAX_SHORT),
             )
+        case WorkReport(load):
+            return _encode_work_report(load)
         case Announce(failure_domain, revision, reaches_service):
             return _ANNOUNCEMENT.pack(
                 LAYOUT_VERSION, _ANNOUNCE, reaches_service, failure_domain, revision
@@ -142,6 +151,20 @@
             )
 
 
+def _encode_work_report(load: LoadReport) -> bytes:
+    return _WORK.pack(
+        LAYOUT_VERSION,
+        _WORK_REPORT,
+        load.responsive,
+        min(load.in_progress, _MAX_SHORT),
+        min(int(load.mean_in_progress * _WORK_MEAN_UNIT), _MAX_SHORT),
+        min(load.flows, _MAX_SHORT),
+        min(int(load.period * 1000), _MAX_SHORT),
+        min(round((load.work_left or 0.0) * 1000), _MAX_SHORT),
+        min(math.ceil(load.service_time * _SERVICE_TIME_UNIT), _MAX_SHORT),
+    )
+
+
 def decode(data: bytes) -> Message | None:
     """Decode a message.
 
@@ -189,6 +212,8 @@
             return QueryTerms(_TERMS_QUERY.unpack(data)[2])
         case 10:
             return _decode_terms(data)
+        case 11:
+            return _decode_work_report(data)
         case _:
             return None
 
@@ -236,5 +261,21 @@
     return Terms(endpoint, request, server)
 
 
+def _decode_work_report(data: bytes) -> WorkReport:
+    _, _, responsive, in_progress, mean, flows, period, left, service = _WORK.unpack(
+        data
+    )
+    load = LoadReport(
+        in_progress,
+        mean / _WORK_MEAN_UNIT,
+        flows,
+        bool(responsive),
+        period / 1000,
+        left / 1000,
+        service / _SERVICE_TIME_UNIT,
+    )
+    return WorkReport(load)
+
+
 def _decode_addresses(data: bytes, start: int, end: int) -> tuple[bytes, ...]:
     return tuple(data[i : i + 4] for i in range(start, end, 4))
--- a/balsamspool/datagram/messages.py
+++ b/balsamspool/datagram/messages.py
@@ -7,6 +7,8 @@
 
 # Service number in messages whose packet may belong to any service.
 ANY_SERVICE = 0
+# Endpoint in terms that only tell of the backend server.
+NO_ROUTE = bytes(6)
 
 
 class Forward(Struct):
@@ -85,7 +87,19 @@
 
 
 class Report(Struct, frozen=True):
-    """Load of the sender's backend server.
+    """Load of the sender's backend server, without its work left.
+
+    Attributes:
+        load: The load.
+    """
+
+    load: LoadReport
+
+
+class WorkReport(Struct, frozen=True):
+    """Load and work left of the sender's backend server.
+
+    It replaces `Report` for an entry that sent `Terms`. An older entry ignores it.
 
     Attributes:
         load: The load.
@@ -141,7 +155,7 @@
     they need.
 
     Attributes:
-        endpoint: Address and port of the route, 6 octets.
+        endpoint: Address and port of the route, 6 octets, or ``NO_ROUTE``.
         request: Terms of the requests of the route.
         server: Terms of the backend server.
     """
@@ -156,6 +170,7 @@
     | FlowEnded
     | Subscribe
     | Report
+    | WorkReport
     | Announce
     | Readers
     | QueryTerms
--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -160,6 +160,7 @@
             case Terms() as terms:
                 self._terms.record(terms, now())
                 self._flows.work_left.set_slots(terms.server.slots, now())
+                self._reporter.send_work(sender)
             case Announce() as announce:
                 self._entries.record(sender[0], announce, now())
                 readers = self._entries.readers_for(announce.failure_domain)
--- a/balsamspool/plugins/datagram_agent/reporter.py
+++ b/balsamspool/plugins/datagram_agent/reporter.py
@@ -8,7 +8,7 @@
 
 from balsamspool.datagram._codec import encode_small
 from balsamspool.datagram.events import SUBSCRIBER_ADDED, SUBSCRIBER_EXPIRED
-from balsamspool.datagram.messages import Report
+from balsamspool.datagram.messages import Report, WorkReport
 from balsamspool.datagram.sockets import Address, BatchSocket
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.lifecycle import Kernel
@@ -26,6 +26,13 @@
 # fewer reports.
 REPORTS_PER_SECOND = 80.0
 MAX_SUBSCRIBERS = 1_024
+# Time for which an entry gets work reports after it sent terms. It limits the time
+# without load reports of an entry that was replaced at its address by one of an older
+# version, which ignores work reports.
+WORK_REPORTS_SECONDS = 600.0
+
+REPORTS = "balsamspool_datagram_reports"
+REPORTS_HELP = "Load reports that were sent to entries, by kind"
 
 
 class _Subscription(Struct):
@@ -34,10 +41,12 @@
     Attributes:
         until: Event loop time in seconds at which it ends.
         period: Shortest time between two reports in seconds.
+        work_until: Event loop time in seconds until which it gets work reports.
     """
 
     until: float
     period: float
+    work_until: float = 0.0
 
 
 class LoadReporter:
@@ -57,7 +66,9 @@
         "_liveness",
         "_meter",
         "_peer_socket",
+        "_plain_reports",
         "_subscriptions",
+        "_work_reports",
     )
 
     def __init__(
@@ -74,6 +85,9 @@
         self._flows = flows
         self._liveness = liveness
         self._subscriptions: dict[Address, _Subscription] = {}
+        counters = kernel.counters
+        self._plain_reports = counters.counter(REPORTS, REPORTS_HELP, "plain")
+        self._work_reports = counters.counter(REPORTS, REPORTS_HELP, "work")
 
     @property
     def subscribers(self) -> int:
@@ -100,22 +114,45 @@
             partial(self._report, entry), f"load reports to {entry[0]}"
         )
 
+    def send_work(self, entry: Address) -> None:
+        """Send work reports to an entry, because it sent a message of their version.
+
+        Args:
+            entry: Address and port of the entry.
+        """
+        known = self._subscriptions.get(entry)
+        if known is not None:
+            known.work_until = now() + WORK_REPORTS_SECONDS
+
     async def _report(self, entry: Address) -> None:
         subscription = self._subscriptions[entry]
         while now() < subscription.until:
             shared = len(self._subscriptions) / REPORTS_PER_SECOND
             period = max(PERIOD_SECONDS, shared, subscription.period)
-            report = Report(self._load(period))
+            report = self._message(subscription, period)
             self._peer_socket.send((encode_small(report),), entry)
             await asyncio.sleep(period)
         del self._subscriptions[entry]
         SUBSCRIBER_EXPIRED.log(_logger, entry=entry[0])
 
+    def _message(
+        self, subscription: _Subscription, period: float
+    ) -> Report | WorkReport:
+        load = self._load(period)
+        if now() < subscription.work_until:
+            self._work_reports.value += 1
+            return WorkReport(load)
+        self._plain_reports.value += 1
+        return Report(load)
+
     def _load(self, period: float) -> LoadReport:
+        work_left = self._flows.work_left
         return LoadReport(
             in_progress=self._meter.in_progress,
             mean_in_progress=self._meter.mean(now()),
             flows=len(self._flows),
             responsive=self._liveness.responsive,
             period=period,
+            work_left=work_left.seconds(now()),
+            service_time=work_left.times.mean(now()),
         )
--- a/balsamspool/plugins/datagram_agent/terms.py
+++ b/balsamspool/plugins/datagram_agent/terms.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from balsamspool.datagram.messages import Terms
+from balsamspool.datagram.messages import NO_ROUTE, Terms
 from balsamspool.scheduling.terms import RequestTerms, ServerTerms
 
 # Maximum number of routes whose terms are kept; the one used longest ago is forgotten.
@@ -64,6 +64,8 @@
             time: Event loop time in seconds.
         """
         self._server = terms.server
+        if terms.endpoint == NO_ROUTE:
+            return
         route = self._get_or_create(terms.endpoint)
         route.request, route.received = terms.request, time
 
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -8,7 +8,6 @@
 from balsamspool.datagram.events import (
     FLOW_IGNORED,
     FLOW_MOVED,
-    FLOW_PLACED,
     FLOW_REJECTED,
     HOST_AVOIDED,
 )
@@ -20,6 +19,7 @@
     QueryTerms,
     Readers,
     Report,
+    WorkReport,
 )
 from balsamspool.datagram.packet import (
     Packet,
@@ -41,7 +41,7 @@
 from balsamspool.placement.load import GONE_PERIODS, LoadBoard
 from balsamspool.placement.opening import Choice, order_choices
 from balsamspool.placement.rendezvous import choose_target
-from balsamspool.plugins.catalog import CatalogPlugin, Route
+from balsamspool.plugins.catalog import CatalogPlugin
 from balsamspool.plugins.datagram_entry.decision_log import HOST_GONE, DecisionLog
 from balsamspool.plugins.datagram_entry.flow import EntryFlow
 from balsamspool.plugins.datagram_entry.forwarder import (
@@ -49,6 +49,7 @@
     PACKETS_HELP,
     Forwarder,
 )
+from balsamspool.plugins.datagram_entry.placed_log import log_placed
 from balsamspool.plugins.datagram_entry.search import FlowSearch
 from balsamspool.plugins.datagram_entry.subscriptions import (
     REMOTE_PERIOD_SECONDS,
@@ -148,15 +149,15 @@
             self._log,
             self._failure_domain,
         )
-        self._subscriptions = Subscriptions(
-            self._kernel, self._catalog, self._board, self._peer_socket
-        )
         self._terms = TermsDesk(
             self._catalog,
             self._peer_socket,
             self._peer_address[1],
             self._kernel.counters,
         )
+        self._subscriptions = Subscriptions(
+            self._kernel, self._catalog, self._board, self._peer_socket, self._terms
+        )
         self._peer_socket.start()
         self._caller_socket.start()
         self._kernel.supervise(self._subscriptions.run, "load subscriptions")
@@ -254,7 +255,8 @@
         self._placed.value += 1
         self._board.record_placed(choices[0].server.address)
         self._forwarder.forward(packet, flow.service, hosts, unconfirmed=True)
-        self._log_placed(key, route, choices)
+        version, state = self._catalog.view.version, self._catalog_state()
+        log_placed(key, route, choices, version, state)
 
     def _forward_copy(
         self, packet: Packet, flow: EntryFlow, service: int, choices: list[Choice]
@@ -337,7 +339,7 @@
 
     def _on_peer(self, data: bytes, sender: Address) -> None:
         match decode(data):
-            case Report(load):
+            case Report(load) | WorkReport(load):
                 if self._board.record(sender[0], load, now()):
                     HOST_AVOIDED.log(
                         _logger, address=sender[0], responsive=load.responsive
@@ -380,18 +382,3 @@
     def _is_of_another_service(self, agent: str, flow: EntryFlow) -> bool:
         listed = self._catalog.view.listed_at(agent)
         return any(service_number(s.service) != flow.service for s in listed)
-
-    def _log_placed(self, key: bytes, route: Route, choices: list[Choice]) -> None:
-        first = choices[0]
-        FLOW_PLACED.log(
-            _logger,
-            flow=flow_id(key),
-            route=route.name,
-            service=first.server.service,
-            server=first.server.name,
-            cost=round(first.cost, 2),
-            load_age=round(first.age, 3) if first.age is not None else None,
-            next=[f"{c.server.name}:{c.cost:.2f}" for c in choices[1:]],
-            catalog_version=self._catalog.view.version,
-            **self._catalog_state(),
-        )
--- a/balsamspool/plugins/datagram_entry/subscriptions.py
+++ b/balsamspool/plugins/datagram_entry/subscriptions.py
@@ -20,6 +20,7 @@
 from balsamspool.plugins.catalog import CatalogPlugin
 from balsamspool.plugins.catalog.revision import Revision
 from balsamspool.plugins.catalog.upstream import ReaderList
+from balsamspool.plugins.datagram_entry.terms import TermsDesk
 
 SUBSCRIBE_SECONDS = 1.0
 # Shortest time between two rounds. Catalog changes that follow each other within it
@@ -38,6 +39,9 @@
 # Period of reports of hosts in other failure domains. Their load only tells whether
 # another failure domain is less busy.
 REMOTE_PERIOD_SECONDS = 2.0
+# Number of rounds after which a host that sends no work report is told again that this
+# entry understands them. The first message may be lost, or the agent started again.
+INTRODUCTION_ROUNDS = 30
 # Time for which a host at which a flow is or was placed is asked for reports. It is the
 # longest life of a flow.
 FLOW_HOST_SECONDS = 60.0
@@ -52,6 +56,7 @@
         catalog: Published routes and backend servers.
         board: Latest load of each host.
         peers: Socket for messages to agents.
+        terms: Tells agents that this entry understands work reports.
     """
 
     __slots__ = (
@@ -65,6 +70,7 @@
         "_rng",
         "_round",
         "_subscribed",
+        "_terms",
     )
 
     def __init__(
@@ -73,12 +79,14 @@
         catalog: CatalogPlugin,
         board: LoadBoard,
         peers: BatchSocket,
+        terms: TermsDesk,
     ) -> None:
         self._kernel = kernel
         self._identity: Identity = kernel.identity
         self._catalog = catalog
         self._board = board
         self._peers = peers
+        self._terms = terms
         self._rng = kernel.new_random()
         self._changed = asyncio.Event()
         self._round = 0
@@ -131,15 +139,21 @@
         everyone = [*sorted(hosts.local), *sorted(hosts.remote)]
         intervals = max(1, math.ceil(len(everyone) / MAX_RENEWALS))
         due = {a for a in everyone if a not in self._subscribed}
+        introduced = set(due)
         if renew:
             self._round += 1
-            due.update(everyone[self._round % intervals :: intervals])
+            renewed = everyone[self._round % intervals :: intervals]
+            due.update(renewed)
+            if self._round // intervals % INTRODUCTION_ROUNDS == 0:
+                introduced.update(a for a in renewed if not self._board.has_work(a))
         self._subscribed = set(everyone)
         self._board.retain(self._subscribed)
         lease = LEASE_INTERVALS * SUBSCRIBE_SECONDS * intervals
         local_period = len(hosts.local) / LOCAL_REPORTS_PER_SECOND
         self._send_all(due & hosts.local, Subscribe(lease, local_period))
         self._send_all(due & hosts.remote, Subscribe(lease, REMOTE_PERIOD_SECONDS))
+        for address in sorted(introduced):
+            self._terms.introduce(address)
 
     def _reporting_hosts(self) -> ReportingHosts:
         limit = now() - FLOW_HOST_SECONDS
--- a/balsamspool/plugins/datagram_entry/terms.py
+++ b/balsamspool/plugins/datagram_entry/terms.py
@@ -3,7 +3,7 @@
 import socket
 
 from balsamspool.datagram._codec import encode_small
-from balsamspool.datagram.messages import QueryTerms, Terms
+from balsamspool.datagram.messages import NO_ROUTE, QueryTerms, Terms
 from balsamspool.datagram.packet import address_of, port_of
 from balsamspool.datagram.sockets import BatchSocket
 from balsamspool.kernel.clock import now
@@ -16,6 +16,8 @@
 NOTICE_SECONDS = 0.25
 # Maximum number of agents in each of the two generations of recent notices.
 MAX_NOTICES = 1_024
+# Terms of requests in messages that only tell of the backend server.
+_NO_REQUEST = RequestTerms(priority=0, goal=0.0, limit=0.0)
 
 TERMS = "balsamspool_datagram_terms"
 TERMS_HELP = "Terms of routes and backend servers that were sent to agents, by cause"
@@ -33,7 +35,15 @@
         counters: Counters of the process.
     """
 
-    __slots__ = ("_answered", "_catalog", "_notified", "_notices", "_peers", "_port")
+    __slots__ = (
+        "_answered",
+        "_catalog",
+        "_introduced",
+        "_notices",
+        "_notified",
+        "_peers",
+        "_port",
+    )
 
     def __init__(
         self,
@@ -49,6 +59,7 @@
         self._notices: RecentCache[float] = RecentCache(MAX_NOTICES)
         self._answered = counters.counter(TERMS, TERMS_HELP, "answer")
         self._notified = counters.counter(TERMS, TERMS_HELP, "notice")
+        self._introduced = counters.counter(TERMS, TERMS_HELP, "introduction")
 
     def answer(self, query: QueryTerms, agent: str) -> None:
         """Answer an agent, unless its route or its backend server is not known.
@@ -89,9 +100,28 @@
             self._notified.value += 1
             self._send(route, server)
 
+    def introduce(self, agent: str) -> None:
+        """Tell an agent the terms of its backend server, without those of a route.
+
+        The agent learns from it that this entry understands work reports. If several
+        backend servers are listed at its address, it is told with the terms of a route.
+
+        Args:
+            agent: IPv4 address of the agent.
+        """
+        listed = self._catalog.view.listed_at(agent)
+        if len(listed) == 1:
+            self._introduced.value += 1
+            self._send_terms(NO_ROUTE, _NO_REQUEST, listed[0])
+
     def _send(self, route: Route, server: BackendServer) -> None:
         endpoint = socket.inet_aton(route.address) + route.port.to_bytes(2, "big")
         request = RequestTerms(route.priority, route.goal, route.limit)
+        self._send_terms(endpoint, request, server)
+
+    def _send_terms(
+        self, endpoint: bytes, request: RequestTerms, server: BackendServer
+    ) -> None:
         terms = self._catalog.view.warmups.terms(server, now())
         message = Terms(endpoint, request, terms)
         self._peers.send((encode_small(message),), (server.address, self._port))
--- a/tests/test_datagram_fuzz.py
+++ b/tests/test_datagram_fuzz.py
@@ -18,6 +18,7 @@
     Readers,
     Report,
     Subscribe,
+    WorkReport,
 )
 from balsamspool.datagram.settings import DatagramAgentSettings
 from balsamspool.datagram.sockets import BatchSocket
@@ -65,6 +66,7 @@
             FlowEnded(KEY),
             Subscribe(3.5, 0.1),
             Report(IDLE),
+            WorkReport(IDLE),
             Announce(1, 5, True),
             Readers((b"\x0a\0\0\2",), 3, 5),
         ),
--- a/tests/test_datagram_terms.py
+++ b/tests/test_datagram_terms.py
@@ -80,6 +80,8 @@
 
 class EntryTermsTest(EntryCase):
     def query(self, agent):
+        # Terms that were sent before are not the answer.
+        self.peers.take()
         self.peers.receive(encode_small(QueryTerms(ENDPOINT)), (agent, 7720))
         return [m for m, _ in self.peers.take_messages() if isinstance(m, Terms)]
 
