--- a/balsamspool/commands/explanation_tables.py
+++ b/balsamspool/commands/explanation_tables.py
@@ -27,6 +27,9 @@
     "failure domain",
     "cost",
     "order cost",
+    "expected s",
+    "work left s",
+    "service time s",
     "slots",
     "in work",
     "mean work",
@@ -38,8 +41,16 @@
 )
 # Fields of a choice and of a report that have a column of their own, or that a reason
 # tells. Further fields get columns under their own names.
-_SHOWN_CHOICE = {"cost", "age", "avoided"}
-_SHOWN_REPORT = {"in_progress", "mean_in_progress", "flows", "responsive", "period"}
+_SHOWN_CHOICE = {"cost", "age", "avoided", "seconds", "work_left", "service_time"}
+_SHOWN_REPORT = {
+    "in_progress",
+    "mean_in_progress",
+    "flows",
+    "responsive",
+    "period",
+    "work_left",
+    "service_time",
+}
 
 
 def print_explanations(explanations: Sequence[Explanation]) -> None:
@@ -147,6 +158,9 @@
         host.failure_domain,
         None if choice is None else _number(choice.get("cost")),
         _number(host.order_cost),
+        None if choice is None else _number(choice.get("seconds")),
+        _number(report.get("work_left")),
+        _number(report.get("service_time")),
         host.slots,
         report.get("in_progress"),
         _number(report.get("mean_in_progress")),
--- a/balsamspool/plugins/datagram_entry/opening_log.py
+++ b/balsamspool/plugins/datagram_entry/opening_log.py
@@ -50,7 +50,10 @@
             service=first.server.service,
             server=first.server.name,
             cost=round(first.cost, 2),
-            load_age=round(first.age, 3) if first.age is not None else None,
+            expected=_rounded(first.seconds),
+            work_left=_rounded(first.work_left),
+            service_time=_rounded(first.service_time),
+            load_age=_rounded(first.age),
             next=[f"{c.server.name}:{c.cost:.2f}" for c in others],
             catalog_version=self._catalog.view.version,
             **self._catalog_state(),
@@ -80,5 +83,9 @@
         table, age = self._catalog.view.table, self._catalog.age
         return {
             "routes_version": table.version if table else None,
-            "age_seconds": None if age is None else round(age, 3),
+            "age_seconds": _rounded(age),
         }
+
+
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -18,6 +18,7 @@
     QueryTerms,
     Readers,
     Report,
+    WorkReport,
 )
 from balsamspool.datagram.packet import (
     Packet,
@@ -142,15 +143,15 @@
             self._failure_domain,
             SearchBudget(self._link_mbps, self._kernel.counters),
         )
-        self._subscriptions = Subscriptions(
-            self._kernel, self._catalog, self._board, self._peer_socket
-        )
         self._terms = TermsDesk(
             self._catalog,
             self._peer_socket,
             self._peer_address[1],
             self._kernel.counters,
         )
+        self._subscriptions = Subscriptions(
+            self._kernel, self._catalog, self._board, self._peer_socket, self._terms
+        )
         self._peer_socket.start()
         self._caller_socket.start()
         self._kernel.supervise(self._subscriptions.run, "load subscriptions")
@@ -309,7 +310,7 @@
 
     def _on_peer(self, data: bytes, sender: Address) -> None:
         match decode(data):
-            case Report(load):
+            case Report(load) | WorkReport(load):
                 if self._board.record(sender[0], load, now()):
                     HOST_AVOIDED.log(
                         _logger, address=sender[0], responsive=load.responsive
