Count flows that an entry placed at hosts before their first reports

Cause: flows placed since the latest report were counted only for hosts with a report. Change: they count for others too, for a second, because most hosts of other failure domains never report to an entry.

--- a/balsamspool/placement/load.py
+++ b/balsamspool/placement/load.py
@@ -17,6 +17,9 @@
 GONE_PERIODS = 2.5
 # Time for which the load of a whole service is kept. Hosts report about as often.
 SERVICE_LOAD_SECONDS = 0.1
+# Time for which flows count that were placed at a host that never reported. Most hosts
+# of other failure domains are never asked for reports.
+UNREPORTED_PLACED_SECONDS = 1.0
 
 
 class Addressed(Protocol):
@@ -50,6 +53,18 @@
     service_time: float = 0.0
 
 
+class PlacedFlows(Struct):
+    """Flows placed at a host that never reported.
+
+    Attributes:
+        since: Event loop time in seconds of the first of them.
+        count: Number of flows.
+    """
+
+    since: float
+    count: int = 0
+
+
 class HostLoad(Struct):
     """The latest report of one host and the number of flows placed there since.
 
@@ -84,12 +99,13 @@
 class LoadBoard:
     """Latest load of each host by the address of its agent."""
 
-    __slots__ = ("_hosts", "_last_received", "_service_loads")
+    __slots__ = ("_hosts", "_last_received", "_service_loads", "_unreported")
 
     def __init__(self) -> None:
         self._hosts: dict[str, HostLoad] = {}
         self._last_received = 0.0
         self._service_loads: dict[str, ServiceLoad] = {}
+        self._unreported: dict[str, PlacedFlows] = {}
 
     @property
     def empty(self) -> bool:
@@ -120,16 +136,43 @@
         """
         previous = self._hosts.get(address)
         self._hosts[address] = HostLoad(report, time)
+        self._unreported.pop(address, None)
         self._last_received = time
         if previous is None:
             return not report.responsive
         return previous.report.responsive != report.responsive
 
-    def record_placed(self, address: str) -> None:
-        """Count a flow that was placed at a host."""
+    def record_placed(self, address: str, time: float) -> None:
+        """Count a flow that was placed at a host.
+
+        Args:
+            address: Address of the agent.
+            time: Event loop time in seconds.
+        """
         load = self._hosts.get(address)
         if load is not None:
             load.placed += 1
+            return
+        placed = self._unreported.get(address)
+        if placed is None or not 0 <= time - placed.since < UNREPORTED_PLACED_SECONDS:
+            self._forget_placed(time)
+            placed = self._unreported[address] = PlacedFlows(time)
+        placed.count += 1
+
+    def placed_unreported(self, address: str, time: float) -> int:
+        """Return the flows that were placed lately at a host that never reported.
+
+        Without them, an entry that has just started would place each flow as if it were
+        the first one.
+
+        Args:
+            address: Address of the agent.
+            time: Event loop time in seconds.
+        """
+        placed = self._unreported.get(address)
+        if placed is None or not 0 <= time - placed.since < UNREPORTED_PLACED_SECONDS:
+            return 0
+        return placed.count
 
     def load(self, address: str) -> HostLoad | None:
         """Return the latest load of a host, None if it never reported."""
@@ -197,6 +240,13 @@
         limit = max(GONE_SECONDS, GONE_PERIODS * load.report.period)
         return self._last_received - load.received > limit
 
+    def _forget_placed(self, time: float) -> None:
+        self._unreported = {
+            address: placed
+            for address, placed in self._unreported.items()
+            if 0 <= time - placed.since < UNREPORTED_PLACED_SECONDS
+        }
+
     def _compute_service_load(
         self,
         servers: Mapping[str, Sequence[Addressed]],
--- a/balsamspool/placement/opening.py
+++ b/balsamspool/placement/opening.py
@@ -136,10 +136,12 @@
     load = board.load(server.address)
     age = None if load is None else time - load.received
     if service_load.service_time <= 0:
-        cost = _cost(server, _requests(load, service_load))
+        placed = board.placed_unreported(server.address, time)
+        cost = _cost(server, _requests(load, service_load, placed))
         return Choice(server, cost, age, avoided)
     service_time = _service_time(server, load, service_load)
-    wait = _wait(server, load, service_load, service_time, time)
+    placed = board.placed_unreported(server.address, time)
+    wait = _wait(server, load, service_load, service_time, placed, time)
     seconds = wait + service_time
     return Choice(
         server,
@@ -152,10 +154,10 @@
     )
 
 
-def _requests(load: HostLoad | None, service_load: ServiceLoad) -> float:
+def _requests(load: HostLoad | None, service_load: ServiceLoad, placed: int) -> float:
     """Return the number of requests that a new flow is expected to meet."""
     if load is None:
-        return service_load.remote_work
+        return service_load.remote_work + WORK_PER_PLACED_FLOW * placed
     work = CURRENT_WEIGHT * load.report.in_progress
     work += (1 - CURRENT_WEIGHT) * _sustained(load.report, service_load)
     return work + WORK_PER_PLACED_FLOW * load.placed
@@ -192,15 +194,16 @@
     load: HostLoad | None,
     service_load: ServiceLoad,
     service_time: float,
+    placed: int,
     time: float,
 ) -> float:
     """Return the expected seconds until a new request begins at a backend server."""
     each = service_time / max(1, server.slots)
     if load is None:
-        return service_load.remote_work * each
+        return _requests(load, service_load, placed) * each
     report = load.report
     if report.work_left is None or report.service_time <= 0:
-        return _requests(load, service_load) * each
+        return _requests(load, service_load, placed) * each
     current = max(0.0, report.work_left - max(0.0, time - load.received))
     sustained = _sustained(report, service_load) * each
     wait = CURRENT_WEIGHT * current + (1 - CURRENT_WEIGHT) * sustained
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -250,7 +250,7 @@
         flow = EntryFlow(number, hosts)
         self._flows.put(key, flow)
         self._log.reopened(key)
-        self._board.record_placed(choices[0].server.address)
+        self._board.record_placed(choices[0].server.address, now())
         self._forwarder.forward(packet, flow.service, hosts, unconfirmed=True)
         self._opening_log.placed(key, place)
 
--- a/tests/placing_model.py
+++ b/tests/placing_model.py
@@ -227,7 +227,7 @@
                 return self.place_rng.choice(self.hosts)
         board = self.boards[entry]
         choices = order_choices(key, "portal", self.servers, board, time, "a")
-        board.record_placed(choices[0].server.address)
+        board.record_placed(choices[0].server.address, time)
         return self.by_address[choices[0].server.address]
 
     def two_cost(self, entry, host):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -75,10 +75,30 @@
         counts = Counter()
         for key in KEYS[:70]:
             first = self.first(key, board)
-            board.record_placed(first.address)
+            board.record_placed(first.address, 0.0)
             counts[first.name] += 1
         self.assertLessEqual(max(counts.values()) - min(counts.values()), 4)
 
+    def test_flows_placed_before_the_first_reports_are_spread(self):
+        """Guards against an entry that fills a few hosts right after its start."""
+        counts = Counter()
+        board = LoadBoard()
+        for key in KEYS[:70]:
+            first = self.first(key, board)
+            board.record_placed(first.address, 10.0)
+            counts[first.name] += 1
+        self.assertLessEqual(max(counts.values()) - min(counts.values()), 4)
+
+    def test_flows_placed_without_reports_are_forgotten(self):
+        """Guards against hosts that are avoided for flows of long ago."""
+        board = LoadBoard()
+        for _ in range(5):
+            board.record_placed("10.0.0.1", 0.0)
+        self.assertEqual(board.placed_unreported("10.0.0.1", 0.5), 5)
+        self.assertEqual(board.placed_unreported("10.0.0.1", 1.5), 0)
+        board.record_placed("10.0.0.2", 1.5)
+        self.assertEqual(set(board._unreported), {"10.0.0.2"})
+
     def test_a_new_host_with_many_flows_does_not_count_as_idle(self):
         """Guards against a replacement host that gets all flows until it is slow."""
         loads = [report(in_progress=0, mean=0.0, flows=40)]
