--- a/balsamspool/datagram/_codec.py
+++ b/balsamspool/datagram/_codec.py
@@ -1,5 +1,6 @@
 """Binary layout of the messages between entries and agents."""
 
+import math
 import struct
 
 from xxhash import xxh32_intdigest
@@ -11,17 +12,22 @@
     Forward,
     Message,
     PacketReturned,
+    QueryTerms,
     Readers,
     Report,
     SmallMessage,
     Subscribe,
+    Terms,
+    WorkReport,
 )
 from balsamspool.placement.load import LoadReport
+from balsamspool.scheduling.terms import RequestTerms, ServerTerms
 
 LAYOUT_VERSION = 1
 
 _FORWARD, _LOCATED, _ENDED, _RETURNED = range(1, 5)
 _SUBSCRIBE, _REPORT, _ANNOUNCE, _READERS = range(5, 9)
+_QUERY_TERMS, _TERMS, _WORK_REPORT = range(9, 12)
 # Fields: layout, kind, hops, flags, number of alternatives, service, origin.
 _FORWARD_HEAD = struct.Struct("!BBBBBI4s")
 _FLOW = struct.Struct("!BB12s")
@@ -33,14 +39,27 @@
 # Fields: layout, kind, responsive, requests in progress, mean number of requests in
 # progress in 1/256, flows, period in ms.
 _LOAD = struct.Struct("!BBBHIHH")
+# Fields: layout, kind, responsive, requests in progress, mean number of requests in
+# progress in 1/64, flows, period in ms, work left in ms, service time in 1/4 ms.
+_WORK = struct.Struct("!BBBHHHHHH")
 # Fields: layout, kind, whether the entry reaches the service, failure domain, revision.
 _ANNOUNCEMENT = struct.Struct("!BBBIQ")
 # Fields: layout, kind, number of readers, entries, newest revision.
 _READERS_HEAD = struct.Struct("!BBBHQ")
 
+# Fields: layout, kind, endpoint of the route.
+_TERMS_QUERY = struct.Struct("!BB6s")
+# Fields: layout, kind, endpoint of the route, priority, latency objective in ms, limit
+# in ms, slots, warm-up in ms, new flows in 1/256 a second.
+_TERMS_CONTENT = struct.Struct("!BB6sBIIHII")
+
 _UNCONFIRMED, _SKIPPED, _UNSURE = 1, 2, 4
 
 _MEAN_UNIT = 256
+_WORK_MEAN_UNIT = 64
+_SERVICE_TIME_UNIT = 4_000
+_RATE_UNIT = 256
+_MAX_OCTET = 0xFF
 _MAX_SHORT = 0xFFFF
 _MAX_LONG = 0xFFFFFFFF
 
@@ -101,6 +120,8 @@
                 min(load.flows, _MAX_SHORT),
                 min(int(load.period * 1000), _MAX_SHORT),
             )
+        case WorkReport(load):
+            return _encode_work_report(load)
         case Announce(failure_domain, revision, reaches_service):
             return _ANNOUNCEMENT.pack(
                 LAYOUT_VERSION, _ANNOUNCE, reaches_service, failure_domain, revision
@@ -114,6 +135,34 @@
                 newest_revision,
             )
             return head + b"".join(readers)
+        case QueryTerms(endpoint):
+            return _TERMS_QUERY.pack(LAYOUT_VERSION, _QUERY_TERMS, endpoint)
+        case Terms(endpoint, request, server):
+            return _TERMS_CONTENT.pack(
+                LAYOUT_VERSION,
+                _TERMS,
+                endpoint,
+                min(request.priority, _MAX_OCTET),
+                min(int(request.goal * 1000), _MAX_LONG),
+                min(int(request.limit * 1000), _MAX_LONG),
+                min(server.slots, _MAX_SHORT),
+                min(int(server.warmup * 1000), _MAX_LONG),
+                min(int(server.flows_per_second * _RATE_UNIT), _MAX_LONG),
+            )
+
+
+def _encode_work_report(load: LoadReport) -> bytes:
+    return _WORK.pack(
+        LAYOUT_VERSION,
+        _WORK_REPORT,
+        load.responsive,
+        min(load.in_progress, _MAX_SHORT),
+        min(int(load.mean_in_progress * _WORK_MEAN_UNIT), _MAX_SHORT),
+        min(load.flows, _MAX_SHORT),
+        min(int(load.period * 1000), _MAX_SHORT),
+        min(round((load.work_left or 0.0) * 1000), _MAX_SHORT),
+        min(math.ceil(load.service_time * _SERVICE_TIME_UNIT), _MAX_SHORT),
+    )
 
 
 def decode(data: bytes) -> Message | None:
@@ -159,6 +208,12 @@
             return Announce(domain, revision, bool(reaches))
         case 8:
             return _decode_readers(data)
+        case 9:
+            return QueryTerms(_TERMS_QUERY.unpack(data)[2])
+        case 10:
+            return _decode_terms(data)
+        case 11:
+            return _decode_work_report(data)
         case _:
             return None
 
@@ -197,5 +252,30 @@
     return Readers(readers, entries, newest_revision)
 
 
+def _decode_terms(data: bytes) -> Terms:
+    _, _, endpoint, priority, goal, limit, slots, warmup, rate = _TERMS_CONTENT.unpack(
+        data
+    )
+    request = RequestTerms(priority, goal / 1000, limit / 1000)
+    server = ServerTerms(max(1, slots), warmup / 1000, rate / _RATE_UNIT)
+    return Terms(endpoint, request, server)
+
+
+def _decode_work_report(data: bytes) -> WorkReport:
+    _, _, responsive, in_progress, mean, flows, period, left, service = _WORK.unpack(
+        data
+    )
+    load = LoadReport(
+        in_progress,
+        mean / _WORK_MEAN_UNIT,
+        flows,
+        bool(responsive),
+        period / 1000,
+        left / 1000,
+        service / _SERVICE_TIME_UNIT,
+    )
+    return WorkReport(load)
+
+
 def _decode_addresses(data: bytes, start: int, end: int) -> tuple[bytes, ...]:
     return tuple(data[i : i + 4] for i in range(start, end, 4))
--- a/balsamspool/datagram/messages.py
+++ b/balsamspool/datagram/messages.py
@@ -3,9 +3,12 @@
 from msgspec import Struct
 
 from balsamspool.placement.load import LoadReport
+from balsamspool.scheduling.terms import RequestTerms, ServerTerms
 
 # Service number in messages whose packet may belong to any service.
 ANY_SERVICE = 0
+# Endpoint in terms that only tell of the backend server.
+NO_ROUTE = bytes(6)
 
 
 class Forward(Struct):
@@ -84,7 +87,19 @@
 
 
 class Report(Struct, frozen=True):
-    """Load of the sender's backend server.
+    """Load of the sender's backend server, without its work left.
+
+    Attributes:
+        load: The load.
+    """
+
+    load: LoadReport
+
+
+class WorkReport(Struct, frozen=True):
+    """Load and work left of the sender's backend server.
+
+    It replaces `Report` for an entry that sent `Terms`. An older entry ignores it.
 
     Attributes:
         load: The load.
@@ -123,5 +138,42 @@
     newest_revision: int
 
 
-SmallMessage = FlowLocated | FlowEnded | Subscribe | Report | Announce | Readers
+class QueryTerms(Struct, frozen=True):
+    """An agent asks the entry of an opening for the terms of its route.
+
+    Attributes:
+        endpoint: Address and port of the route, 6 octets.
+    """
+
+    endpoint: bytes
+
+
+class Terms(Struct, frozen=True):
+    """What an agent has to know of a route and of its own backend server.
+
+    Agents don't read the catalog; the entries that place flows at them tell them what
+    they need.
+
+    Attributes:
+        endpoint: Address and port of the route, 6 octets, or ``NO_ROUTE``.
+        request: Terms of the requests of the route.
+        server: Terms of the backend server.
+    """
+
+    endpoint: bytes
+    request: RequestTerms
+    server: ServerTerms
+
+
+SmallMessage = (
+    FlowLocated
+    | FlowEnded
+    | Subscribe
+    | Report
+    | WorkReport
+    | Announce
+    | Readers
+    | QueryTerms
+    | Terms
+)
 Message = Forward | PacketReturned | SmallMessage
--- a/balsamspool/datagram/packet.py
+++ b/balsamspool/datagram/packet.py
@@ -22,6 +22,7 @@
         returned: Whether a backend server returned the packet because it does not hold
             the flow.
         attempt: Number of earlier copies of an opening packet.
+        sequence: Sequence number of the first octet of data.
         acknowledged: Acknowledged sequence number.
         length: Octets of data.
         tag: Four octets set by the agent. A backend server that returns the packet
@@ -37,6 +38,7 @@
     resets: bool
     returned: bool
     attempt: int
+    sequence: int
     acknowledged: int
     length: int
     tag: bytes
@@ -98,6 +100,11 @@
     return int.from_bytes(endpoint[4:6], "big")
 
 
+def endpoint_of(address: str, port: int) -> bytes:
+    """Return the endpoint of an IPv4 address in dotted form and a port."""
+    return socket.inet_aton(address) + port.to_bytes(2, "big")
+
+
 def service_endpoint(packet: Packet) -> tuple[str, int]:
     """Return address and port of the route to which a caller sent a packet."""
     return address_of(packet.destination), port_of(packet.destination)
--- a/balsamspool/placement/load.py
+++ b/balsamspool/placement/load.py
@@ -1,6 +1,7 @@
 """Load of the backend servers, as their agents report it."""
 
 from collections.abc import Mapping, Sequence
+from copy import copy
 from typing import Protocol
 
 from msgspec import Struct
@@ -16,6 +17,9 @@
 GONE_PERIODS = 2.5
 # Time for which the load of a whole service is kept. Hosts report about as often.
 SERVICE_LOAD_SECONDS = 0.1
+# Time for which flows count that were placed at a host that never reported. Most hosts
+# of other failure domains are never asked for reports.
+UNREPORTED_PLACED_SECONDS = 1.0
 
 
 class Addressed(Protocol):
@@ -35,6 +39,9 @@
         flows: Open flows.
         responsive: Whether the backend server answers.
         period: Seconds until the next report.
+        work_left: Expected seconds until a new request would begin, None if the agent
+            does not tell.
+        service_time: Expected seconds of a request of the recent mix, 0 if not known.
     """
 
     in_progress: int
@@ -42,6 +49,20 @@
     flows: int
     responsive: bool
     period: float
+    work_left: float | None = None
+    service_time: float = 0.0
+
+
+class PlacedFlows(Struct):
+    """Flows placed at a host that never reported.
+
+    Attributes:
+        since: Event loop time in seconds of the first of them.
+        count: Number of flows.
+    """
+
+    since: float
+    count: int = 0
 
 
 class HostLoad(Struct):
@@ -65,29 +86,43 @@
         work_per_flow: Mean number of requests in progress per open flow.
         remote_work: Mean number of requests in progress of a host in another failure
             domain, or of any host if none of them reports.
+        service_time: Mean of the known service times in seconds, 0 if none is known.
         computed: Event loop time in seconds at which the load was computed.
     """
 
     work_per_flow: float
     remote_work: float
+    service_time: float
     computed: float
 
 
 class LoadBoard:
     """Latest load of each host by the address of its agent."""
 
-    __slots__ = ("_hosts", "_last_received", "_service_loads")
+    __slots__ = ("_hosts", "_last_received", "_service_loads", "_unreported")
 
     def __init__(self) -> None:
         self._hosts: dict[str, HostLoad] = {}
         self._last_received = 0.0
         self._service_loads: dict[str, ServiceLoad] = {}
+        self._unreported: dict[str, PlacedFlows] = {}
 
     @property
     def empty(self) -> bool:
         """Whether no host has reported yet."""
         return not self._hosts
 
+    def copy(self) -> "LoadBoard":
+        """Return a board of the same loads that caches its own sums.
+
+        Reading the copy changes nothing here. It must not be recorded into, because the
+        loads are shared.
+        """
+        board = LoadBoard()
+        for name in self.__slots__:
+            setattr(board, name, copy(getattr(self, name)))
+        return board
+
     def record(self, address: str, report: LoadReport, time: float) -> bool:
         """Record a report.
 
@@ -101,21 +136,53 @@
         """
         previous = self._hosts.get(address)
         self._hosts[address] = HostLoad(report, time)
+        self._unreported.pop(address, None)
         self._last_received = time
         if previous is None:
             return not report.responsive
         return previous.report.responsive != report.responsive
 
-    def record_placed(self, address: str) -> None:
-        """Count a flow that was placed at a host."""
+    def record_placed(self, address: str, time: float) -> None:
+        """Count a flow that was placed at a host.
+
+        Args:
+            address: Address of the agent.
+            time: Event loop time in seconds.
+        """
         load = self._hosts.get(address)
         if load is not None:
             load.placed += 1
+            return
+        placed = self._unreported.get(address)
+        if placed is None or not 0 <= time - placed.since < UNREPORTED_PLACED_SECONDS:
+            self._forget_placed(time)
+            placed = self._unreported[address] = PlacedFlows(time)
+        placed.count += 1
+
+    def placed_unreported(self, address: str, time: float) -> int:
+        """Return the flows that were placed lately at a host that never reported.
+
+        Without them, an entry that has just started would place each flow as if it were
+        the first one.
+
+        Args:
+            address: Address of the agent.
+            time: Event loop time in seconds.
+        """
+        placed = self._unreported.get(address)
+        if placed is None or not 0 <= time - placed.since < UNREPORTED_PLACED_SECONDS:
+            return 0
+        return placed.count
 
     def load(self, address: str) -> HostLoad | None:
         """Return the latest load of a host, None if it never reported."""
         return self._hosts.get(address)
 
+    def has_work(self, address: str) -> bool:
+        """Return whether the latest report of a host tells its work left."""
+        load = self._hosts.get(address)
+        return load is not None and load.report.work_left is not None
+
     def service_load(
         self,
         service: str,
@@ -173,6 +240,13 @@
         limit = max(GONE_SECONDS, GONE_PERIODS * load.report.period)
         return self._last_received - load.received > limit
 
+    def _forget_placed(self, time: float) -> None:
+        self._unreported = {
+            address: placed
+            for address, placed in self._unreported.items()
+            if 0 <= time - placed.since < UNREPORTED_PLACED_SECONDS
+        }
+
     def _compute_service_load(
         self,
         servers: Mapping[str, Sequence[Addressed]],
@@ -191,6 +265,7 @@
         return ServiceLoad(
             work_per_flow=len(reports) * _mean_work(reports) / max(1, flows),
             remote_work=_mean_work(remote or reports),
+            service_time=_mean_service_time(reports),
             computed=time,
         )
 
@@ -208,3 +283,8 @@
     if not reports:
         return 0.0
     return sum(report.mean_in_progress for report in reports) / len(reports)
+
+
+def _mean_service_time(reports: Sequence[LoadReport]) -> float:
+    known = [report.service_time for report in reports if report.service_time > 0]
+    return sum(known) / len(known) if known else 0.0
--- a/balsamspool/plugins/catalog/events.py
+++ b/balsamspool/plugins/catalog/events.py
@@ -126,3 +126,55 @@
     "their flows have ended, unknown flows are searched for at the hosts of all "
     "services.",
 )
+DOMAIN_CORDONED = log_event(
+    2323,
+    "failure-domain-cordoned",
+    logging.WARNING,
+    "A failure domain was taken out of service; its hosts get no new flows.",
+)
+DOMAIN_UNCORDONED = log_event(
+    2324,
+    "failure-domain-uncordoned",
+    logging.WARNING,
+    "A failure domain is back in service.",
+)
+DOMAIN_UNCORDON_DELAYED = log_event(
+    2325,
+    "failure-domain-uncordon-delayed",
+    logging.WARNING,
+    "The restored catalog no longer lists a failure domain as out of service; it stays "
+    "out for about 2 s because its record may be written again.",
+)
+DOMAIN_UNKNOWN = log_event(
+    2326,
+    "failure-domain-unknown",
+    logging.WARNING,
+    "A failure domain without a backend server was taken out of service.",
+)
+CORDON_IGNORED = log_event(
+    2327,
+    "cordon-ignored",
+    logging.ERROR,
+    "Too many failure domains are out of service; another one is ignored.",
+)
+SERVICE_LEFT_OUT = log_event(
+    2328,
+    "service-left-out",
+    logging.WARNING,
+    "The warm-up of a service cannot be read; its backend servers have no limit.",
+)
+FLEET_RESTARTED = log_event(
+    2329,
+    "fleet-restarted",
+    logging.WARNING,
+    "All backend servers have just started, so none that is not listed holds a flow; "
+    "unknown flows are reset without waiting for entries that may be listed again.",
+)
+FLEET_RESTART_UNPROVEN = log_event(
+    2330,
+    "fleet-restart-unproven",
+    logging.INFO,
+    "Entries were removed without a known reason, and it is not certain that all "
+    "backend servers have just started; unknown flows wait until entries are listed "
+    "again.",
+)
--- a/balsamspool/plugins/catalog/model.py
+++ b/balsamspool/plugins/catalog/model.py
@@ -17,6 +17,7 @@
 Priority = Annotated[int, Meta(ge=0, le=1_000_000)]
 Version = Annotated[int, Meta(ge=0, le=(1 << 63) - 1)]
 Milliseconds = Annotated[float, Meta(ge=0, le=86_400_000)]
+Rate = Annotated[float, Meta(ge=0, le=1_000_000)]
 # Up to the year 2100: a backend server that claims a later start would replace any
 # other one at its address.
 UnixMilliseconds = Annotated[int, Meta(ge=0, le=4_102_444_800_000)]
@@ -61,6 +62,8 @@
         kind: Kind of the requests.
         goal: Latency objective of a request in seconds.
         priority: Priority, 0 is the highest.
+        limit: Seconds after which the caller of a request no longer waits for it, 0 if
+            it is not known.
     """
 
     name: str
@@ -70,6 +73,21 @@
     kind: RouteKind = RouteKind.SAFE
     goal: float = 1.0
     priority: Priority = 0
+    limit: float = 0.0
+
+
+class SlowStart(Struct, frozen=True):
+    """How many new flows the backend servers of a service bear while they warm up.
+
+    Attributes:
+        service: Name of the service.
+        seconds: Duration of the warm-up after a start in seconds.
+        flows_per_second: New flows a second that one backend server bears.
+    """
+
+    service: Label
+    seconds: float
+    flows_per_second: float
 
 
 class RouteTable(Struct, frozen=True):
@@ -79,11 +97,14 @@
         version: Version of the table; a higher one is newer.
         routes: The routes.
         idle_seconds: Idle time after which the state of a flow may be deleted.
+        slow_starts: Services whose backend servers bear few new flows while they warm
+            up.
     """
 
     version: Version
     routes: tuple[Route, ...]
     idle_seconds: float
+    slow_starts: tuple[SlowStart, ...] = ()
 
 
 class BackendServer(Struct, frozen=True):
@@ -153,6 +174,32 @@
     name: str
 
 
+class DomainCordoned(Struct, frozen=True, tag=True):
+    """The operator took a failure domain out of service.
+
+    Its backend servers keep their flows and get no new ones.
+
+    Attributes:
+        revision: Revision of the record.
+        failure_domain: Name of the failure domain.
+    """
+
+    revision: Revision
+    failure_domain: Label
+
+
+class DomainUncordoned(Struct, frozen=True, tag=True):
+    """The operator took a failure domain back into service.
+
+    Attributes:
+        revision: Revision of the change.
+        failure_domain: Name of the failure domain.
+    """
+
+    revision: Revision
+    failure_domain: Label
+
+
 class RecordIgnored(Struct, frozen=True, tag=True):
     """A record that cannot be used.
 
@@ -167,7 +214,14 @@
     detail: str
 
 
-Record = RoutesPublished | ServerPublished | ServerRemoved | RecordIgnored
+Record = (
+    RoutesPublished
+    | ServerPublished
+    | ServerRemoved
+    | DomainCordoned
+    | DomainUncordoned
+    | RecordIgnored
+)
 
 
 class Snapshot(Struct, frozen=True):
@@ -181,6 +235,23 @@
     revision: Revision
     records: tuple[Record, ...]
 
+    @property
+    def server_names(self) -> set[str]:
+        """Names of the backend servers, also of those whose record cannot be used."""
+        names = set()
+        for record in self.records:
+            match record:
+                case ServerPublished(_, server):
+                    names.add(server.name)
+                case RecordIgnored(_, name, _):
+                    names.add(name)
+        return names
+
+    @property
+    def cordoned_domains(self) -> set[str]:
+        """Names of the failure domains that are out of service."""
+        return {r.failure_domain for r in self.records if isinstance(r, DomainCordoned)}
+
 
 class Changes(Struct, frozen=True):
     """Records that changed after a revision.
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable, Collection, Sequence
 
 from balsamspool.datagram.settings import FLOW_LIFE_SECONDS
+from balsamspool.kernel.counters import CounterSet
 from balsamspool.plugins.catalog.address_index import AddressIndex
+from balsamspool.plugins.catalog.cordons import Cordons
 from balsamspool.plugins.catalog.events import (
     RECORD_IGNORED,
     SERVER_CHANGED,
@@ -12,9 +14,12 @@
     SERVER_REMOVED,
     SERVER_REPORT_OUTDATED,
 )
+from balsamspool.plugins.catalog.fleet_restart import FleetState, Listing
 from balsamspool.plugins.catalog.model import (
     BackendServer,
     BackendState,
+    DomainCordoned,
+    DomainUncordoned,
     Record,
     RecordIgnored,
     Route,
@@ -24,55 +29,57 @@
     ServerRemoved,
     Snapshot,
 )
-from balsamspool.plugins.catalog.removals import DelayedRemoval, RemovedServer
+from balsamspool.plugins.catalog.removals import (
+    RELISTING_SECONDS,
+    DelayedRemovals,
+    RemovedServer,
+    RemovedServers,
+)
 from balsamspool.plugins.catalog.report_order import is_newer_report, is_older_report
 from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
 from balsamspool.plugins.catalog.route_history import RouteHistory
 from balsamspool.plugins.catalog.server_index import ServerIndex
+from balsamspool.plugins.catalog.warmups import Warmups
 
 _logger = logging.getLogger(__name__)
 
-# Delay before a backend server is removed whose catalog entry may have expired in an
-# outage of the publishing service. Listing it again takes about 2 s after the outage.
-RELISTING_SECONDS = 2.2
-# Time after the end of an outage within which removals are attributed to the outage.
-OUTAGE_EFFECT_SECONDS = 4.0
-# If at least this share of the backend servers of a service is removed within
-# RELISTING_SECONDS, their catalog entries are assumed to have expired in an outage.
-MASS_REMOVAL_SHARE = 0.5
-
 
 class CatalogView:
     """Routes and backend servers, each at its newest known revision.
 
     Args:
         flow_life: Longest life of a flow in seconds.
+        counters: Counters of the process, None to count for nobody.
     """
 
     __slots__ = (
         "_addresses",
-        "_recently_removed",
-        "_delayed_removals",
+        "_cordons",
+        "_delayed",
         "_index",
-        "_outage_end",
-        "_removed_hosts",
+        "_removed",
         "_revisions",
         "_routes",
         "_servers",
         "_subscribers",
         "_version",
+        "_warmups",
     )
 
-    def __init__(self, flow_life: float = FLOW_LIFE_SECONDS) -> None:
+    def __init__(
+        self,
+        flow_life: float = FLOW_LIFE_SECONDS,
+        counters: CounterSet | None = None,
+    ) -> None:
         self._routes = RouteHistory(flow_life)
         self._servers: dict[str, BackendServer] = {}
         self._addresses = AddressIndex(self._servers, self._routes.is_routed)
-        self._index = ServerIndex(self._servers, self._addresses)
+        self._cordons = Cordons(counters or CounterSet())
+        self._index = ServerIndex(self._servers, self._addresses, self._cordons)
+        self._warmups = Warmups(self._cordons)
         self._revisions: dict[str, Revision] = {}
-        self._delayed_removals: dict[str, DelayedRemoval] = {}
-        self._recently_removed: dict[str, RemovedServer] = {}
-        self._outage_end: float | None = None
-        self._removed_hosts: dict[str, RemovedServer] | None = None
+        self._delayed = DelayedRemovals()
+        self._removed = RemovedServers()
         self._version = 0
         self._subscribers: list[Callable[[], None]] = []
 
@@ -91,28 +98,28 @@
         """All listed backend servers."""
         return list(self._servers.values())
 
+    @property
+    def cordons(self) -> Cordons:
+        """Failure domains that are out of service."""
+        return self._cordons
+
+    @property
+    def warmups(self) -> Warmups:
+        """How long the listed backend servers still warm up."""
+        return self._warmups
+
     @property
     def recently_removed(self) -> list[BackendServer]:
         """Backend servers that were removed a short time ago."""
-        return [removed.server for removed in self._recently_removed.values()]
+        return [removed.server for removed in self._removed.all]
 
     def listed_at(self, address: str) -> list[BackendServer]:
         """Return the backend servers that are listed at an address."""
         return self._addresses.at(address)
 
     def removed_hosts(self) -> dict[str, RemovedServer]:
-        """Return the last backend server of each address that lists none any more.
-
-        A server at another port of the address is another program of the instance.
-        """
-        if self._removed_hosts is None:
-            listed = {(s.address, s.port) for s in self._servers.values()}
-            self._removed_hosts = {
-                removed.server.address: removed
-                for removed in self._recently_removed.values()
-                if (removed.server.address, removed.server.port) not in listed
-            }
-        return self._removed_hosts
+        """Return the last backend server of each address that lists none any more."""
+        return self._removed.hosts(self._servers.values())
 
     def route(self, address: str, port: int) -> Route | None:
         """Return the route at an address, or None."""
@@ -156,7 +163,10 @@
         return self._index.ready(service)
 
     def ready_by_domain(self, service: str) -> dict[str, list[BackendServer]]:
-        """Return the backend servers that accept new flows, by failure domain."""
+        """Return the backend servers that accept new flows, by failure domain.
+
+        Failure domains that are out of service are left out.
+        """
         return self._index.ready_by_domain(service)
 
     def listed(self, service: str) -> tuple[BackendServer, ...]:
@@ -164,26 +174,14 @@
         return self._index.listed(service)
 
     def recently_removed_from(self, service: str) -> tuple[RemovedServer, ...]:
-        """Return the backend servers of a service that were removed a short time ago.
-
-        The entry of a backend server expires if the server cannot reach the publishing
-        service. Such a server still holds its flows.
-        """
-        return tuple(
-            removed
-            for removed in self._recently_removed.values()
-            if removed.server.service == service
-        )
+        """Return the backend servers of a service that were removed lately."""
+        return self._removed.of(service)
 
     def recently_removed_except(
         self, services: Collection[str]
     ) -> tuple[RemovedServer, ...]:
         """Return the backend servers of other services that were removed lately."""
-        return tuple(
-            removed
-            for removed in self._recently_removed.values()
-            if removed.server.service not in services
-        )
+        return self._removed.except_of(services)
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call a function after each change of routes or backend servers."""
@@ -192,7 +190,7 @@
     @property
     def has_delayed_removals(self) -> bool:
         """Whether the removal of any backend server is delayed."""
-        return bool(self._delayed_removals)
+        return bool(self._delayed.names)
 
     def seconds_until_removals(self, time: float) -> float:
         """Return the seconds until all delayed removals have taken effect.
@@ -200,13 +198,26 @@
         Args:
             time: Event loop time in seconds.
         """
-        ends = [delayed.until for delayed in self._delayed_removals.values()]
-        return max(0.0, max(ends, default=time) - time)
+        return self._delayed.seconds_left(time)
+
+    def fleet_state(self, time: float) -> FleetState:
+        """Return the listed and removed backend servers, to judge their restart.
+
+        Args:
+            time: Event loop time in seconds.
+        """
+        delayed = [RemovedServer(self._servers[n], time) for n in self._delayed.names]
+        listed = (s for n, s in self._servers.items() if n not in self._delayed.names)
+        return FleetState(
+            tuple(Listing(s, self._addresses.created(s)) for s in listed),
+            (*self._removed.all, *delayed),
+            self._routes.services,
+            self._cordons.any_ended,
+        )
 
     def record_outage(self, time: float) -> None:
         """Record that the publishing service did not answer at a time in seconds."""
-        if self._outage_end is None or time > self._outage_end:
-            self._outage_end = time
+        self._delayed.record_outage(time)
 
     def learn_history(self, records: Sequence[Record]) -> None:
         """Learn earlier route tables from records before the first read."""
@@ -221,8 +232,9 @@
             all_tables: Whether no route table before the record is missing.
         """
         match record:
-            case RoutesPublished():
+            case RoutesPublished(_, table):
                 if self._routes.apply(record, time, all_tables):
+                    self._warmups.record_table(table)
                     self._on_change()
             case ServerPublished(revision, server, created) if self._is_new(
                 server.name, revision
@@ -235,6 +247,13 @@
                     self._apply_server(server, revision, created, time)
             case ServerRemoved(revision, name) if self._is_new(name, revision):
                 self._remove_or_delay(name, revision, time)
+            case DomainCordoned(revision, domain):
+                known = {s.failure_domain for s in self._servers.values()}
+                if self._cordons.add(domain, revision, known, time):
+                    self._on_change()
+            case DomainUncordoned(revision, domain):
+                if self._cordons.remove(domain, revision, time):
+                    self._on_change()
             case RecordIgnored(revision, name, detail) if self._is_new(name, revision):
                 RECORD_IGNORED.log(_logger, name=name, revision=revision, detail=detail)
                 self._remove_or_delay(name, revision, time)
@@ -246,19 +265,17 @@
             snapshot: All records.
             time: Event loop time in seconds.
         """
-        listed = set()
-        for record in snapshot.records:
-            match record:
-                case ServerPublished(_, server):
-                    listed.add(server.name)
-                case RecordIgnored(_, name, _):
-                    listed.add(name)
+        # The backend servers of a failure domain are applied before its cordon.
+        for record in sorted(snapshot.records, key=_is_cordon):
             self.apply(record, time, all_tables=False)
+        listed, cordoned = snapshot.server_names, snapshot.cordoned_domains
         for name in list(self._servers):
             # The snapshot may miss a backend server that was added while its pages were
             # read. The record of such a server is newer, so the server is kept.
             if name not in listed and self._revisions[name] <= snapshot.revision:
                 self._remove_or_delay(name, snapshot.revision, time)
+        if self._cordons.retain(cordoned, snapshot.revision, time, RELISTING_SECONDS):
+            self._on_change()
 
     def expire(self, time: float) -> None:
         """Complete removals that are due, and forget what flows no longer depend on.
@@ -267,17 +284,11 @@
             time: Event loop time in seconds.
         """
         self._routes.expire(time)
-        for name, delayed in list(self._delayed_removals.items()):
-            if time >= delayed.until:
-                self._remove_now(name, delayed.removal_revision, time)
-        expired = [
-            name
-            for name, removed in self._recently_removed.items()
-            if time >= removed.until
-        ]
-        for name in expired:
-            del self._recently_removed[name]
-        if expired:
+        if self._cordons.expire(time):
+            self._on_change()
+        for name, revision in self._delayed.due(time):
+            self._remove_now(name, revision, time)
+        if self._removed.expire(time):
             self._on_change()
 
     def _is_new(self, name: str, revision: Revision) -> bool:
@@ -291,7 +302,7 @@
         listed = self._servers.get(server.name)
         if listed is not None:
             return is_older_report(server, listed)
-        removed = self._recently_removed.get(server.name)
+        removed = self._removed.get(server.name)
         return removed is not None and not is_newer_report(server, removed.server)
 
     def _apply_server(
@@ -303,12 +314,14 @@
     ) -> None:
         before = self._servers.get(server.name)
         self._revisions[server.name] = revision
-        self._delayed_removals.pop(server.name, None)
-        self._recently_removed.pop(server.name, None)
+        self._delayed.discard(server.name)
+        self._removed.discard(server.name)
         if before is not None:
             self._addresses.discard(before)
         self._servers[server.name] = server
         self._addresses.add(server, created)
+        self._remove_succeeded(server, time)
+        self._warmups.record(server, time)
         self._on_change()
         if before is None or before.state is not server.state:
             SERVER_CHANGED.log(
@@ -329,60 +342,40 @@
                 revision, self._revisions.get(name, NO_REVISION)
             )
             return
-        if name in self._delayed_removals:
+        if name in self._delayed.names:
             return
         may_be_relisted = (
             server.state is BackendState.READY
             and not self._addresses.is_succeeded(server)
-            and self._may_be_relisted(server, time)
+            and self._delayed.may_be_relisted(
+                server.service, self.ready(server.service), self._removed.all, time
+            )
         )
         if may_be_relisted:
-            self._delayed_removals[name] = DelayedRemoval(
-                revision, time + RELISTING_SECONDS
-            )
+            self._delayed.add(name, revision, time)
             SERVER_REMOVAL_DELAYED.log(
                 _logger, server=name, service=server.service, revision=revision
             )
             return
         self._remove_now(name, revision, time)
 
-    def _may_be_relisted(self, server: BackendServer, time: float) -> bool:
-        if self._may_have_expired(time):
-            return True
-        ready = self.ready(server.service)
-        unplanned = self._count_recent_unplanned_removals(server.service, time)
-        unlisted = (
-            sum(1 for s in ready if s.name in self._delayed_removals) + 1 + unplanned
-        )
-        # The removal of the last ready backend server of a service is always delayed,
-        # because no other backend server could be used instead.
-        return unlisted >= max(1.0, MASS_REMOVAL_SHARE * (len(ready) + unplanned))
-
-    def _may_have_expired(self, time: float) -> bool:
-        """Return whether a removal may be an effect of an outage of the service."""
-        outage = self._outage_end
-        return outage is not None and time - outage < OUTAGE_EFFECT_SECONDS
-
-    def _count_recent_unplanned_removals(self, service: str, time: float) -> int:
-        """Count removals from a service that may be signs of an outage."""
-        since = time - RELISTING_SECONDS
-        return sum(
-            1
-            for removed in self._recently_removed.values()
-            if removed.server.service == service
-            and not removed.explained
-            and removed.removed >= since
-        )
+    def _remove_succeeded(self, successor: BackendServer, time: float) -> None:
+        """Complete the delayed removals of those that a backend server succeeds."""
+        for server in list(self._addresses.others(successor)):
+            delayed = self._delayed.get(server.name)
+            if delayed is not None and self._addresses.is_succeeded(server):
+                self._remove_now(server.name, delayed.removal_revision, time)
 
     def _remove_now(self, name: str, revision: Revision, time: float) -> None:
         server = self._servers[name]
         succeeded = self._addresses.is_succeeded(server)
         self._addresses.discard(server)
         del self._servers[name]
-        self._delayed_removals.pop(name, None)
+        self._warmups.forget(name)
+        self._delayed.discard(name)
         self._revisions[name] = max(revision, self._revisions.get(name, NO_REVISION))
-        expired = self._may_have_expired(time)
-        self._recently_removed[name] = RemovedServer(server, time, expired, succeeded)
+        expired = self._delayed.may_have_expired(time)
+        self._removed.add(RemovedServer(server, time, expired, succeeded))
         self._on_change()
         SERVER_REMOVED.log(
             _logger,
@@ -395,6 +388,10 @@
     def _on_change(self) -> None:
         self._version += 1
         self._index.clear()
-        self._removed_hosts = None
+        self._removed.clear_hosts()
         for callback in self._subscribers:
             callback()
+
+
+def _is_cordon(record: Record) -> bool:
+    return isinstance(record, DomainCordoned)
--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -1,33 +1,23 @@
 """Plug-in of the agent: passes packets to and from its backend server."""
 
 import asyncio
-import logging
 import socket
 
-from balsamspool.datagram._codec import (
-    decode,
-    encode_small,
-    forward_head,
-    returned_head,
-    service_number,
-)
-from balsamspool.datagram.events import (
-    OPENING_DROPPED,
-    OPENING_PASSED_ON,
-)
+from balsamspool.datagram._codec import decode, encode_small, service_number
 from balsamspool.datagram.messages import (
     ANY_SERVICE,
     Announce,
     FlowEnded,
     FlowLocated,
     Forward,
+    QueryTerms,
     Subscribe,
+    Terms,
 )
 from balsamspool.datagram.packet import (
     Packet,
     PacketCodec,
     address_of,
-    flow_id,
 )
 from balsamspool.datagram.settings import (
     DatagramAgentSettings,
@@ -38,23 +28,29 @@
 from balsamspool.kernel.lifecycle import Kernel
 from balsamspool.kernel.registry import Plugin, register
 from balsamspool.kernel.settings import split_endpoint
+from balsamspool.placement.slow_start import OpeningLimit
+from balsamspool.plugins.datagram_agent.dispatcher import RequestDispatcher
 from balsamspool.plugins.datagram_agent.entries import EntryRegister
 from balsamspool.plugins.datagram_agent.flow_watch import FlowWatch
-from balsamspool.plugins.datagram_agent.flows import FlowTable, HostFlow
+from balsamspool.plugins.datagram_agent.flows import FlowTable, HostFlow, is_surely_held
 from balsamspool.plugins.datagram_agent.liveness import ServerLiveness
+from balsamspool.plugins.datagram_agent.openings import (
+    WARMING_UP,
+    Deliver,
+    Drop,
+    OpeningAdmission,
+    PassOn,
+    Refuse,
+)
+from balsamspool.plugins.datagram_agent.passing import PacketPasser, has_next_host
 from balsamspool.plugins.datagram_agent.reporter import LoadReporter
+from balsamspool.plugins.datagram_agent.sent_forwards import SentForwards
+from balsamspool.plugins.datagram_agent.terms import TermsTable
 from balsamspool.plugins.datagram_agent.work import WorkMeter
 
-_logger = logging.getLogger(__name__)
-
-# Maximum number of agents that pass on one packet.
-MAX_HOPS = 16
 # Time within which the backend server must answer an opening packet. A server accepts
 # the packet within a millisecond; the remaining time allows for a slow instance.
 ANSWER_SECONDS = 0.08
-# Number of recent packets to the backend server whose `Forward` messages are kept. The
-# agent needs the message to pass on a packet that the backend server returns.
-REMEMBERED_PACKETS = 4_096
 EXPIRY_SECONDS = 1.0
 # A stopping agent passes packets until none has arrived for QUIET_SECONDS, and for at
 # most LINGER_SECONDS.
@@ -85,15 +81,17 @@
         self._backend = split_endpoint(settings.backend)
         self._outbound_address = split_endpoint(settings.outbound)
         self._flow_life = settings.flow_seconds
+        self._warmup_excess = settings.warmup_excess
+        self._warmup_slack = settings.warmup_slack
         self._caller_port = split_endpoint(settings.address)[1]
         self._address = (identity.address, identity.data_port)
         self._codec = kernel.plugin(PacketCodec)
         self._peer_socket: BatchSocket
         self._server_socket: BatchSocket
-        self._sent_forwards: list[Forward | None] = [None] * REMEMBERED_PACKETS
-        self._sent_count = 0
+        self._sent = SentForwards()
         self._last_packet = 0.0
         self._entries = EntryRegister()
+        self._terms = TermsTable()
         counters = kernel.counters
         self._watch = FlowWatch(counters)
         self._malformed = counters.counter(
@@ -103,7 +101,6 @@
         help_text = "Packets by what was done with them"
         self._delivered = counters.counter(packets, help_text, "delivered")
         self._to_callers = counters.counter(packets, help_text, "to-caller")
-        self._passed_on = counters.counter(packets, help_text, "passed-on")
         self._openings = counters.counter(packets, help_text, "opening")
         self._evicted = counters.counter(
             "balsamspool_datagram_flows_evicted", "Flows removed from a full table"
@@ -117,20 +114,42 @@
         """Open the sockets and start passing packets."""
         started = now()
         self._meter = WorkMeter(started)
-        self._flows = FlowTable(self._meter, self._flow_life, started, self._evicted)
+        self._requests = RequestDispatcher(
+            self._terms, self._send_to_server, self._kernel.counters
+        )
+        self._flows = FlowTable(
+            self._meter, self._flow_life, started, self._evicted, self._requests.end
+        )
         self._liveness = ServerLiveness()
+        limit = OpeningLimit(self._warmup_excess, self._warmup_slack, started)
+        self._admission = OpeningAdmission(limit, self._kernel.counters)
         sockets = self._kernel.plugin(DatagramSockets)
         self._peer_socket = sockets.open(self._address, self._on_peer)
         self._server_socket = sockets.open(self._outbound_address, self._on_server)
         self._reporter = LoadReporter(
-            self._kernel, self._peer_socket, self._meter, self._flows, self._liveness
+            self._kernel,
+            self._peer_socket,
+            self._meter,
+            self._flows,
+            self._requests,
+            self._liveness,
+        )
+        self._passer = PacketPasser(
+            self._peer_socket,
+            self._codec,
+            self._flows,
+            self._watch,
+            (self._address[1], self._caller_port),
+            self._kernel.counters,
         )
         self._peer_socket.start()
         self._server_socket.start()
         self._kernel.supervise(self._expire, "flow expiry")
+        self._kernel.supervise(self._requests.run, "waiting requests")
 
     async def drain(self) -> None:
         """Keep passing packets while the backend server or callers still send them."""
+        self._requests.release_all()
         end = now() + LINGER_SECONDS
         while now() < end:
             if now() - self._last_packet > QUIET_SECONDS:
@@ -138,15 +157,17 @@
             await asyncio.sleep(QUIET_SECONDS / 4)
 
     def status(self) -> dict[str, object]:
-        """Return the load of the backend server."""
+        """Return the load of the backend server, and its limit while it warms up."""
         return {
             "service": self._service_name,
             "flows": len(self._flows),
             "in_work": self._meter.in_progress,
             "mean_work": round(self._meter.mean(now()), 2),
+            **self._requests.status(),
             "responsive": self._liveness.responsive,
             "subscribers": self._reporter.subscribers,
             "entries": len(self._entries),
+            **self._admission.status(now()),
         }
 
     def _on_peer(self, data: bytes, sender: Address) -> None:
@@ -155,6 +176,11 @@
                 self._on_forward(forward)
             case Subscribe(lease, period):
                 self._reporter.subscribe(sender, lease, period)
+            case Terms() as terms:
+                self._terms.record(terms, now())
+                self._admission.learn(terms.server, now())
+                self._requests.work.set_slots(terms.server.slots, now())
+                self._reporter.send_work(sender)
             case Announce() as announce:
                 self._entries.record(sender[0], announce, now())
                 readers = self._entries.readers_for(announce.failure_domain)
@@ -176,13 +202,13 @@
             was_passed_on = flow is not None and flow.passed_on
             if forward.service not in (ANY_SERVICE, self._service):
                 forward.unsure |= not self._flows.is_complete(now())
-                self._pass_on(forward, packet, "other-service")
+                self._passer.pass_on(forward, packet, "other-service")
                 return
             if was_passed_on or not self._liveness.responsive:
                 # A silent backend server does not return a packet of a flow that it
                 # does not hold, so the search for the flow would end at this host.
                 forward.skipped = True
-                self._pass_on(forward, packet, "silent")
+                self._passer.pass_on(forward, packet, "silent")
                 return
         self._deliver(forward, packet)
 
@@ -191,33 +217,48 @@
         if forward.service != self._service:
             # The entry chose this address for another service. The address now belongs
             # to a backend server of the service of this agent.
-            self._pass_on(forward, packet, "other-service")
+            self._passer.pass_on(forward, packet, "other-service")
             return
+        self._query_terms(forward.origin, packet.destination)
         key = packet.flow_from_caller
         flow = self._flows.get(key)
         if flow is not None and flow.ended and not packet.attempt:
             # The known flow has ended, and the caller uses the port for a new flow.
             self._flows.remove(key, now())
             flow = None
-        known = flow is not None
+        has_next = has_next_host(forward)
+        match self._admission.judge(packet, flow, has_next, now()):
+            case Deliver():
+                self._deliver_opening(forward, packet, known=flow is not None)
+            case PassOn() | Drop():
+                self._passer.pass_on(forward, packet, WARMING_UP)
+            case Refuse():
+                self._passer.reset(packet)
+
+    def _deliver_opening(self, forward: Forward, packet: Packet, known: bool) -> None:
         self._deliver(forward, packet)
         if not self._liveness.responsive:
             # The packet goes to another host, because the backend server is silent. It
             # was delivered to the backend server as well, to find out whether the
             # server answers again.
-            self._pass_on(forward, packet, "silent")
+            self._passer.pass_on(forward, packet, "silent")
         elif not known:
             asyncio.get_running_loop().call_later(
                 ANSWER_SECONDS, self._check_answer, forward, packet
             )
 
+    def _query_terms(self, entry: bytes, endpoint: bytes) -> None:
+        """Ask an entry for the terms of a route if they are not known or are old."""
+        if self._terms.query_due(endpoint, now()):
+            self._send_to_entry(entry, QueryTerms(endpoint))
+
     def _check_answer(self, forward: Forward, packet: Packet) -> None:
         """Pass an opening packet on if the backend server has not answered it."""
         flow = self._flows.get(packet.flow_from_caller)
         if flow is None or flow.accepted or flow.passed_on:
             return
         self._liveness.record_unanswered(now(), flow.last_packet)
-        self._pass_on(forward, packet, "no-answer")
+        self._passer.pass_on(forward, packet, "no-answer")
 
     def _deliver(self, forward: Forward, packet: Packet) -> None:
         time = now()
@@ -225,20 +266,47 @@
         if forward.unconfirmed:
             self._watch.on_search(forward, packet, flow)
         flow.origin = forward.origin
+        flow.opening_delivered = flow.opening_delivered or packet.opens
         flow.last_packet = flow.last_from_caller = time
         if forward.unconfirmed:
             flow.unconfirmed = not self._confirm_held(packet, flow)
-        if packet.length and flow.accepted:
-            # Only packets of accepted flows count as requests, because an entry that
-            # searches for a flow may send its packets to a backend server that is not
-            # running.
-            self._flows.record_request(flow, time)
         flow.caller_ended = flow.caller_ended or packet.ends or packet.resets
         flow.server_ended = flow.server_ended or packet.resets
+        if not self._has_to_wait(forward, packet, flow, time):
+            self._send_to_server(forward, packet)
+        self._flows.end_if_closed(packet.flow_from_caller, flow, time)
+
+    def _send_to_server(self, forward: Forward, packet: Packet) -> None:
         self._delivered.value += 1
-        parts = self._codec.encode(packet, self._store_forward(forward))
+        parts = self._codec.encode(packet, self._sent.store(forward))
         self._server_socket.send(parts, self._backend)
-        self._flows.end_if_closed(flow, time)
+
+    def _has_to_wait(
+        self, forward: Forward, packet: Packet, flow: HostFlow, time: float
+    ) -> bool:
+        """Return whether a packet belongs to a request that waits for its turn."""
+        key = packet.flow_from_caller
+        if self._requests.holds(key) and not packet.resets:
+            if not packet.length and not packet.ends:
+                return False
+            self._requests.keep(forward, packet)
+            return True
+        # Only packets of accepted flows count as requests, because an entry that
+        # searches for a flow may send its packets to a backend server that is not
+        # running.
+        if not packet.length or not flow.accepted:
+            return False
+        if not self._flows.record_data(flow, packet, time):
+            return False
+        may_wait = self._liveness.responsive and is_surely_held(flow, packet)
+        if not self._requests.begin(forward, packet, may_wait):
+            return False
+        if flow.unconfirmed:
+            # The backend server cannot confirm the flow while its packets wait here,
+            # so the entry would go on to query other hosts.
+            flow.unconfirmed = False
+            self._send_to_entry(flow.origin, FlowLocated(key))
+        return True
 
     def _confirm_held(self, packet: Packet, flow: HostFlow) -> bool:
         """Notify an entry immediately if its packet is of a flow that is held here.
@@ -251,22 +319,9 @@
         """
         if not flow.held or flow.ended or packet.opens:
             return False
-        self._notify_entry(flow.origin, FlowLocated(packet.flow_from_caller))
+        self._send_to_entry(flow.origin, FlowLocated(packet.flow_from_caller))
         return True
 
-    def _store_forward(self, forward: Forward) -> bytes:
-        """Keep the message of a delivered packet and return a tag to find it again."""
-        count = self._sent_count
-        self._sent_count = (count + 1) % (1 << 32)
-        self._sent_forwards[count % REMEMBERED_PACKETS] = forward
-        return count.to_bytes(4, "big")
-
-    def _find_forward(self, tag: bytes) -> Forward | None:
-        count = int.from_bytes(tag, "big")
-        if (self._sent_count - count) % (1 << 32) > REMEMBERED_PACKETS:
-            return None
-        return self._sent_forwards[count % REMEMBERED_PACKETS]
-
     def _on_server(self, data: bytes, sender: Address) -> None:
         packet = self._codec.decode(data)
         if packet is None:
@@ -287,7 +342,7 @@
         caller = (address_of(packet.destination), self._caller_port)
         self._peer_socket.send((data,), caller)
         if flow is not None:
-            self._flows.end_if_closed(flow, time)
+            self._flows.end_if_closed(key, flow, time)
 
     def _record_answer(
         self, key: bytes, flow: HostFlow, packet: Packet, time: float
@@ -296,8 +351,10 @@
         if not flow.accepted:
             flow.accepted = True
             self._watch.on_accepted(key, flow, packet)
+        if packet.accepts:
+            flow.server_sequence = packet.sequence
         if packet.length:
-            seconds = self._flows.record_answer(flow, time)
+            seconds = self._flows.record_answer(key, flow, time)
             if seconds is not None:
                 self._answer_time.observe(seconds)
         flow.server_ended = flow.server_ended or packet.ends or packet.resets
@@ -311,12 +368,12 @@
             self._watch.on_server_packet(key, packet)
         if flow.unconfirmed:
             flow.unconfirmed = False
-            self._notify_entry(flow.origin, FlowLocated(key))
+            self._send_to_entry(flow.origin, FlowLocated(key))
 
     def _on_returned(self, packet: Packet) -> None:
         key = packet.flow_from_caller
         flow = self._flows.get(key)
-        forward = self._find_forward(packet.tag)
+        forward = self._sent.find(packet.tag)
         self._watch.on_server_return(packet, flow)
         if flow is not None and flow.held and not packet.opens:
             self._reset_lost(key, flow, packet)
@@ -324,65 +381,18 @@
         if flow is not None and not flow.accepted:
             self._flows.remove(key, now())
         if forward is not None:
-            self._pass_on(forward, packet, "refused")
+            self._passer.pass_on(forward, packet, "refused")
 
     def _reset_lost(self, key: bytes, flow: HostFlow, packet: Packet) -> None:
         """Reset a flow that the backend server held and no longer holds."""
         self._watch.on_lost(key, flow)
-        caller = (address_of(packet.source), self._caller_port)
-        self._peer_socket.send((self._codec.reset(packet),), caller)
-        self._notify_entry(flow.origin, FlowEnded(key))
+        self._passer.reset(packet)
+        self._send_to_entry(flow.origin, FlowEnded(key))
         self._flows.remove(key, now())
 
-    def _pass_on(
-        self, forward: Forward, packet: Packet, reason: str = "not-held"
+    def _send_to_entry(
+        self, origin: bytes, message: FlowLocated | FlowEnded | QueryTerms
     ) -> None:
-        """Send a packet to the next host, or back to its entry if there is none."""
-        hops = forward.hops + 1
-        key = packet.flow_from_caller
-        self._watch.on_pass(forward, packet, self._flows.get(key), reason)
-        if not forward.alternatives or hops > MAX_HOPS:
-            self._return_or_drop(forward, packet, reason)
-            return
-        if packet.opens:
-            flow = self._flows.get(key)
-            if flow is not None:
-                flow.passed_on = True
-            OPENING_PASSED_ON.log(
-                _logger,
-                flow=flow_id(key),
-                to=address_of(forward.alternatives[0]),
-                reason=reason,
-                hops=hops,
-            )
-        onward = Forward(
-            forward.service,
-            forward.origin,
-            hops,
-            True,
-            forward.skipped,
-            forward.alternatives[1:],
-            forward.payload,
-            forward.unsure,
-        )
-        self._passed_on.value += 1
-        parts = [forward_head(onward), *self._codec.encode(packet, bytes(4))]
-        next_agent = socket.inet_ntoa(forward.alternatives[0])
-        self._peer_socket.send(parts, (next_agent, self._address[1]))
-
-    def _return_or_drop(self, forward: Forward, packet: Packet, reason: str) -> None:
-        if packet.opens:
-            OPENING_DROPPED.log(
-                _logger, flow=flow_id(packet.flow_from_caller), reason=reason
-            )
-            return
-        self._watch.on_returned_to_entry(reason)
-        head = returned_head(forward.hops + 1, forward.skipped, forward.unsure)
-        parts = [head, *self._codec.encode(packet, bytes(4))]
-        entry = (socket.inet_ntoa(forward.origin), self._address[1])
-        self._peer_socket.send(parts, entry)
-
-    def _notify_entry(self, origin: bytes, message: FlowLocated | FlowEnded) -> None:
         entry = (socket.inet_ntoa(origin), self._address[1])
         self._peer_socket.send((encode_small(message),), entry)
 
--- a/emulator/catalog_service.py
+++ b/emulator/catalog_service.py
@@ -15,6 +15,8 @@
 from balsamspool.plugins.catalog.model import (
     BackendServer,
     Changes,
+    DomainCordoned,
+    DomainUncordoned,
     RoutesPublished,
     RouteTable,
     ServerPublished,
@@ -28,8 +30,15 @@
 TIMEOUT_SECONDS = 1.0
 FIRST_NUMBER = 1
 _ROUTES_NAME = "routes"
-
-Record = RoutesPublished | ServerPublished | ServerRemoved
+_DOMAIN_PREFIX = "domain/"
+
+Record = (
+    RoutesPublished
+    | ServerPublished
+    | ServerRemoved
+    | DomainCordoned
+    | DomainUncordoned
+)
 
 
 class Serving(Struct, frozen=True):
@@ -113,7 +122,9 @@
             case ServerPublished(_, _, created):
                 self.records[name] = record
                 self.created[name] = created
-            case RoutesPublished():
+            case DomainUncordoned():
+                self.records.pop(name, None)
+            case RoutesPublished() | DomainCordoned():
                 self.records[name] = record
         self.changes.append(record)
         self.times.append(time)
@@ -186,6 +197,12 @@
         )
         return {record.server.name: record.server for record in found}
 
+    @property
+    def cordons(self) -> set[str]:
+        """Failure domains that are listed as out of service."""
+        records = self._state.records.values()
+        return {r.failure_domain for r in records if isinstance(r, DomainCordoned)}
+
     def publish_routes(self, table: RouteTable) -> None:
         """Publish a route table."""
         self._append(_ROUTES_NAME, RoutesPublished(self._next_revision(), table))
@@ -201,6 +218,17 @@
         if name in self._state.records:
             self._append(name, ServerRemoved(self._next_revision(), name))
 
+    def cordon_domain(self, domain: str) -> None:
+        """List a failure domain as out of service."""
+        record = DomainCordoned(self._next_revision(), domain)
+        self._append(_name_of(record), record)
+
+    def uncordon_domain(self, domain: str) -> None:
+        """List a failure domain as in service again."""
+        if domain in self.cordons:
+            record = DomainUncordoned(self._next_revision(), domain)
+            self._append(_name_of(record), record)
+
     def leave(self) -> None:
         """Answer nobody until `restore` is called."""
         self.away = True
@@ -269,7 +297,7 @@
                 does not answer.
         """
         begun = now()
-        await self._start_answer(reader)
+        await self._start_answer(reader, wait)
         end = now() + wait
         era = self.era
         while True:
@@ -321,10 +349,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _start_answer(self, reader: str) -> None:
+    async def _start_answer(self, reader: str, wait: float = 0.0) -> None:
         self.calls += 1
         await asyncio.sleep(ANSWER_SECONDS)
-        await self._apply_condition(reader)
+        await self._apply_condition(reader, wait)
         if self.away:
             raise ResultError(CATALOG_UNAVAILABLE, "away")
 
@@ -333,20 +361,26 @@
         if held is not None:
             await held.wait()
 
-    async def _apply_condition(self, reader: str) -> None:
-        """Fail or delay an answer according to the condition for a reader."""
+    async def _apply_condition(self, reader: str, wait: float = 0.0) -> None:
+        """Fail or delay an answer according to the condition for a reader.
+
+        Args:
+            reader: Name of the process.
+            wait: Seconds for which the call still waits for changes; the reader gives
+                an unanswered call up only after them.
+        """
         match self.conditions.get(reader, self.condition):
             case Refusing():
                 raise ResultError(CATALOG_UNAVAILABLE, "refused")
             case Silent():
-                await self._time_out()
+                await self._time_out(wait)
             case Slow(seconds):
                 await asyncio.sleep(min(seconds, TIMEOUT_SECONDS))
                 if seconds >= TIMEOUT_SECONDS:
                     raise ResultError(CATALOG_UNAVAILABLE, "too slow")
             case Losing(share):
                 if self._rng.random() < share:
-                    await self._time_out()
+                    await self._time_out(wait)
 
     async def _lose_if_lost(self, reader: str, begun: float, end: float) -> None:
         """Give no answer to a call that was lost while it waited.
@@ -358,11 +392,10 @@
         """
         lost_at = max(self._all_lost_at, self._lost_at.get(reader, -math.inf))
         if lost_at >= begun:
-            await asyncio.sleep(max(0.0, end - now()))
-            await self._time_out()
+            await self._time_out(max(0.0, end - now()))
 
-    async def _time_out(self) -> None:
-        await asyncio.sleep(TIMEOUT_SECONDS)
+    async def _time_out(self, wait: float) -> None:
+        await asyncio.sleep(wait + TIMEOUT_SECONDS)
         raise ResultError(CATALOG_UNAVAILABLE, "no answer")
 
 
@@ -410,6 +443,8 @@
             return server.name
         case ServerRemoved(_, name):
             return name
+        case DomainCordoned(_, domain) | DomainUncordoned(_, domain):
+            return _DOMAIN_PREFIX + domain
 
 
 def _in_era(record: Record, era: int) -> Record:
--- a/tests/test_datagram_agent.py
+++ b/tests/test_datagram_agent.py
@@ -11,10 +11,11 @@
     FlowLocated,
     Forward,
     PacketReturned,
+    QueryTerms,
     Report,
     Subscribe,
 )
-from balsamspool.plugins.datagram_agent import flows, plugin
+from balsamspool.plugins.datagram_agent import flows, passing
 from tests.datagram_agent_case import BACKEND, ENTRY, NEXT, SETTINGS, AgentCase
 from tests.datagram_fakes import (
     ACK,
@@ -34,6 +35,8 @@
         self.forward(packet(SYN, ack=1))
         data, _ = self.backend.take()[0]
         self.assertEqual(data[:27], packet(SYN, ack=1)[:27])
+        query = QueryTerms(CODEC.decode(packet(SYN)).destination)
+        self.assertEqual(self.peers.take_messages(), [(query, ENTRY)])
         sent = answer(SYN | ACK, seq=99)
         self.reply(sent)
         self.assertEqual(self.peers.take(), [(sent, (CALLER[0], 8172))])
@@ -230,7 +233,7 @@
         message = Forward(
             service_number("portal"),
             bytes(4),
-            plugin.MAX_HOPS,
+            passing.MAX_HOPS,
             True,
             False,
             (socket.inet_aton(NEXT),),
@@ -244,14 +247,14 @@
     async def test_work_is_counted_from_request_to_answer(self):
         """Guards against wrong load reports to the entries."""
         self.open_flow()
-        self.forward(packet(ACK, b"one"))
-        self.forward(packet(ACK, b"two"))
+        self.forward(packet(ACK, b"one", seq=8))
+        self.forward(packet(ACK, b"two", seq=11))
         self.assertEqual(self.agent.status()["in_work"], 1)
         self.reply(answer(ACK))
         self.assertEqual(self.agent.status()["in_work"], 1)
         self.reply(answer(ACK, b"answer"))
         self.assertEqual(self.agent.status()["in_work"], 0)
-        self.forward(packet(ACK, b"three"))
+        self.forward(packet(ACK, b"three", seq=14))
         self.forward(packet(RST))
         self.reply(answer(RST))
         self.assertEqual(self.agent.status()["in_work"], 0)
@@ -266,7 +269,7 @@
     async def test_a_reset_of_the_caller_ends_the_work(self):
         """Guards against counting requests that their callers have abandoned."""
         self.open_flow()
-        self.forward(packet(ACK, b"two"))
+        self.forward(packet(ACK, b"two", seq=8))
         self.assertEqual(self.agent.status()["in_work"], 1)
         self.forward(packet(RST))
         self.assertEqual(self.agent.status()["in_work"], 0)
