--- a/balsamspool/plugins/datagram_entry/subscriptions.py
+++ b/balsamspool/plugins/datagram_entry/subscriptions.py
@@ -26,10 +26,6 @@
 # Shortest time between two rounds. Catalog changes that follow each other within it
 # need only one round.
 MIN_ROUND_SECONDS = 0.3
-# The same in the first seconds of a process. It knows no load then, and may have
-# started together with all hosts, which are listed one after the other.
-FIRST_ROUND_SECONDS = 0.05
-FIRST_SECONDS = 3.0
 # Maximum number of subscriptions that are renewed in a second. With more hosts, each is
 # renewed less often.
 MAX_RENEWALS = 100
@@ -119,18 +115,15 @@
 
     async def run(self) -> None:
         """Renew subscriptions periodically, and subscribe to hosts that are new."""
-        started = now()
         while True:
             self._changed.clear()
             self._subscribe(renew=True)
             self._announce()
             renewed = now()
-            first = renewed - started < FIRST_SECONDS
-            pause = FIRST_ROUND_SECONDS if first else MIN_ROUND_SECONDS
-            while (left := renewed + SUBSCRIBE_SECONDS - now()) > pause:
-                await asyncio.sleep(pause)
+            while (left := renewed + SUBSCRIBE_SECONDS - now()) > MIN_ROUND_SECONDS:
+                await asyncio.sleep(MIN_ROUND_SECONDS)
                 with suppress(TimeoutError):
-                    async with asyncio.timeout(left - pause):
+                    async with asyncio.timeout(left - MIN_ROUND_SECONDS):
                         await self._changed.wait()
                         self._changed.clear()
                         self._subscribe(renew=False)
