Let a test build messages of peers with all their fields

The message between peers says since whether its sender knows which failure domains are out of service.

--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -29,7 +29,7 @@
 def message(records=b"", **fields):
     """Return a message whose fields are not checked."""
     values = {"revision": 9, "complete": True, "records": records, "age": 0.5}
-    values |= {"outage_age": None} | fields
+    values |= {"outage_age": None, "all_tables": False, "cordons": True} | fields
     return msgspec.msgpack.encode(list(values.values()))
 
 
