Wait for all delayed datagrams in the test of the fabric

It waited 0.5 s for datagrams that are delayed by 0.3 s, and on the busy machine they came later. It now waits until none has arrived for 0.5 s, and checks the same.

--- a/tests/test_forwarding_fabric.py
+++ b/tests/test_forwarding_fabric.py
@@ -44,9 +44,16 @@
             setattr(fabric.inward_faults, name, value)
         for number in range(100):
             fabric.forward_to_entry(bytes([number]), ("127.0.0.1", 1))
-        await asyncio.sleep(0.5)
+        await self.wait_for_delayed(entries, fabric.inward_faults.delay_seconds)
         return [entry.received for entry in entries]
 
+    async def wait_for_delayed(self, entries, delay):
+        """Wait until no datagram has arrived for longer than a delayed one takes."""
+        count = None
+        async with asyncio.timeout(20):
+            while count != (count := sum(len(e.received) for e in entries)):
+                await asyncio.sleep(delay + 0.2)
+
     async def test_faults_repeat_with_the_seed(self):
         """Guards against a failing run that cannot be repeated."""
         faults = {"loss": 0.3, "duplication": 0.3, "reordering": 0.3}
