Tell each entry that searches where a flow is whose request waits

Cause: only the entry that brought the request was told that the flow is here; the backend server can't confirm it while its packets wait. Change: a flow whose caller acknowledged the acceptance of the backend server counts as held, so each packet of a searching entry is answered by FlowLocated. Test: fails before the change.

--- a/balsamspool/plugins/datagram_agent/flows.py
+++ b/balsamspool/plugins/datagram_agent/flows.py
@@ -36,7 +36,7 @@
         opening_delivered: Whether an opening packet was sent to the backend server.
         accepted: Whether the backend server accepted the flow.
         held: Whether the backend server is known to hold the flow, because it sent more
-            than its acceptance.
+            than its acceptance, or because the caller acknowledged its acceptance.
         passed_on: Whether the opening packet was passed on to another host.
         request_since: Event loop time in seconds at which the request in progress
             began, None without a request.
--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -301,11 +301,11 @@
         may_wait = self._liveness.responsive and is_surely_held(flow, packet)
         if not self._requests.begin(forward, packet, may_wait):
             return False
+        # The backend server cannot confirm the flow while its packets wait here, so
+        # entries would go on to query other hosts.
+        flow.held = True
         if flow.unconfirmed:
-            # The backend server cannot confirm the flow while its packets wait here,
-            # so the entry would go on to query other hosts.
-            flow.unconfirmed = False
-            self._send_to_entry(flow.origin, FlowLocated(key))
+            flow.unconfirmed = not self._confirm_held(packet, flow)
         return True
 
     def _confirm_held(self, packet: Packet, flow: HostFlow) -> bool:
--- a/tests/test_request_dispatcher.py
+++ b/tests/test_request_dispatcher.py
@@ -111,6 +111,17 @@
         ).flow_from_caller
         self.assertEqual(told, [FlowLocated(key)])
 
+    async def test_each_entry_that_searches_is_told_where_the_flow_is(self):
+        """Guards against strays: an entry that queries other hosts for 2 s (seed 8)."""
+        self.fill()
+        self.open(5)
+        self.send(5)
+        self.peers.take()
+        self.send(5)
+        self.send(5, data=b"")
+        told = [type(m) for m, to in self.peers.take_messages() if to == ENTRY]
+        self.assertEqual(told, [FlowLocated, FlowLocated])
+
     async def test_acknowledgements_do_not_wait(self):
         """Guards against an answer that stops because its caller seems silent."""
         self.fill()
