Let no request wait while an entry searches for its flow

Change: a request isn't kept when its packet comes from a searching entry, and one that waits is sent at once then. Requests of routes without a known limit don't wait at all, because they could wait for longer than their callers. The recognition of requests is in request_gate.py. Tests: two in tests/test_request_dispatcher.py that fail before.

--- a/balsamspool/plugins/datagram_agent/dispatcher.py
+++ b/balsamspool/plugins/datagram_agent/dispatcher.py
@@ -12,6 +12,7 @@
 from balsamspool.kernel.counters import CounterFamily, CounterSet
 from balsamspool.plugins.datagram_agent.terms import TermsTable
 from balsamspool.scheduling.request_queue import RequestQueue, WaitingRequest
+from balsamspool.scheduling.terms import RequestTerms
 from balsamspool.scheduling.work_left import WorkLeft
 
 _logger = logging.getLogger(__name__)
@@ -46,7 +47,8 @@
 class RequestDispatcher:
     """Sends requests to the backend server as it can run them.
 
-    Requests wait only if an entry has told how many slots the backend server has.
+    Requests wait only if an entry has told how many slots the backend server has, and
+    how long the callers of their route wait.
 
     Args:
         terms: Terms of routes and of the backend server.
@@ -115,7 +117,10 @@
             Whether the request has to wait. Otherwise its packets are to be sent.
         """
         key, endpoint, time = packet.flow_from_caller, packet.destination, now()
-        if not may_wait or self._terms.server is None or self._has_room(time):
+        terms = self._terms.request(endpoint)
+        # Without a known limit, a request could wait for longer than its caller.
+        known = self._terms.server is not None and terms.limit > 0
+        if not may_wait or not known or self._has_room(time):
             self._counts.add(DIRECT)
             self._work.begin(key, endpoint, time)
             return False
@@ -123,7 +128,7 @@
             self._counts.add(OVERFLOWED)
             self._work.begin(key, endpoint, time)
             return False
-        self._queue.add(self._request(key, endpoint, time))
+        self._queue.add(self._request(key, endpoint, terms, time))
         self._kept[key] = {packet.sequence: (forward, packet)}
         self._waiting.set()
         return True
@@ -134,6 +139,13 @@
         if packet.sequence not in packets and len(packets) < MAX_PACKETS:
             packets[packet.sequence] = (forward, packet)
 
+    def release(self, key: bytes) -> None:
+        """Send the request of a flow that waits, out of turn."""
+        request = self._queue.remove(key)
+        if request is not None:
+            self._counts.add(RELEASED)
+            self._release(request, now())
+
     def end(self, key: bytes, answered: bool) -> None:
         """Record that a request has ended, and send the next one.
 
@@ -141,7 +153,7 @@
             key: Key of its flow.
             answered: Whether the backend server answered it.
         """
-        self._queue.discard(key)
+        self._queue.remove(key)
         self._kept.pop(key, None)
         self._work.end(key, now(), answered)
         self.dispatch()
@@ -185,15 +197,16 @@
         limit = self._work.slots + AHEAD
         return not self._queue and self._work.occupied(time) < limit
 
-    def _request(self, key: bytes, endpoint: bytes, time: float) -> WaitingRequest:
-        terms = self._terms.request(endpoint)
+    def _request(
+        self, key: bytes, endpoint: bytes, terms: RequestTerms, time: float
+    ) -> WaitingRequest:
         return WaitingRequest(
             key=key,
             endpoint=endpoint,
             priority=terms.priority,
             arrived=time,
             due=time + terms.goal,
-            until=time + terms.limit if terms.limit else math.inf,
+            until=time + terms.limit,
             expected=self._work.times.expected(endpoint),
         )
 
--- a/balsamspool/plugins/datagram_agent/flows.py
+++ b/balsamspool/plugins/datagram_agent/flows.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from balsamspool.datagram.messages import Forward
 from balsamspool.datagram.packet import Packet
 from balsamspool.kernel.counters import Counter
 from balsamspool.plugins.datagram_agent.work import WorkMeter
@@ -11,6 +12,8 @@
 MAX_FLOWS = 65_536
 # Sequence numbers are counted modulo this number.
 _SEQUENCES = 1 << 32
+# Time after which an entry knows that a flow is held here.
+NOTICE_SECONDS = 0.05
 # A request without an answer for this long no longer counts as in progress.
 MAX_REQUEST_SECONDS = 10.0
 # Time after which an idle flow is removed that one side has ended.
@@ -37,6 +40,8 @@
         accepted: Whether the backend server accepted the flow.
         held: Whether the backend server is known to hold the flow, because it sent more
             than its acceptance, or because the caller acknowledged its acceptance.
+        located: Event loop time in seconds at which an entry was first notified that
+            this host holds the flow, None before.
         passed_on: Whether the opening packet was passed on to another host.
         request_since: Event loop time in seconds at which the request in progress
             began, None without a request.
@@ -56,6 +61,7 @@
     opening_delivered: bool = False
     accepted: bool = False
     held: bool = False
+    located: float | None = None
     passed_on: bool = False
     request_since: float | None = None
     server_sequence: int | None = None
@@ -85,6 +91,26 @@
     return (packet.acknowledged - accepted) % _SEQUENCES in (0, 1)
 
 
+def is_searched_for(flow: HostFlow, forward: Forward, time: float) -> bool:
+    """Return whether an entry searches for a flow by a packet.
+
+    Copies of the packet reach other hosts then, so one has to reach the backend server
+    of the flow soon.
+
+    Args:
+        flow: The flow.
+        forward: How the packet arrived.
+        time: Event loop time in seconds.
+    """
+    if forward.hops > 0:
+        return True
+    located = flow.located
+    # A packet that was under way when the entry was notified is no search.
+    return (
+        forward.unconfirmed and located is not None and time - located > NOTICE_SECONDS
+    )
+
+
 class FlowTable:
     """Flows of one backend server, and their requests in progress.
 
--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -32,7 +32,7 @@
 from balsamspool.plugins.datagram_agent.dispatcher import RequestDispatcher
 from balsamspool.plugins.datagram_agent.entries import EntryRegister
 from balsamspool.plugins.datagram_agent.flow_watch import FlowWatch
-from balsamspool.plugins.datagram_agent.flows import FlowTable, HostFlow, is_surely_held
+from balsamspool.plugins.datagram_agent.flows import FlowTable, HostFlow
 from balsamspool.plugins.datagram_agent.liveness import ServerLiveness
 from balsamspool.plugins.datagram_agent.openings import (
     WARMING_UP,
@@ -44,6 +44,7 @@
 )
 from balsamspool.plugins.datagram_agent.passing import PacketPasser, has_next_host
 from balsamspool.plugins.datagram_agent.reporter import LoadReporter
+from balsamspool.plugins.datagram_agent.request_gate import RequestGate
 from balsamspool.plugins.datagram_agent.sent_forwards import SentForwards
 from balsamspool.plugins.datagram_agent.terms import TermsTable
 from balsamspool.plugins.datagram_agent.work import WorkMeter
@@ -121,6 +122,7 @@
             self._meter, self._flow_life, started, self._evicted, self._requests.end
         )
         self._liveness = ServerLiveness()
+        self._gate = RequestGate(self._flows, self._requests, self._liveness)
         limit = OpeningLimit(self._warmup_excess, self._warmup_slack, started)
         self._admission = OpeningAdmission(limit, self._kernel.counters)
         sockets = self._kernel.plugin(DatagramSockets)
@@ -272,7 +274,9 @@
             flow.unconfirmed = not self._confirm_held(packet, flow)
         flow.caller_ended = flow.caller_ended or packet.ends or packet.resets
         flow.server_ended = flow.server_ended or packet.resets
-        if not self._has_to_wait(forward, packet, flow, time):
+        if self._gate.has_to_wait(forward, packet, flow, time):
+            self._confirm_waiting(packet, flow)
+        else:
             self._send_to_server(forward, packet)
         self._flows.end_if_closed(packet.flow_from_caller, flow, time)
 
@@ -281,32 +285,15 @@
         parts = self._codec.encode(packet, self._sent.store(forward))
         self._server_socket.send(parts, self._backend)
 
-    def _has_to_wait(
-        self, forward: Forward, packet: Packet, flow: HostFlow, time: float
-    ) -> bool:
-        """Return whether a packet belongs to a request that waits for its turn."""
-        key = packet.flow_from_caller
-        if self._requests.holds(key) and not packet.resets:
-            if not packet.length and not packet.ends:
-                return False
-            self._requests.keep(forward, packet)
-            return True
-        # Only packets of accepted flows count as requests, because an entry that
-        # searches for a flow may send its packets to a backend server that is not
-        # running.
-        if not packet.length or not flow.accepted:
-            return False
-        if not self._flows.record_data(flow, packet, time):
-            return False
-        may_wait = self._liveness.responsive and is_surely_held(flow, packet)
-        if not self._requests.begin(forward, packet, may_wait):
-            return False
-        # The backend server cannot confirm the flow while its packets wait here, so
-        # entries would go on to query other hosts.
+    def _confirm_waiting(self, packet: Packet, flow: HostFlow) -> None:
+        """Notify an entry of the host of a flow whose request waits here.
+
+        The backend server cannot confirm the flow while its packets wait, so the entry
+        would go on to query other hosts.
+        """
         flow.held = True
         if flow.unconfirmed:
             flow.unconfirmed = not self._confirm_held(packet, flow)
-        return True
 
     def _confirm_held(self, packet: Packet, flow: HostFlow) -> bool:
         """Notify an entry immediately if its packet is of a flow that is held here.
@@ -319,6 +306,8 @@
         """
         if not flow.held or flow.ended or packet.opens:
             return False
+        if flow.located is None:
+            flow.located = now()
         self._send_to_entry(flow.origin, FlowLocated(packet.flow_from_caller))
         return True
 
--- a/balsamspool/scheduling/request_queue.py
+++ b/balsamspool/scheduling/request_queue.py
@@ -80,9 +80,9 @@
         """Add a request."""
         self._requests[request.key] = request
 
-    def discard(self, key: bytes) -> None:
-        """Remove the request of a flow if there is one."""
-        self._requests.pop(key, None)
+    def remove(self, key: bytes) -> WaitingRequest | None:
+        """Remove and return the request of a flow, None if it has none."""
+        return self._requests.pop(key, None)
 
     def take(self, time: float) -> WaitingRequest | None:
         """Remove and return the request that goes next, None if none waits.
--- a/tests/test_request_dispatcher.py
+++ b/tests/test_request_dispatcher.py
@@ -122,6 +122,25 @@
         told = [type(m) for m, to in self.peers.take_messages() if to == ENTRY]
         self.assertEqual(told, [FlowLocated, FlowLocated])
 
+    async def test_a_flow_for_which_an_entry_searches_does_not_wait(self):
+        """Guards against strays: copies at other hosts while none reaches its own."""
+        self.fill()
+        self.open(5)
+        self.send(5)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.delivered(), [])
+        self.send(5)
+        self.assertEqual(self.delivered(), [5, 5])
+        self.assertEqual(self.counter("released"), 1)
+
+    async def test_a_route_without_a_known_limit_does_not_wait(self):
+        """Guards against a request that waits for longer than its caller."""
+        self.fill()
+        other = ("198.18.0.3", 443)
+        self.open(5, other)
+        self.send(5, other)
+        self.assertEqual(self.delivered(), [5])
+
     async def test_acknowledgements_do_not_wait(self):
         """Guards against an answer that stops because its caller seems silent."""
         self.fill()
