--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -1,27 +1,17 @@
 """Plug-in of the agent: passes packets to and from its backend server."""
 
 import asyncio
-import socket
 
 from balsamspool.datagram._codec import decode, encode_small, service_number
 from balsamspool.datagram.messages import (
     ANY_SERVICE,
     Announce,
-    FlowEnded,
-    FlowLocated,
     Forward,
-    QueryTerms,
     Subscribe,
     Terms,
 )
-from balsamspool.datagram.packet import (
-    Packet,
-    PacketCodec,
-    address_of,
-)
-from balsamspool.datagram.settings import (
-    DatagramAgentSettings,
-)
+from balsamspool.datagram.packet import Packet, PacketCodec, address_of
+from balsamspool.datagram.settings import DatagramAgentSettings
 from balsamspool.datagram.sockets import Address, BatchSocket, DatagramSockets
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.identity import Role
@@ -34,6 +24,7 @@
 from balsamspool.plugins.datagram_agent.flow_watch import FlowWatch
 from balsamspool.plugins.datagram_agent.flows import FlowTable, HostFlow, is_surely_held
 from balsamspool.plugins.datagram_agent.liveness import ServerLiveness
+from balsamspool.plugins.datagram_agent.notifier import EntryNotifier
 from balsamspool.plugins.datagram_agent.openings import (
     WARMING_UP,
     Deliver,
@@ -134,6 +125,7 @@
             self._requests,
             self._liveness,
         )
+        self._notifier = EntryNotifier(self._peer_socket, self._address[1], self._terms)
         self._passer = PacketPasser(
             self._peer_socket,
             self._codec,
@@ -219,7 +211,7 @@
             # to a backend server of the service of this agent.
             self._passer.pass_on(forward, packet, "other-service")
             return
-        self._query_terms(forward.origin, packet.destination)
+        self._notifier.query_terms(forward.origin, packet.destination)
         key = packet.flow_from_caller
         flow = self._flows.get(key)
         if flow is not None and flow.ended and not packet.attempt:
@@ -247,11 +239,6 @@
                 ANSWER_SECONDS, self._check_answer, forward, packet
             )
 
-    def _query_terms(self, entry: bytes, endpoint: bytes) -> None:
-        """Ask an entry for the terms of a route if they are not known or are old."""
-        if self._terms.query_due(endpoint, now()):
-            self._send_to_entry(entry, QueryTerms(endpoint))
-
     def _check_answer(self, forward: Forward, packet: Packet) -> None:
         """Pass an opening packet on if the backend server has not answered it."""
         flow = self._flows.get(packet.flow_from_caller)
@@ -269,7 +256,7 @@
         flow.opening_delivered = flow.opening_delivered or packet.opens
         flow.last_packet = flow.last_from_caller = time
         if forward.unconfirmed:
-            flow.unconfirmed = not self._confirm_held(packet, flow)
+            self._notifier.confirm_search(packet, flow)
         flow.caller_ended = flow.caller_ended or packet.ends or packet.resets
         flow.server_ended = flow.server_ended or packet.resets
         if not self._has_to_wait(forward, packet, flow, time):
@@ -301,25 +288,9 @@
         may_wait = self._liveness.responsive and is_surely_held(flow, packet)
         if not self._requests.begin(forward, packet, may_wait):
             return False
-        if flow.unconfirmed:
-            # The backend server cannot confirm the flow while its packets wait here,
-            # so the entry would go on to query other hosts.
-            flow.unconfirmed = False
-            self._send_to_entry(flow.origin, FlowLocated(key))
-        return True
-
-    def _confirm_held(self, packet: Packet, flow: HostFlow) -> bool:
-        """Notify an entry immediately if its packet is of a flow that is held here.
-
-        The backend server does not answer an acknowledgement, so without this notice
-        the entry would go on to query the other hosts.
-
-        Returns:
-            Whether the entry was notified.
-        """
-        if not flow.held or flow.ended or packet.opens:
-            return False
-        self._send_to_entry(flow.origin, FlowLocated(packet.flow_from_caller))
+        # The backend server cannot confirm the flow while its packets wait here, so the
+        # entry would go on to query other hosts.
+        self._notifier.confirm(key, flow)
         return True
 
     def _on_server(self, data: bytes, sender: Address) -> None:
@@ -366,9 +337,7 @@
         if not flow.held:
             flow.held = True
             self._watch.on_server_packet(key, packet)
-        if flow.unconfirmed:
-            flow.unconfirmed = False
-            self._send_to_entry(flow.origin, FlowLocated(key))
+        self._notifier.confirm(key, flow)
 
     def _on_returned(self, packet: Packet) -> None:
         key = packet.flow_from_caller
@@ -387,15 +356,9 @@
         """Reset a flow that the backend server held and no longer holds."""
         self._watch.on_lost(key, flow)
         self._passer.reset(packet)
-        self._send_to_entry(flow.origin, FlowEnded(key))
+        self._notifier.end(key, flow)
         self._flows.remove(key, now())
 
-    def _send_to_entry(
-        self, origin: bytes, message: FlowLocated | FlowEnded | QueryTerms
-    ) -> None:
-        entry = (socket.inet_ntoa(origin), self._address[1])
-        self._peer_socket.send((encode_small(message),), entry)
-
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_SECONDS)
