--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -54,7 +54,7 @@
     REMOTE_PERIOD_SECONDS,
     Subscriptions,
 )
-from balsamspool.plugins.datagram_entry.terms import TermsDesk
+from balsamspool.plugins.datagram_entry.terms import TermsSender
 
 _logger = logging.getLogger(__name__)
 
@@ -143,7 +143,7 @@
             self._failure_domain,
             SearchBudget(self._link_mbps, self._kernel.counters),
         )
-        self._terms = TermsDesk(
+        self._terms = TermsSender(
             self._catalog,
             self._peer_socket,
             self._peer_address[1],
--- a/balsamspool/plugins/datagram_entry/subscriptions.py
+++ b/balsamspool/plugins/datagram_entry/subscriptions.py
@@ -20,7 +20,7 @@
 from balsamspool.plugins.catalog import CatalogPlugin
 from balsamspool.plugins.catalog.revision import Revision
 from balsamspool.plugins.catalog.upstream import ReaderList
-from balsamspool.plugins.datagram_entry.terms import TermsDesk
+from balsamspool.plugins.datagram_entry.terms import TermsSender
 
 SUBSCRIBE_SECONDS = 1.0
 # Shortest time between two rounds. Catalog changes that follow each other within it
@@ -79,7 +79,7 @@
         catalog: CatalogPlugin,
         board: LoadBoard,
         peers: BatchSocket,
-        terms: TermsDesk,
+        terms: TermsSender,
     ) -> None:
         self._kernel = kernel
         self._identity: Identity = kernel.identity
--- a/balsamspool/plugins/datagram_entry/terms.py
+++ b/balsamspool/plugins/datagram_entry/terms.py
@@ -23,7 +23,7 @@
 TERMS_HELP = "Terms of routes and backend servers that were sent to agents, by cause"
 
 
-class TermsDesk:
+class TermsSender:
     """Answers agents that ask for terms, and notifies those that have to know at once.
 
     Nothing is kept for an agent: it asks again when it needs to know.
