--- a/balsamspool/placement/opening.py
+++ b/balsamspool/placement/opening.py
@@ -49,7 +49,7 @@
 
     @property
     def warmup(self) -> float:
-        """Seconds for which it stays slow after its start."""
+        """Seconds for which it still warmed up when it was listed, 0 if it is warm."""
 
 
 class Choice(Struct, frozen=True):
--- a/balsamspool/plugins/catalog/model.py
+++ b/balsamspool/plugins/catalog/model.py
@@ -118,7 +118,7 @@
         failure_domain: Failure domain of its instance.
         slots: Number of requests that it runs at the same time.
         state: State that it reports.
-        warmup: Seconds for which it stays slow after its start.
+        warmup: Seconds for which it still warmed up when its entry was written.
         started_ms: Its start in Unix milliseconds, None if it does not report it.
         sequence: Number of its report, which grows from the start of the backend server
             on; 0 if it does not report it.
