Keep a waiting request when an earlier answer is repeated

A backend server repeats an answer whose acknowledgement was lost, or which comes with the next request. The agent took the copy for the answer of the request that waits in its queue and removed its packets, so the caller had to repeat them.

--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -324,7 +324,8 @@
             self._watch.on_accepted(key, flow, packet)
         if packet.accepts:
             flow.server_sequence = packet.sequence
-        if packet.length:
+        if packet.length and not self._requests.holds(key):
+            # Data for a request that waits here would be a copy of an earlier answer.
             seconds = self._flows.record_answer(key, flow, time)
             if seconds is not None:
                 self._answer_time.observe(seconds)
--- a/tests/test_request_dispatcher.py
+++ b/tests/test_request_dispatcher.py
@@ -144,6 +144,18 @@
         await asyncio.sleep(0.5)
         self.assertEqual(self.delivered(), [5])
 
+    async def test_a_repeated_answer_does_not_drop_the_next_request(self):
+        """Guards against a kept request that a copy of an earlier answer removes."""
+        self.open(5)
+        self.send(5, data=b"first")
+        self.answer(5)
+        self.delivered()
+        self.fill()
+        self.send(5, data=b"second", seq=13)
+        self.answer(5)
+        self.answer(0)
+        self.assertEqual(self.delivered(), [5])
+
     async def test_without_terms_nothing_waits(self):
         """Guards against waits at an agent that does not know the slots."""
         self.agent._terms._server = None
