Confirm a flow for each searched packet of a waiting request

Only the first packet of a request that waits was confirmed to its entry. If that notice was lost, or the caller's next copy came through another entry, the entry searched at all hosts until the request was answered.

--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -271,12 +271,17 @@
     def _has_to_wait(
         self, forward: Forward, packet: Packet, flow: HostFlow, time: float
     ) -> bool:
-        """Return whether a packet belongs to a request that waits for its turn."""
+        """Return whether a packet belongs to a request that waits for its turn.
+
+        The backend server cannot confirm a flow while its packets wait here, so the
+        entry is notified, which would go on to query other hosts otherwise.
+        """
         key = packet.flow_from_caller
         if self._requests.holds(key) and not packet.resets:
             if not packet.length and not packet.ends:
                 return False
             self._requests.keep(forward, packet)
+            self._notifier.confirm(key, flow)
             return True
         # Only packets of accepted flows count as requests, because an entry that
         # searches for a flow may send its packets to a backend server that is not
@@ -288,8 +293,6 @@
         may_wait = self._liveness.responsive and is_surely_held(flow, packet)
         if not self._requests.begin(forward, packet, may_wait):
             return False
-        # The backend server cannot confirm the flow while its packets wait here, so the
-        # entry would go on to query other hosts.
         self._notifier.confirm(key, flow)
         return True
 
--- a/tests/test_request_dispatcher.py
+++ b/tests/test_request_dispatcher.py
@@ -156,6 +156,16 @@
         self.answer(0)
         self.assertEqual(self.delivered(), [5])
 
+    async def test_each_searching_entry_is_told_of_a_request_that_waits(self):
+        """Guards against searches at all hosts after a notice was lost."""
+        self.fill()
+        self.open(5)
+        self.send(5)
+        self.peers.take()
+        self.send(5)
+        told = [m for m, _ in self.peers.take_messages()]
+        self.assertEqual([type(m) for m in told], [FlowLocated])
+
     async def test_without_terms_nothing_waits(self):
         """Guards against waits at an agent that does not know the slots."""
         self.agent._terms._server = None
