Let no request wait at an agent that stops

A stopping agent sent what waited, but went on to keep requests that arrived afterwards: the backend server was full just then. They were lost when the agent stopped after half a second without packets, or after 4 s.

--- a/balsamspool/plugins/datagram_agent/dispatcher.py
+++ b/balsamspool/plugins/datagram_agent/dispatcher.py
@@ -60,6 +60,7 @@
         "_line_time",
         "_queue",
         "_send",
+        "_stopping",
         "_terms",
         "_wait_time",
         "_waiting",
@@ -74,6 +75,7 @@
         # Packets of the requests that wait, by key of the flow and sequence number.
         self._kept: dict[bytes, dict[int, tuple[Forward, Packet]]] = {}
         self._waiting = asyncio.Event()
+        self._stopping = False
         self._line_time = -math.inf
         kinds = (DIRECT, IN_TIME, LATE, EXPIRED, OVERFLOWED, RELEASED)
         self._counts = CounterFamily(counters, REQUESTS, REQUESTS_HELP, kinds)
@@ -115,7 +117,7 @@
             Whether the request has to wait. Otherwise its packets are to be sent.
         """
         key, endpoint, time = packet.flow_from_caller, packet.destination, now()
-        if not may_wait or self._terms.server is None or self._has_room(time):
+        if not may_wait or self._sends_directly(time):
             self._counts.add(DIRECT)
             self._work.begin(key, endpoint, time)
             return False
@@ -151,8 +153,8 @@
         if not self._queue:
             return
         time = now()
-        for request in self._queue.expire(time):
-            self._expire(request, time)
+        for expired in self._queue.expire(time):
+            self._expire(expired, time)
         while self._work.occupied(time) < self._work.slots + AHEAD:
             request = self._queue.take(time)
             if request is None:
@@ -161,7 +163,8 @@
             self._release(request, time)
 
     def release_all(self) -> None:
-        """Send all requests, because this process stops."""
+        """Send all requests, and let no further one wait, because the process stops."""
+        self._stopping = True
         time = now()
         while (request := self._queue.take(time)) is not None:
             self._counts.add(RELEASED)
@@ -181,7 +184,9 @@
                 await asyncio.sleep(CHECK_SECONDS)
                 self.dispatch()
 
-    def _has_room(self, time: float) -> bool:
+    def _sends_directly(self, time: float) -> bool:
+        if self._stopping or self._terms.server is None:
+            return True
         limit = self._work.slots + AHEAD
         return not self._queue and self._work.occupied(time) < limit
 
--- a/tests/test_request_dispatcher.py
+++ b/tests/test_request_dispatcher.py
@@ -237,6 +237,16 @@
         self.assertEqual(self.delivered(), [5])
         await stop
 
+    async def test_during_a_planned_stop_no_request_waits(self):
+        """Guards against requests that arrive during a stop and are lost at its end."""
+        self.fill()
+        stop = asyncio.create_task(self.agent.drain())
+        await asyncio.sleep(0.01)
+        self.open(5)
+        self.send(5)
+        self.assertEqual(self.delivered(), [5])
+        await stop
+
     async def test_the_number_of_waiting_requests_is_bounded(self):
         """Guards against callers that fill the memory of an agent."""
         self.fill()
