Let requests behind unanswered ones become overdue too

A request without an answer for four times its expected time no longer counted, but those behind it in the model of the slots did: they never got its slot. With as many lost requests as slots and one more behind them, everything that waited at the agent stayed there until the lost ones were given up after 10 s, while copies of the packets were dropped.

--- a/balsamspool/scheduling/work_left.py
+++ b/balsamspool/scheduling/work_left.py
@@ -12,12 +12,13 @@
 MIN_OVERDUE_SECONDS = 0.1
 
 
-class _Running(Struct):
-    """A request that occupies a slot.
+class _Request(Struct):
+    """A request that was sent to the backend server.
 
     Attributes:
         endpoint: Address and port of its route, 6 octets.
-        since: Event loop time in seconds at which it got the slot.
+        since: Event loop time in seconds at which it got a slot, or at which it began
+            if it has none yet.
     """
 
     endpoint: bytes
@@ -39,9 +40,9 @@
     def __init__(self) -> None:
         self._slots = 1
         self._times = ServiceTimes()
-        self._running: dict[bytes, _Running] = {}
-        # Routes of the requests that wait for a slot, in the order of their beginning.
-        self._waiting: dict[bytes, bytes] = {}
+        self._running: dict[bytes, _Request] = {}
+        # Requests that wait for a slot, in the order of their beginning.
+        self._waiting: dict[bytes, _Request] = {}
         self._waiting_by_route: Counter[bytes] = Counter()
 
     @property
@@ -74,7 +75,7 @@
         """
         if key in self._running or key in self._waiting:
             return
-        self._waiting[key] = endpoint
+        self._waiting[key] = _Request(endpoint, time)
         self._waiting_by_route[endpoint] += 1
         self._fill_slots(time)
 
@@ -97,11 +98,22 @@
     def occupied(self, time: float) -> int:
         """Return the number of requests that occupy a slot or wait for one.
 
+        Overdue requests do not count. If all running requests are overdue, they may
+        never end, so the time of those that wait for their slots counts from then on.
+
         Args:
             time: Event loop time in seconds.
         """
-        running = (r for r in self._running.values() if not self._is_overdue(r, time))
-        return sum(1 for _ in running) + len(self._waiting)
+        overdue = [self._overdue_at(r, r.since) for r in self._running.values()]
+        running = sum(1 for at in overdue if time <= at)
+        if running or not overdue:
+            return running + len(self._waiting)
+        stalled = max(overdue)
+        return sum(
+            1
+            for request in self._waiting.values()
+            if time <= self._overdue_at(request, max(request.since, stalled))
+        )
 
     def seconds(self, time: float) -> float:
         """Return the work left for each slot in seconds.
@@ -130,18 +142,22 @@
             },
         }
 
-    def _is_overdue(self, request: _Running, time: float) -> bool:
+    def _overdue_at(self, request: _Request, since: float) -> float:
+        """Return the time at which a request is overdue that could run since a time."""
         limit = OVERDUE_FACTOR * self._times.expected(request.endpoint)
-        return time - request.since > max(MIN_OVERDUE_SECONDS, limit)
+        return since + max(MIN_OVERDUE_SECONDS, limit)
 
     def _fill_slots(self, time: float) -> None:
         while self._waiting and len(self._running) < self._slots:
             key = next(iter(self._waiting))
-            self._running[key] = _Running(self._stop_waiting(key), time)
+            self._running[key] = _Request(self._stop_waiting(key), time)
 
     def _stop_waiting(self, key: bytes) -> bytes:
         """Remove a waiting request and return its route, empty if it is unknown."""
-        endpoint = self._waiting.pop(key, b"")
+        request = self._waiting.pop(key, None)
+        if request is None:
+            return b""
+        endpoint = request.endpoint
         if self._waiting_by_route[endpoint] > 1:
             self._waiting_by_route[endpoint] -= 1
         else:
--- a/tests/test_request_dispatcher.py
+++ b/tests/test_request_dispatcher.py
@@ -166,6 +166,16 @@
         told = [m for m, _ in self.peers.take_messages()]
         self.assertEqual([type(m) for m in told], [FlowLocated])
 
+    async def test_requests_behind_unanswered_ones_do_not_block_others(self):
+        """Guards against kept requests that wait until lost ones are given up."""
+        self.fill()
+        waiting = [5, 6, 7, 8]
+        for number in waiting:
+            self.open(number)
+            self.send(number)
+        await asyncio.sleep(1)
+        self.assertEqual(sorted(self.delivered()), waiting)
+
     async def test_without_terms_nothing_waits(self):
         """Guards against waits at an agent that does not know the slots."""
         self.agent._terms._server = None
