End requests that the backend server returns or resets

A request on a flow that the backend server had accepted and no longer held, or reset, counted until 10 s later. In a search for lost flows such requests took the slots of the model, so requests waited at the agent while the backend server was idle.

--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -332,6 +332,8 @@
             seconds = self._flows.record_answer(key, flow, time)
             if seconds is not None:
                 self._answer_time.observe(seconds)
+        if packet.resets:
+            self._flows.record_answer(key, flow, time, answered=False)
         flow.server_ended = flow.server_ended or packet.ends or packet.resets
         if packet.accepts or packet.resets:
             # A packet that accepts or resets a flow does not show that the backend
@@ -353,6 +355,8 @@
             return
         if flow is not None and not flow.accepted:
             self._flows.remove(key, now())
+        elif flow is not None and packet.length and not self._requests.holds(key):
+            self._flows.record_answer(key, flow, now(), answered=False)
         if forward is not None:
             self._passer.pass_on(forward, packet, "refused")
 
--- a/tests/test_request_dispatcher.py
+++ b/tests/test_request_dispatcher.py
@@ -176,6 +176,27 @@
         await asyncio.sleep(1)
         self.assertEqual(sorted(self.delivered()), waiting)
 
+    async def test_a_returned_request_occupies_no_slot(self):
+        """Guards against requests that wait for one that the server never had."""
+        for number in range(1 + AHEAD):
+            self.open(number)
+            self.forward(
+                packet(ACK, b"x", source=self.caller(number), destination=USUAL, ack=77)
+            )
+            self.return_last_packet()
+        self.open(5)
+        self.send(5)
+        self.assertEqual(self.delivered(), [5])
+
+    async def test_a_request_of_a_reset_flow_occupies_no_slot(self):
+        """Guards against requests that wait for one that the server gave up."""
+        self.fill()
+        for number in range(1 + AHEAD):
+            self.reply(answer(RST, caller=self.caller(number), service=USUAL))
+        self.open(5)
+        self.send(5)
+        self.assertEqual(self.delivered(), [5])
+
     async def test_without_terms_nothing_waits(self):
         """Guards against waits at an agent that does not know the slots."""
         self.agent._terms._server = None
