Drop a waiting request when its caller opens a new flow

A caller may give up a flow without a reset and use its port again. The request of the earlier flow went on to wait, and was sent to the backend server after the opening of the new flow, where its sequence numbers may fit.

--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -214,10 +214,14 @@
         self._notifier.query_terms(forward.origin, packet.destination)
         key = packet.flow_from_caller
         flow = self._flows.get(key)
-        if flow is not None and flow.ended and not packet.attempt:
-            # The known flow has ended, and the caller uses the port for a new flow.
-            self._flows.remove(key, now())
-            flow = None
+        if flow is not None and not packet.attempt:
+            # The caller uses the port for a new flow.
+            if flow.ended:
+                self._flows.remove(key, now())
+                flow = None
+            elif self._requests.holds(key):
+                # Packets of the earlier flow must not follow the opening.
+                self._flows.record_answer(key, flow, now(), answered=False)
         has_next = has_next_host(forward)
         match self._admission.judge(packet, flow, has_next, now()):
             case Deliver():
--- a/tests/test_request_dispatcher.py
+++ b/tests/test_request_dispatcher.py
@@ -219,6 +219,17 @@
         self.assertEqual(self.delivered(), [])
         self.assertEqual(self.agent.status()["waiting"], 0)
 
+    async def test_a_new_flow_of_the_same_key_ends_the_wait(self):
+        """Guards against a request of an earlier flow that runs on the next one."""
+        self.fill()
+        self.open(5)
+        self.send(5, data=b"earlier")
+        self.open(5)
+        self.answer(0)
+        self.assertEqual(self.delivered(), [])
+        self.send(5, data=b"next", seq=40)
+        self.assertEqual(self.delivered(), [5])
+
     async def test_the_end_of_the_callers_side_keeps_its_place(self):
         """Guards against a request that is overtaken by the end of its own data."""
         self.fill()
