Send a widened search that is larger than a burst of its budget

The copies of a widened search are admitted together. With a small link and many hosts they exceed the burst (6,250 octets for 1 Mbit/s, four copies of a large packet), so the search was postponed for ever: its flow was neither found nor reset.

--- a/balsamspool/plugins/datagram_entry/search_budget.py
+++ b/balsamspool/plugins/datagram_entry/search_budget.py
@@ -28,26 +28,29 @@
         counters: Counters of the process.
     """
 
-    __slots__ = ("_bucket", "_postponed")
+    __slots__ = ("_bucket", "_burst", "_postponed")
 
     def __init__(self, link_mbps: float | None, counters: CounterSet) -> None:
         self._bucket: TokenBucket | None = None
+        self._burst = 0.0
         if link_mbps is not None:
             rate = LINK_SHARE * link_mbps * _OCTETS_PER_MEGABIT
-            self._bucket = TokenBucket(rate, rate * BURST_SECONDS, now())
+            self._burst = rate * BURST_SECONDS
+            self._bucket = TokenBucket(rate, self._burst, now())
         self._postponed = counters.counter(PACKETS, PACKETS_HELP, "search-postponed")
 
     def allows(self, octets: int, alternatives: int) -> bool:
         """Return whether a copy of a packet may be sent now.
 
-        Otherwise the next packet of its flow may try again.
+        Otherwise the next packet of its flow may try again. Copies larger than a burst
+        take all of it, because they could never be sent otherwise.
 
         Args:
             octets: Size of the packet.
             alternatives: Number of agents to which it may be passed on.
         """
         size = HEADER_OCTETS + octets + 4 * alternatives
-        if self._bucket is None or self._bucket.take(size, now()):
+        if self._bucket is None or self._bucket.take(min(size, self._burst), now()):
             return True
         self._postponed.value += 1
         return False
--- a/tests/test_search_budget.py
+++ b/tests/test_search_budget.py
@@ -58,6 +58,13 @@
         postponed = counters.values()["balsamspool_datagram_packets.search-postponed"]
         self.assertGreater(postponed, 0)
 
+    async def test_copies_beyond_the_burst_are_sent_when_nothing_else_was(self):
+        """Guards against a widened search in a large fleet that is never sent."""
+        budget = SearchBudget(LINK_MBPS, CounterSet())
+        burst = int(LINK_SHARE * LINK_OCTETS_PER_SECOND * BURST_SECONDS)
+        self.assertTrue(budget.allows(2 * burst, 100))
+        self.assertFalse(budget.allows(0, 0))
+
 
 class BlackoutTest(EntryCase):
     """All hosts have lost their flows, and an entry with a small link knows none."""
