Answer an agent with the terms of the latest server at its address

While the entry of a predecessor is still listed, such as after a crash, an agent that asked got the terms of the predecessor. They say that the backend server is warm, so its limit of new flows was lifted until the next notice.

--- a/balsamspool/plugins/datagram_entry/terms.py
+++ b/balsamspool/plugins/datagram_entry/terms.py
@@ -72,12 +72,10 @@
         route = self._catalog.view.route(address_of(endpoint), port_of(endpoint))
         if route is None:
             return
-        services = {target.service for target in route.targets}
-        for server in self._catalog.view.listed_at(agent):
-            if server.service in services:
-                self._answered.value += 1
-                self._send(route, server)
-                return
+        server = self._server_at(agent, {target.service for target in route.targets})
+        if server is not None:
+            self._answered.value += 1
+            self._send(route, server)
 
     def notify_warming(self, route: Route, server: BackendServer) -> None:
         """Tell an agent that its backend server bears few new flows, if that is so.
@@ -114,6 +112,14 @@
             self._introduced.value += 1
             self._send_terms(NO_ROUTE, _NO_REQUEST, listed[0])
 
+    def _server_at(self, agent: str, services: set[str]) -> BackendServer | None:
+        """Return the latest backend server of some services at an address, or None."""
+        view = self._catalog.view
+        found = [s for s in view.listed_at(agent) if s.service in services]
+        if len(found) > 1:
+            found = [s for s in found if s in view.listed(s.service)]
+        return found[0] if found else None
+
     def _send(self, route: Route, server: BackendServer) -> None:
         endpoint = endpoint_of(route.address, route.port)
         request = RequestTerms(route.priority, route.goal, route.limit)
--- a/tests/test_datagram_terms.py
+++ b/tests/test_datagram_terms.py
@@ -119,6 +119,14 @@
         self.assertEqual(told[0].server.flows_per_second, 10.0)
         self.assertLess(told[0].server.warmup, 1.5)
 
+    async def test_an_agent_is_told_of_the_latest_server_at_its_address(self):
+        """Guards against the entry of a predecessor that lifts the limit."""
+        await self.publish_limit()
+        cold = server(9, address="10.0.0.1", warmup=3.0, started_ms=1_000)
+        await self.publish(70, *published(Revision(70), cold))
+        (terms,) = self.query("10.0.0.1")
+        self.assertEqual(terms.server.flows_per_second, 10.0)
+
     async def test_a_warm_server_has_no_limit(self):
         """Guards against a limit that outlives the warm-up."""
         await self.publish_limit()
