Keep the routes of a configuration whose services are odd

The list of services was decoded with the routes, so one of another type, such as null, made the whole configuration unreadable: an entry that started then had no routes. It holds only the limits of cold backend servers. Services that can't be read are one log line with their number, as odd routes are, and no longer a line each.

--- a/tests/test_odd_routes.py
+++ b/tests/test_odd_routes.py
@@ -102,6 +102,22 @@
         chosen = {choose_target(rng.randbytes(12), found.targets) for _ in range(50)}
         self.assertEqual({target.service for target in chosen}, {"a"})
 
+    def test_odd_services_leave_the_routes(self):
+        """Guards against a service that takes the table with it, or fills the log.
+
+        Only the limits of new flows at cold backend servers depend on the services.
+        """
+        good = b'{"name":"portal","warmup-s":2,"warmup-per-s":5}'
+        many = b"[" + b"7," * 100 + good + b"]"
+        for odd, limits in ((b"null", 0), (b"{}", 0), (b"7", 0), (many, 1)):
+            text = config(GOOD).replace(b"{", b'{"services":%b,' % odd, 1)
+            with self.assertLogs("fleet_adapter.records", "WARNING") as logs:
+                found = record(text)
+            self.assertIsInstance(found, RoutesPublished, odd[:100])
+            self.assertEqual(len(found.table.routes), 1)
+            self.assertEqual(len(found.table.slow_starts), limits)
+            self.assertEqual(len(logs.output), 1)
+
     def test_an_odd_table_leaves_the_last_one_in_force(self):
         """Guards against a table that leaves callers without routes."""
         view = CatalogView()
