--- a/balsamspool/plugins/datagram_agent/dispatcher.py
+++ b/balsamspool/plugins/datagram_agent/dispatcher.py
@@ -62,6 +62,7 @@
         "_line_time",
         "_queue",
         "_send",
+        "_stopping",
         "_terms",
         "_wait_time",
         "_waiting",
@@ -76,6 +77,7 @@
         # Packets of the requests that wait, by key of the flow and sequence number.
         self._kept: dict[bytes, dict[int, tuple[Forward, Packet]]] = {}
         self._waiting = asyncio.Event()
+        self._stopping = False
         self._line_time = -math.inf
         kinds = (DIRECT, IN_TIME, LATE, EXPIRED, OVERFLOWED, RELEASED)
         self._counts = CounterFamily(counters, REQUESTS, REQUESTS_HELP, kinds)
@@ -119,8 +121,7 @@
         key, endpoint, time = packet.flow_from_caller, packet.destination, now()
         terms = self._terms.request(endpoint)
         # Without a known limit, a request could wait for longer than its caller.
-        known = self._terms.server is not None and terms.limit > 0
-        if not may_wait or not known or self._has_room(time):
+        if not may_wait or terms.limit <= 0 or self._sends_directly(time):
             self._counts.add(DIRECT)
             self._work.begin(key, endpoint, time)
             return False
@@ -163,8 +164,8 @@
         if not self._queue:
             return
         time = now()
-        for request in self._queue.expire(time):
-            self._expire(request, time)
+        for expired in self._queue.expire(time):
+            self._expire(expired, time)
         while self._work.occupied(time) < self._work.slots + AHEAD:
             request = self._queue.take(time)
             if request is None:
@@ -173,7 +174,8 @@
             self._release(request, time)
 
     def release_all(self) -> None:
-        """Send all requests, because this process stops."""
+        """Send all requests, and let no further one wait, because the process stops."""
+        self._stopping = True
         time = now()
         while (request := self._queue.take(time)) is not None:
             self._counts.add(RELEASED)
@@ -193,7 +195,9 @@
                 await asyncio.sleep(CHECK_SECONDS)
                 self.dispatch()
 
-    def _has_room(self, time: float) -> bool:
+    def _sends_directly(self, time: float) -> bool:
+        if self._stopping or self._terms.server is None:
+            return True
         limit = self._work.slots + AHEAD
         return not self._queue and self._work.occupied(time) < limit
 
--- a/tests/test_request_dispatcher.py
+++ b/tests/test_request_dispatcher.py
@@ -174,6 +174,59 @@
         await asyncio.sleep(0.5)
         self.assertEqual(self.delivered(), [5])
 
+    async def test_a_repeated_answer_does_not_drop_the_next_request(self):
+        """Guards against a kept request that a copy of an earlier answer removes."""
+        self.open(5)
+        self.send(5, data=b"first")
+        self.answer(5)
+        self.delivered()
+        self.fill()
+        self.send(5, data=b"second", seq=13)
+        self.answer(5)
+        self.answer(0)
+        self.assertEqual(self.delivered(), [5])
+
+    async def test_each_searching_entry_is_told_of_a_request_that_waits(self):
+        """Guards against searches at all hosts after a notice was lost."""
+        self.fill()
+        self.open(5)
+        self.send(5)
+        self.peers.take()
+        self.send(5)
+        told = [m for m, _ in self.peers.take_messages()]
+        self.assertEqual([type(m) for m in told], [FlowLocated])
+
+    async def test_requests_behind_unanswered_ones_do_not_block_others(self):
+        """Guards against kept requests that wait until lost ones are given up."""
+        self.fill()
+        waiting = [5, 6, 7, 8]
+        for number in waiting:
+            self.open(number)
+            self.send(number)
+        await asyncio.sleep(1)
+        self.assertEqual(sorted(self.delivered()), waiting)
+
+    async def test_a_returned_request_occupies_no_slot(self):
+        """Guards against requests that wait for one that the server never had."""
+        for number in range(1 + AHEAD):
+            self.open(number)
+            self.forward(
+                packet(ACK, b"x", source=self.caller(number), destination=USUAL, ack=77)
+            )
+            self.return_last_packet()
+        self.open(5)
+        self.send(5)
+        self.assertEqual(self.delivered(), [5])
+
+    async def test_a_request_of_a_reset_flow_occupies_no_slot(self):
+        """Guards against requests that wait for one that the server gave up."""
+        self.fill()
+        for number in range(1 + AHEAD):
+            self.reply(answer(RST, caller=self.caller(number), service=USUAL))
+        self.open(5)
+        self.send(5)
+        self.assertEqual(self.delivered(), [5])
+
     async def test_without_terms_nothing_waits(self):
         """Guards against waits at an agent that does not know the slots."""
         self.agent._terms._server = None
@@ -196,6 +249,17 @@
         self.assertEqual(self.delivered(), [])
         self.assertEqual(self.agent.status()["waiting"], 0)
 
+    async def test_a_new_flow_of_the_same_key_ends_the_wait(self):
+        """Guards against a request of an earlier flow that runs on the next one."""
+        self.fill()
+        self.open(5)
+        self.send(5, data=b"earlier")
+        self.open(5)
+        self.answer(0)
+        self.assertEqual(self.delivered(), [])
+        self.send(5, data=b"next", seq=40)
+        self.assertEqual(self.delivered(), [5])
+
     async def test_the_end_of_the_callers_side_keeps_its_place(self):
         """Guards against a request that is overtaken by the end of its own data."""
         self.fill()
@@ -245,6 +309,16 @@
         self.assertEqual(self.delivered(), [5])
         await stop
 
+    async def test_during_a_planned_stop_no_request_waits(self):
+        """Guards against requests that arrive during a stop and are lost at its end."""
+        self.fill()
+        stop = asyncio.create_task(self.agent.drain())
+        await asyncio.sleep(0.01)
+        self.open(5)
+        self.send(5)
+        self.assertEqual(self.delivered(), [5])
+        await stop
+
     async def test_the_number_of_waiting_requests_is_bounded(self):
         """Guards against callers that fill the memory of an agent."""
         self.fill()
