Give requests without a limit a last chance before they are given up

A request whose route publishes no limit, or one above 10 s, got no last chance among requests that could still be answered in time. While enough of those arrived it waited until the agent gave it up after 10 s, without a line in the log and without a count. These 10 s now bound the limit, so such a request is among the late ones that are sent, or expires visibly.

--- a/balsamspool/plugins/datagram_agent/dispatcher.py
+++ b/balsamspool/plugins/datagram_agent/dispatcher.py
@@ -10,6 +10,7 @@
 from balsamspool.datagram.packet import Packet, flow_id
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.counters import CounterFamily, CounterSet
+from balsamspool.plugins.datagram_agent.flows import MAX_REQUEST_SECONDS
 from balsamspool.plugins.datagram_agent.terms import TermsTable
 from balsamspool.scheduling.request_queue import RequestQueue, WaitingRequest
 from balsamspool.scheduling.work_left import WorkLeft
@@ -192,13 +193,15 @@
 
     def _request(self, key: bytes, endpoint: bytes, time: float) -> WaitingRequest:
         terms = self._terms.request(endpoint)
+        # The agent gives up any request after this time, so it is the last chance too.
+        limit = min(terms.limit or math.inf, MAX_REQUEST_SECONDS)
         return WaitingRequest(
             key=key,
             endpoint=endpoint,
             priority=terms.priority,
             arrived=time,
             due=time + terms.goal,
-            until=time + terms.limit if terms.limit else math.inf,
+            until=time + limit,
             expected=self._work.times.expected(endpoint),
         )
 
--- a/tests/test_request_dispatcher.py
+++ b/tests/test_request_dispatcher.py
@@ -269,6 +269,29 @@
         self.assertEqual(self.counter("expired"), len(given_up))
         self.assertTrue(0 < len(given_up) < len(usual))
 
+    async def test_a_request_without_a_limit_is_not_forgotten(self):
+        """Guards against a request that urgent ones keep waiting until it is given up.
+
+        The agent gives up requests after 10 s, without a line in the log.
+        """
+        endpoint = CODEC.decode(packet(SYN, destination=USUAL)).destination
+        terms = Terms(endpoint, RequestTerms(2, 0.3, 0.0), ServerTerms(1))
+        self.peers.receive(encode_small(terms), (ENTRY, 7720))
+        self.fill()
+        self.open(5)
+        self.send(5)
+        running = served = [0, 1]
+        for number in range(100, 600, 2):
+            for urgent in (number, number + 1):
+                self.open(urgent, URGENT)
+                self.send(urgent, URGENT)
+            await asyncio.sleep(0.05)
+            for answered in running:
+                self.answer(answered, URGENT if answered >= 100 else USUAL)
+            running = self.delivered()
+            served = [*served, *running]
+        self.assertIn(5, served)
+
     async def test_a_planned_stop_sends_what_waits(self):
         """Guards against accepted requests that a planned stop cuts off."""
         self.fill()
