--- a/balsamspool/plugins/datagram_agent/dispatcher.py
+++ b/balsamspool/plugins/datagram_agent/dispatcher.py
@@ -10,6 +10,7 @@
 from balsamspool.datagram.packet import Packet, flow_id
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.counters import CounterFamily, CounterSet
+from balsamspool.plugins.datagram_agent.flows import MAX_REQUEST_SECONDS
 from balsamspool.plugins.datagram_agent.terms import TermsTable
 from balsamspool.scheduling.request_queue import RequestQueue, WaitingRequest
 from balsamspool.scheduling.terms import RequestTerms
@@ -42,6 +43,7 @@
 )
 
 Send = Callable[[Forward, Packet], None]
+GiveUp = Callable[[bytes], None]
 
 
 class RequestDispatcher:
@@ -53,11 +55,13 @@
     Args:
         terms: Terms of routes and of the backend server.
         send: Sends a packet to the backend server.
+        give_up: Ends the request of a flow that was not sent to the backend server.
         counters: Counters of the process.
     """
 
     __slots__ = (
         "_counts",
+        "_give_up",
         "_kept",
         "_line_time",
         "_queue",
@@ -69,9 +73,12 @@
         "_work",
     )
 
-    def __init__(self, terms: TermsTable, send: Send, counters: CounterSet) -> None:
+    def __init__(
+        self, terms: TermsTable, send: Send, give_up: GiveUp, counters: CounterSet
+    ) -> None:
         self._terms = terms
         self._send = send
+        self._give_up = give_up
         self._work = WorkLeft()
         self._queue = RequestQueue()
         # Packets of the requests that wait, by key of the flow and sequence number.
@@ -204,13 +211,15 @@
     def _request(
         self, key: bytes, endpoint: bytes, terms: RequestTerms, time: float
     ) -> WaitingRequest:
+        # The agent gives up any request after this time, so it is the last chance too.
+        limit = min(terms.limit, MAX_REQUEST_SECONDS)
         return WaitingRequest(
             key=key,
             endpoint=endpoint,
             priority=terms.priority,
             arrived=time,
             due=time + terms.goal,
-            until=time + terms.limit,
+            until=time + limit,
             expected=self._work.times.expected(endpoint),
         )
 
@@ -230,6 +239,7 @@
             waiting=len(self._queue),
             slots=self._work.slots,
         )
+        self._give_up(request.key)
 
     def _log_waiting(self) -> None:
         time = now()
--- a/balsamspool/plugins/datagram_agent/plugin.py
+++ b/balsamspool/plugins/datagram_agent/plugin.py
@@ -107,7 +107,10 @@
         started = now()
         self._meter = WorkMeter(started)
         self._requests = RequestDispatcher(
-            self._terms, self._send_to_server, self._kernel.counters
+            self._terms,
+            self._send_to_server,
+            self._give_up_request,
+            self._kernel.counters,
         )
         self._flows = FlowTable(
             self._meter, self._flow_life, started, self._evicted, self._requests.end
@@ -279,6 +282,12 @@
         parts = self._codec.encode(packet, self._sent.store(forward))
         self._server_socket.send(parts, self._backend)
 
+    def _give_up_request(self, key: bytes) -> None:
+        """End a request that waited until its caller no longer waits for it."""
+        flow = self._flows.get(key)
+        if flow is not None:
+            self._flows.record_answer(key, flow, now(), answered=False)
+
     def _on_server(self, data: bytes, sender: Address) -> None:
         packet = self._codec.decode(data)
         if packet is None:
