--- a/review/6/case.py
+++ b/review/6/case.py
@@ -22,7 +22,7 @@
 
 # Largest value that the store takes (value-bytes of the settings), and the size here.
 VALUE_BYTES = 1_048_576
-SIZE = 300_000
+SIZE = 600_000
 FLOWS = 12
 BEFORE, AFTER, REACTION = 6.0, 45.0, 5.0
 
