--- a/balsamspool/kernel/clock.py
+++ b/balsamspool/kernel/clock.py
@@ -22,6 +22,14 @@
     return boot - time.clock_gettime(time.CLOCK_MONOTONIC)
 
 
+def processor_seconds() -> float:
+    """Return the processor time that this process has used in seconds.
+
+    It also advances within one turn of the event loop.
+    """
+    return time.process_time()
+
+
 class Deadline:
     """A point in time by which something must be done.
 
--- a/balsamspool/kernel/events.py
+++ b/balsamspool/kernel/events.py
@@ -91,7 +91,7 @@
     1006,
     "process-resumed",
     logging.WARNING,
-    "The process did not run for longer than the pause limit.",
+    "The process did not run, or did one thing only, for longer than the pause limit.",
 )
 SETTINGS_RELOADED = log_event(
     1007, "settings-reloaded", logging.INFO, "Changed settings are in force."
--- a/balsamspool/kernel/lifecycle.py
+++ b/balsamspool/kernel/lifecycle.py
@@ -8,7 +8,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any, TypeVar, cast
 
-from balsamspool.kernel.clock import now, suspended_seconds
+from balsamspool.kernel.clock import now, processor_seconds, suspended_seconds
 from balsamspool.kernel.counters import CounterSet
 from balsamspool.kernel.errors import ResultError
 from balsamspool.kernel.events import (
@@ -298,11 +298,14 @@
                 self.reload()
 
     async def _watch_pauses(self) -> None:
-        last, suspended = now(), suspended_seconds()
+        last, suspended, used = now(), suspended_seconds(), processor_seconds()
         while True:
             await asyncio.sleep(PAUSE_CHECK_SECONDS)
             gap = now() - last + suspended_seconds() - suspended
-            last, suspended = now(), suspended_seconds()
+            busy = processor_seconds() - used
+            last, suspended, used = now(), suspended_seconds(), processor_seconds()
             if gap > PAUSE_LIMIT_SECONDS + PAUSE_CHECK_SECONDS:
                 self._pauses += 1
-                PROCESS_RESUMED.log(_logger, seconds=round(gap, 3))
+                PROCESS_RESUMED.log(
+                    _logger, seconds=round(gap, 3), processor_seconds=round(busy, 3)
+                )
--- a/balsamspool/plugins/catalog/events.py
+++ b/balsamspool/plugins/catalog/events.py
@@ -178,3 +178,10 @@
     "backend servers have just started; unknown flows wait until entries are listed "
     "again.",
 )
+ANSWER_SLOW = log_event(
+    2331,
+    "catalog-answer-slow",
+    logging.WARNING,
+    "Reading the records of one answer took long; the process did nothing else "
+    "meanwhile.",
+)
--- a/tests/store_case.py
+++ b/tests/store_case.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from balsamspool.kernel.counters import CounterSet
 from standins.ports import ADDRESS, free_port
 from standins.store import StoreStandIn
 from tests.datagram_fakes import ADAPTER  # noqa: F401  puts the adapter on the path
@@ -23,6 +24,8 @@
         self.port = free_port()
         await web.TCPSite(runner, ADDRESS, self.port).start()
         settings = StoreSettings(address=f"{ADDRESS}:{self.port}")
-        kernel = SimpleNamespace(settings=SimpleNamespace(section=lambda _: settings))
+        kernel = SimpleNamespace(
+            settings=SimpleNamespace(section=lambda _: settings), counters=CounterSet()
+        )
         self.source = StoreSource(kernel)
         self.addAsyncCleanup(self.source.stop)
--- a/tests/test_odd_pages.py
+++ b/tests/test_odd_pages.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from balsamspool.kernel.counters import CounterSet
 from balsamspool.kernel.errors import ResultError
 from balsamspool.plugins.catalog.codes import CATALOG_MALFORMED
 from balsamspool.plugins.catalog.model import RecordIgnored, ServerPublished
@@ -71,7 +72,9 @@
         port = free_port()
         await web.TCPSite(runner, ADDRESS, port).start()
         settings = StoreSettings(address=f"{ADDRESS}:{port}")
-        kernel = SimpleNamespace(settings=SimpleNamespace(section=lambda _: settings))
+        kernel = SimpleNamespace(
+            settings=SimpleNamespace(section=lambda _: settings), counters=CounterSet()
+        )
         self.source = StoreSource(kernel)
         self.addAsyncCleanup(self.source.stop)
 
