Read a text of another writer in a time that follows from its size

Cause: kernel/decoding.py removes the strings of a text to count its levels. The pattern of a string needed the closing quote, so in a string without an end it began again at each escaped quote and read the rest of the text each time. The time grew with the square of the size, in the event loop.

Why it works: the pattern matches at each quote, up to the closing one or the end of the text, so no octet is read twice. Such a text is refused by the decoder.

--- a/balsamspool/kernel/decoding.py
+++ b/balsamspool/kernel/decoding.py
@@ -7,6 +7,7 @@
 """
 
 import re
+from itertools import accumulate
 from typing import Protocol, TypeVar
 
 # Deepest nesting that is read. Messages and entries have fewer than 10 levels.
@@ -14,9 +15,14 @@
 # Longest description of a failure. The messages of a decoder repeat values in full.
 MAX_DETAIL_CHARACTERS = 200
 
-_STRING = re.compile(rb'"(?:[^"\\]+|\\.)*+"', re.DOTALL)
+# A string, or the rest of a text that ends within one. A pattern that needs the closing
+# quote would search the rest of such a text again from each quote in it.
+_STRING_PATTERN = rb'"(?:[^"\\]+|\\.)*+(?:"|\\?\Z)'
+_STRING = re.compile(_STRING_PATTERN, re.DOTALL)
+_STRING_OR_BRACKET = re.compile(_STRING_PATTERN + rb"|[\[\]{}]", re.DOTALL)
 _NO_BRACKETS = bytes(set(range(256)) - set(b"[]{}"))
-_STRING_OR_BRACKET = re.compile(rb'"(?:[^"\\]+|\\.)*+"|[\[\]{}]', re.DOTALL)
+# Change of the depth at each bracket.
+_STEPS = {ord("["): 1, ord("{"): 1, ord("]"): -1, ord("}"): -1}
 # A pair of surrogates, half of a pair, or another escape.
 _ESCAPE = re.compile(
     rb"\\u[dD][89abAB]\w\w\\u[dD][c-fC-F]\w\w|(\\u[dD][89a-fA-F]\w\w)|\\.", re.DOTALL
@@ -104,13 +110,9 @@
 
 
 def _is_deep(data: bytes) -> bool:
-    """Return whether a text is nested too deeply, or its brackets do not match."""
+    """Return whether a text is nested too deeply, up to its first mistake at least."""
     # The number of opening brackets is an upper bound of the depth.
     if data.count(b"[") + data.count(b"{") <= MAX_NESTING:
         return False
     brackets = _STRING.sub(b"", data).translate(None, _NO_BRACKETS)
-    for _ in range(MAX_NESTING):
-        # Each pass removes the innermost level. A match for each bracket would take
-        # ten times as long.
-        brackets = brackets.replace(b"[]", b"").replace(b"{}", b"")
-    return bool(brackets)
+    return max(accumulate(map(_STEPS.__getitem__, brackets))) > MAX_NESTING
