Conclude that a host is gone only if nothing listed may hold its flows

Callers saw: open flows were reset although their host was listed, held them and answered, when the agent beside it was restarted as planned.

Cause: removed servers were matched with listed ones by address and port, and then looked up for a flow by address alone. The removed program counted as the host of the address, and as it had drained, half a second without a report was enough.

The new tests in tests/test_shared_address failed before: the reset of a flow after a program left, for three kinds of programs, and the same in a process that does not know the flow's service.

Why it works: HostPresence.is_gone is the only place that concludes it. It needs a removed server at the address that may have held the flow, no listed one that may hold it, and a silent agent. The servers that may hold a flow are those of the services of its route, and any at the address while the process does not know them all.

One call in an earlier test follows the new interface; it asserts the same host, and asks in addition for the route of the flow.

--- a/balsamspool/plugins/catalog/removals.py
+++ b/balsamspool/plugins/catalog/removals.py
@@ -75,11 +75,11 @@
 class RemovedServers:
     """Backend servers that were removed a short time ago, by name."""
 
-    __slots__ = ("_hosts", "_servers")
+    __slots__ = ("_by_address", "_servers")
 
     def __init__(self) -> None:
         self._servers: dict[str, RemovedServer] = {}
-        self._hosts: dict[str, RemovedServer] | None = None
+        self._by_address: dict[str, tuple[RemovedServer, ...]] | None = None
 
     @property
     def all(self) -> Collection[RemovedServer]:
@@ -93,12 +93,12 @@
     def add(self, removed: RemovedServer) -> None:
         """Remember a backend server that is no longer listed."""
         self._servers[removed.server.name] = removed
-        self._hosts = None
+        self._by_address = None
 
     def discard(self, name: str) -> None:
         """Forget a backend server that is listed again."""
         if self._servers.pop(name, None) is not None:
-            self._hosts = None
+            self._by_address = None
 
     def of(self, service: str) -> tuple[RemovedServer, ...]:
         """Return the removed backend servers of a service.
@@ -112,27 +112,14 @@
         """Return the removed backend servers of all other services."""
         return tuple(r for r in self.all if r.server.service not in services)
 
-    def hosts(self, listed: Iterable[BackendServer]) -> dict[str, RemovedServer]:
-        """Return the last backend server of each address that lists none any more.
-
-        A server at another port of the address is another program of the instance.
-
-        Args:
-            listed: Backend servers that are listed now. They are read again only after
-                `clear_hosts`, or if a removed backend server has changed.
-        """
-        if self._hosts is None:
-            places = {(server.address, server.port) for server in listed}
-            self._hosts = {
-                removed.server.address: removed
-                for removed in self.all
-                if (removed.server.address, removed.server.port) not in places
-            }
-        return self._hosts
-
-    def clear_hosts(self) -> None:
-        """Record that the listed backend servers have changed."""
-        self._hosts = None
+    def at(self, address: str) -> tuple[RemovedServer, ...]:
+        """Return the removed backend servers of an address, in order of removal."""
+        if self._by_address is None:
+            self._by_address = {}
+            for removed in self.all:
+                earlier = self._by_address.get(removed.server.address, ())
+                self._by_address[removed.server.address] = (*earlier, removed)
+        return self._by_address.get(address, ())
 
     def expire(self, time: float) -> bool:
         """Forget those whose flows have ended, and return whether there were any.
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -117,9 +117,38 @@
         """Return the backend servers that are listed at an address."""
         return self._addresses.at(address)
 
-    def removed_hosts(self) -> dict[str, RemovedServer]:
-        """Return the last backend server of each address that lists none any more."""
-        return self._removed.hosts(self._servers.values())
+    def removed_at(self, address: str) -> tuple[RemovedServer, ...]:
+        """Return the backend servers of an address that were removed lately."""
+        return self._removed.at(address)
+
+    def departed_at(
+        self, address: str, endpoint: tuple[str, int], time: float
+    ) -> tuple[RemovedServer, ...]:
+        """Return the backend servers at an address that held flows and were removed.
+
+        There are none while a listed one there may hold the flows. Other programs of an
+        instance may be listed at its address, so that one of them is listed, or was
+        removed, says nothing about a flow.
+
+        Args:
+            address: IPv4 address of an instance.
+            endpoint: Address and port of the route of the flows.
+            time: Event loop time in seconds.
+        """
+        removed = self._removed.at(address)
+        if not removed:
+            return ()
+        listed = self._addresses.at(address)
+        services = self._routes.services_at(endpoint)
+        if any(server.service in services for server in listed):
+            return ()
+        ports = {server.port for server in listed}
+        left = tuple(r for r in removed if r.server.port not in ports)
+        known = tuple(r for r in left if r.server.service in services)
+        if known or (services and self._routes.is_complete(endpoint, time)):
+            return known
+        # A flow may be of a service that the route had before this process started.
+        return () if listed else left
 
     def route(self, address: str, port: int) -> Route | None:
         """Return the route at an address, or None."""
@@ -388,7 +417,6 @@
     def _on_change(self) -> None:
         self._version += 1
         self._index.clear()
-        self._removed.clear_hosts()
         for callback in self._subscribers:
             callback()
 
--- a/balsamspool/plugins/datagram_entry/decision_log.py
+++ b/balsamspool/plugins/datagram_entry/decision_log.py
@@ -208,7 +208,7 @@
         key = packet.flow_from_caller
         unlocated = self._unlocated.record_reset(key)
         self._resets.add(reason)
-        belief = self._report.belief(flow)
+        belief = self._report.belief(flow, packet)
         if reason == HOST_GONE and belief["confirmed"]:
             self._watch(belief["address"], belief["host"])
         FLOW_RESET.log(
--- a/balsamspool/plugins/datagram_entry/holders.py
+++ b/balsamspool/plugins/datagram_entry/holders.py
@@ -11,8 +11,9 @@
 from balsamspool.placement.load import LoadBoard
 from balsamspool.placement.lookup import LOOKUP_LIMIT, order_lookup
 from balsamspool.placement.ranking import by_failure_domain
-from balsamspool.plugins.catalog import BackendServer, CatalogPlugin, RemovedServer
+from balsamspool.plugins.catalog import BackendServer, CatalogPlugin
 from balsamspool.plugins.datagram_entry.flow import EntryFlow
+from balsamspool.plugins.datagram_entry.presence import HostPresence
 
 
 class Holders(Struct, frozen=True):
@@ -75,7 +76,7 @@
         failure_domain: Failure domain of the entry.
     """
 
-    __slots__ = ("_board", "_catalog", "_failure_domain")
+    __slots__ = ("_board", "_catalog", "_failure_domain", "_presence")
 
     def __init__(
         self, catalog: CatalogPlugin, board: LoadBoard, failure_domain: str
@@ -83,6 +84,7 @@
         self._catalog = catalog
         self._board = board
         self._failure_domain = failure_domain
+        self._presence = HostPresence(catalog, board)
 
     def find(self, packet: Packet) -> Holders:
         """Return the hosts that may hold the flow of a packet."""
@@ -95,7 +97,7 @@
             departed.extend(
                 removed.server
                 for removed in view.recently_removed_from(service)
-                if self._still_reports(removed)
+                if self._presence.still_reports(removed)
             )
         found = order_lookup(
             packet.flow_from_caller,
@@ -120,7 +122,7 @@
             return []
         listed = view.unknown_holders(*endpoint, now())
         removed = view.recently_removed_except(view.services_at(*endpoint))
-        return listed + [r.server for r in removed if self._still_reports(r)]
+        return listed + [r.server for r in removed if self._presence.still_reports(r)]
 
     def further(self, packet: Packet, flow: EntryFlow) -> FurtherHosts:
         """Return the hosts of other services that a search has yet to query.
@@ -157,12 +159,3 @@
             for service in view.services_at(*service_endpoint(packet))
             for server in view.listed(service)
         )
-
-    def _still_reports(self, removed: RemovedServer) -> bool:
-        """Return whether the agent of a removed backend server still reports."""
-        address = removed.server.address
-        if self._board.load(address) is None:
-            return False
-        if removed.left:
-            return not self._board.silent(address)
-        return not self._board.seems_gone(address)
--- a/balsamspool/plugins/datagram_entry/plugin.py
+++ b/balsamspool/plugins/datagram_entry/plugin.py
@@ -33,7 +33,7 @@
 from balsamspool.kernel.recent import RecentCache
 from balsamspool.kernel.registry import JsonPage, Plugin, register
 from balsamspool.kernel.settings import split_endpoint
-from balsamspool.placement.load import GONE_PERIODS, LoadBoard
+from balsamspool.placement.load import LoadBoard
 from balsamspool.placement.opening import Choice
 from balsamspool.plugins.catalog import CatalogPlugin
 from balsamspool.plugins.datagram_entry.decision_log import HOST_GONE, DecisionLog
@@ -48,12 +48,10 @@
     PlaceAt,
     Reject,
 )
+from balsamspool.plugins.datagram_entry.presence import HostPresence
 from balsamspool.plugins.datagram_entry.search import FlowSearch
 from balsamspool.plugins.datagram_entry.search_budget import SearchBudget
-from balsamspool.plugins.datagram_entry.subscriptions import (
-    REMOTE_PERIOD_SECONDS,
-    Subscriptions,
-)
+from balsamspool.plugins.datagram_entry.subscriptions import Subscriptions
 from balsamspool.plugins.datagram_entry.terms import TermsSender
 
 _logger = logging.getLogger(__name__)
@@ -62,9 +60,6 @@
 MAX_KNOWN_FLOWS = 65_536
 # Maximum number of agents named in a forwarded packet.
 MAX_ALTERNATIVES = 12
-# Time within which a host that is asked for reports has sent one, even if it reports
-# seldom and one report was lost.
-UNREPORTED_SECONDS = GONE_PERIODS * REMOTE_PERIOD_SECONDS
 # Maximum number of packets that wait for the first catalog.
 MAX_WAITING_PACKETS = 1_024
 # A stopping entry forwards packets for at least ROTATION_SECONDS, because the fabric
@@ -105,6 +100,7 @@
             self._catalog, self._board, identity.failure_domain
         )
         self._opening_log = OpeningLog(self._catalog, kernel.counters)
+        self._presence = HostPresence(self._catalog, self._board)
         self._explainer = FlowExplainer(kernel, self._catalog, self._board)
         self._log = DecisionLog(self._catalog, self._board, kernel.counters)
         self._flows: RecentCache[EntryFlow] = RecentCache(MAX_KNOWN_FLOWS)
@@ -216,7 +212,7 @@
         flow = self._flows.get(packet.flow_from_caller)
         if flow is None or (flow.confirmed and self._is_outdated(flow)):
             self._search.search(packet)
-        elif flow.confirmed and self._is_gone(flow):
+        elif flow.confirmed and self._presence.is_gone(packet, flow):
             self._search.reset_lost(packet, HOST_GONE)
         elif flow.confirmed:
             flow.used_at = now()
@@ -290,24 +286,6 @@
         table = self._catalog.view.table
         return table is not None and now() - flow.used_at > table.idle_seconds
 
-    def _is_gone(self, flow: EntryFlow) -> bool:
-        """Return whether the host of a flow has left or failed, and holds it no more.
-
-        A host that did not announce that it was leaving may only be cut off from the
-        service that lists it, or slow, so its flows are given up later.
-        """
-        address = socket.inet_ntoa(flow.hosts[0])
-        removed = self._catalog.view.removed_hosts().get(address)
-        if removed is None:
-            return False
-        if self._board.load(address) is None:
-            # A host is asked for reports while it is listed or holds a known flow.
-            asked = max(removed.removed, flow.confirmed_at or 0.0)
-            return now() - asked > UNREPORTED_SECONDS
-        if removed.left:
-            return self._board.silent(address)
-        return self._board.seems_gone(address)
-
     def _on_peer(self, data: bytes, sender: Address) -> None:
         match decode(data):
             case Report(load) | WorkReport(load):
--- a/balsamspool/plugins/datagram_entry/reset_report.py
+++ b/balsamspool/plugins/datagram_entry/reset_report.py
@@ -46,14 +46,22 @@
         self._catalog = catalog
         self._board = board
 
-    def known_host(self, address: str) -> KnownHost:
-        """Return what the catalog says about the host at an address."""
+    def known_host(self, address: str, packet: Packet | None = None) -> KnownHost:
+        """Return what the catalog says about the host at an address.
+
+        Args:
+            address: IPv4 address of the host.
+            packet: Packet of a flow at the host, None without one.
+        """
         view = self._catalog.view
-        removed = view.removed_hosts().get(address)
-        if removed is not None:
-            seconds = seconds_since(removed.removed)
-            return KnownHost(removed.server.name, "removed", seconds)
-        for server in view.listed_at(address):
+        listed, removed = view.listed_at(address), view.removed_at(address)
+        if packet is not None:
+            removed = view.departed_at(address, service_endpoint(packet), now())
+        if removed and (packet is not None or not listed):
+            last = removed[-1]
+            seconds = seconds_since(last.removed)
+            return KnownHost(last.server.name, "removed", seconds)
+        for server in listed:
             return KnownHost(server.name, server.state.value)
         return KnownHost(address, "unknown")
 
@@ -62,12 +70,19 @@
         load = self._board.load(address)
         return None if load is None else seconds_since(load.received)
 
-    def belief(self, flow: EntryFlow | None) -> dict[str, Any]:
-        """Return the fields that say which host is believed to hold a flow."""
+    def belief(
+        self, flow: EntryFlow | None, packet: Packet | None = None
+    ) -> dict[str, Any]:
+        """Return the fields that say which host is believed to hold a flow.
+
+        Args:
+            flow: The flow, None if it is not known.
+            packet: Packet of the flow, None without one.
+        """
         if flow is None or not flow.confirmed:
             return {"host": None, "confirmed": False}
         address = socket.inet_ntoa(flow.hosts[0])
-        host = self.known_host(address)
+        host = self.known_host(address, packet)
         return {
             "host": host.name,
             "address": address,
@@ -75,6 +90,7 @@
             "confirmed_seconds": seconds_since(flow.confirmed_at),
             "host_state": host.state,
             "removed_seconds": host.removed_seconds,
+            "listed_here": names(self._catalog.view.listed_at(address)),
             "report_age": self.report_age(address),
         }
 
--- a/tests/test_datagram_entry.py
+++ b/tests/test_datagram_entry.py
@@ -21,7 +21,7 @@
     ServerRemoved,
 )
 from balsamspool.plugins.datagram_entry import DatagramEntryPlugin
-from balsamspool.plugins.datagram_entry.plugin import UNREPORTED_SECONDS
+from balsamspool.plugins.datagram_entry.presence import UNREPORTED_SECONDS
 from balsamspool.plugins.datagram_entry.subscriptions import MAX_RENEWALS
 from tests.datagram_entry_case import DATA, KEY, EntryCase
 from tests.datagram_fakes import (
--- a/tests/test_shared_address.py
+++ b/tests/test_shared_address.py
@@ -7,6 +7,8 @@
 
 from balsamspool.datagram._codec import encode_small
 from balsamspool.datagram.messages import ANY_SERVICE, FlowLocated
+from balsamspool.kernel.clock import now
+from balsamspool.placement.load import GONE_SECONDS
 from balsamspool.plugins.catalog.completeness import explains_removals
 from balsamspool.plugins.catalog.model import (
     BackendState,
@@ -19,7 +21,7 @@
 from balsamspool.plugins.catalog.removals import REMOVED_RETENTION_SECONDS
 from balsamspool.plugins.catalog.view import CatalogView
 from tests.datagram_entry_case import DATA, KEY, EntryCase
-from tests.datagram_fakes import published, route, routes, server
+from tests.datagram_fakes import SERVICE, published, route, routes, server
 
 # Start of the host and of the programs beside it in Unix milliseconds.
 STARTED_MS = 1_000
@@ -92,7 +94,9 @@
         draining = server(1, started_ms=STARTED_MS, state=BackendState.DRAINING)
         self.view.apply(ServerPublished(21, draining), 0.0)
         self.view.apply(ServerRemoved(22, "i-1"), 1.0)
-        self.assertIn("10.0.0.1", self.view.removed_hosts())
+        self.view.apply(routes(23, route("portal"), version=2), 1.0)
+        departed = self.view.departed_at("10.0.0.1", SERVICE, 1.0)
+        self.assertEqual([r.server.name for r in departed], ["i-1"])
 
     def test_a_successor_of_another_service_leaves_its_predecessor_searchable(self):
         """Guards against a host that one entry with a routed service hides."""
@@ -159,3 +163,60 @@
         self.receive(DATA)
         message, address = self.forwarded()
         self.assertEqual((message.service, address), (ANY_SERVICE, "10.0.0.1"))
+
+
+class DepartureTest(EntryCase):
+    async def leave(self, name, **fields):
+        """List a program at the address of the flow's host, drain it, and remove it."""
+        number = int(self.agent.rpartition(".")[2])
+        for state in (BackendState.READY, BackendState.DRAINING):
+            values = {"name": name, "state": state, **fields}
+            revision = next(self.revisions)
+            self.source.publish(ServerPublished(revision, server(number, **values), 50))
+            await asyncio.sleep(1)
+        self.source.publish(ServerRemoved(next(self.revisions), name))
+        await asyncio.sleep(1)
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.revisions = count(50)
+        self.agent = self.open_flow()
+
+    async def restart_agent(self, seconds):
+        """Let the agent send no report for a time, as while it starts again."""
+        self.reporting.discard(self.agent)
+        await asyncio.sleep(seconds)
+        self.receive(DATA)
+        self.peers.receive(encode_small(FlowLocated(KEY)), (self.agent, 7720))
+        self.reporting.add(self.agent)
+
+    async def test_a_program_that_left_does_not_take_the_flows_of_the_host(self):
+        """Guards against a reset of a flow whose host is listed (review, case 7)."""
+        for fields in (
+            {"service": "metrics", "port": 9100},
+            {"service": "portal", "port": 9100},
+            {"service": "metrics"},
+        ):
+            await self.leave("exporter", **fields)
+            await self.restart_agent(GONE_SECONDS + 0.5)
+            self.assertEqual(self.resets(), [], fields)
+            self.assertIn(self.agent, {a for _, a in self.peers.take_forwards()})
+
+    async def test_a_program_that_left_beside_a_host_of_an_earlier_service(self):
+        """Guards against a reset by a process that does not know the flow's service."""
+        self.source.publish(routes(49, route("records"), version=2))
+        self.catalog.view._routes._past_services.expire(now() + 1_000)
+        await self.leave("exporter", service="metrics", port=9100)
+        await self.restart_agent(GONE_SECONDS + 0.5)
+        self.assertEqual(self.resets(), [])
+
+    async def test_a_host_that_left_beside_a_program_is_given_up(self):
+        """Guards against callers that wait for a host because a program is listed."""
+        odd = program(name="exporter", address=self.agent)
+        self.source.publish(ServerPublished(next(self.revisions), odd, 50))
+        number = int(self.agent.rpartition(".")[2])
+        await self.leave(f"i-{number}")
+        self.reporting.discard(self.agent)
+        await asyncio.sleep(1)
+        self.receive(DATA)
+        self.assertEqual(len(self.resets()), 1)
