Find the object in a line of a log in one pass

Callers of balsamspool-ctl report and trace saw a command that did not end, or ended with RecursionError, for a log with a long or deeply nested line of another program.

Cause: the pattern of the object began anew at each opening brace and read the rest of the line each time, and the recursion limit of the decoder was not expected.

Evidence: test_a_line_of_a_log in tests/test_decoding_cost.py failed before: 0.005 s for a line of 5,000 octets and 0.32 s for 40,000, 64 times as long; a line nested 5,000 levels deep raised RecursionError.

Why it works: the object is what stands between the first brace and the end of the line, which two searches find.

--- a/balsamspool/commands/log_lines.py
+++ b/balsamspool/commands/log_lines.py
@@ -1,6 +1,5 @@
 """Reads structured log lines of several processes."""
 
-import re
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from datetime import datetime
@@ -16,7 +15,6 @@
 _COMMON_FIELDS = frozenset(
     {"time", "level", "instance", "logger", "event", "name", "message"}
 )
-_JSON_OBJECT = re.compile(r"\{.*\}\s*$")
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +60,7 @@
     for path in _files(paths):
         try:
             with open(path, encoding="utf-8", errors="replace") as file:
-                lines.extend(_parse(file))
+                lines.extend(parse_lines(file))
         except OSError as error:
             raise ResultError(FILE_UNREADABLE, f"{path}: {error}") from error
     return sorted(lines, key=lambda line: line.time)
@@ -77,22 +75,33 @@
             yield path
 
 
-def _parse(file: Iterable[str]) -> Iterator[LogLine]:
-    for text in file:
-        found = _JSON_OBJECT.search(text)
-        if found is None:
-            continue
-        try:
-            entry = msgspec.json.decode(found.group())
-            yield LogLine(
-                datetime.fromisoformat(entry["time"]),
-                entry["instance"],
-                entry.get("name", entry.get("message", "")),
-                {k: v for k, v in entry.items() if k not in _COMMON_FIELDS},
-            )
-        except (msgspec.DecodeError, KeyError, TypeError, ValueError):
-            # The line comes from another program or was truncated.
-            continue
+def parse_lines(texts: Iterable[str]) -> Iterator[LogLine]:
+    """Yield the structured lines among lines of text.
+
+    Args:
+        texts: Lines, which may come from other programs or may be cut off.
+    """
+    for text in texts:
+        line = _parse(text)
+        if line is not None:
+            yield line
+
+
+def _parse(text: str) -> LogLine | None:
+    start, end = text.find("{"), text.rstrip()
+    if start < 0 or not end.endswith("}"):
+        return None
+    try:
+        entry = msgspec.json.decode(end[start:])
+        return LogLine(
+            datetime.fromisoformat(entry["time"]),
+            entry["instance"],
+            entry.get("name", entry.get("message", "")),
+            {k: v for k, v in entry.items() if k not in _COMMON_FIELDS},
+        )
+    except (msgspec.DecodeError, KeyError, TypeError, ValueError, RecursionError):
+        # The line comes from another program or was truncated.
+        return None
 
 
 def _format_value(value: Any) -> str:
--- a/tests/test_decoding_cost.py
+++ b/tests/test_decoding_cost.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from balsamspool.commands.log_lines import parse_lines
 from balsamspool.kernel.decoding import decode_json_parts
 from balsamspool.plugins.catalog.delta import decode_delta
 from balsamspool.plugins.configuration.checker import TextError, check_text
@@ -39,6 +40,7 @@
     (b"", b"[{", b"}"),
     (b"", b"[]", b"x"),
     (b"", b'{"a":', b""),
+    (b"", b'{"a":', b"}"),
     (b"{", b'"a":1,', b""),
     (b"[", b"[],", b"[]]"),
     (b"[", b"1,", b"NaN]"),
@@ -70,6 +72,7 @@
     "instances": lambda text: read_list(text.decode("latin-1")),
     "platform": decode_answer,
     "text": lambda text: check_text(text.decode("latin-1")),
+    "log": lambda text: list(parse_lines([text.decode("latin-1")])),
 }
 
 
@@ -111,3 +114,7 @@
     def test_a_text_of_an_operator(self):
         """Guards against a configuration text that takes minutes to refuse."""
         self.check("text")
+
+    def test_a_line_of_a_log(self):
+        """Guards against a log line of another program that stops a report."""
+        self.check("log")
