List a host again whose entry still stands in a restored catalog

The host's entry had expired shortly before the store came back from a copy in which it stands.

Cause: a report of a restored catalog was dropped if it was not newer than that of the removed server. An entry changes only when more than its sequence changes, so no event followed; the removal was forgotten after 20 s, and nothing looked at the report again.

Evidence: 2319 names the host once after the restore, no 2307 follows, and 2418 says held-nowhere with one host less than the store lists; entries that were started since list it.

Why it works: the report is held. If its entry still stands 6 s later, when that of a stopped server would have expired again, the server is listed by its latest known report; a removal or a newer record that comes first counts instead. Meanwhile flows are searched for at the host and it is not given up, but it gets no new flows.

--- a/balsamspool/plugins/catalog/events.py
+++ b/balsamspool/plugins/catalog/events.py
@@ -102,8 +102,8 @@
     2319,
     "backend-server-report-outdated",
     logging.INFO,
-    "A record of the restored catalog was ignored because a later report of the same "
-    "backend server is known.",
+    "A record of the restored catalog is not used because a later report of the same "
+    "backend server is known; it is looked at again if the server is not listed.",
 )
 ROUTES_LEFT_OUT = log_event(
     2320,
@@ -185,3 +185,10 @@
     "Reading the records of one answer took long; the process did nothing else "
     "meanwhile.",
 )
+SERVER_REPORT_CONFIRMED = log_event(
+    2332,
+    "backend-server-report-confirmed",
+    logging.INFO,
+    "The entry of a backend server that was removed before a restore still stands, so "
+    "the server is listed again.",
+)
--- a/balsamspool/plugins/catalog/view.py
+++ b/balsamspool/plugins/catalog/view.py
@@ -12,7 +12,6 @@
     SERVER_CHANGED,
     SERVER_REMOVAL_DELAYED,
     SERVER_REMOVED,
-    SERVER_REPORT_OUTDATED,
 )
 from balsamspool.plugins.catalog.fleet_restart import FleetState, Listing
 from balsamspool.plugins.catalog.model import (
@@ -35,7 +34,7 @@
     RemovedServer,
     RemovedServers,
 )
-from balsamspool.plugins.catalog.report_order import is_newer_report, is_older_report
+from balsamspool.plugins.catalog.restored_reports import RestoredReports
 from balsamspool.plugins.catalog.revision import NO_REVISION, Revision
 from balsamspool.plugins.catalog.route_history import RouteHistory
 from balsamspool.plugins.catalog.server_index import ServerIndex
@@ -58,6 +57,7 @@
         "_delayed",
         "_index",
         "_removed",
+        "_restored",
         "_revisions",
         "_routes",
         "_servers",
@@ -80,6 +80,9 @@
         self._revisions: dict[str, Revision] = {}
         self._delayed = DelayedRemovals()
         self._removed = RemovedServers()
+        self._restored = RestoredReports(
+            self._servers, self._revisions, self._removed, self._delayed
+        )
         self._version = 0
         self._subscribers: list[Callable[[], None]] = []
 
@@ -121,34 +124,13 @@
         """Return the backend servers of an address that were removed lately."""
         return self._removed.at(address)
 
-    def departed_at(
-        self, address: str, endpoint: tuple[str, int], time: float
-    ) -> tuple[RemovedServer, ...]:
-        """Return the backend servers at an address that held flows and were removed.
-
-        There are none while a listed one there may hold the flows. Other programs of an
-        instance may be listed at its address, so that one of them is listed, or was
-        removed, says nothing about a flow.
+    @property
+    def unconfirmed(self) -> list[BackendServer]:
+        """Backend servers of a restored catalog that may have stopped before it.
 
-        Args:
-            address: IPv4 address of an instance.
-            endpoint: Address and port of the route of the flows.
-            time: Event loop time in seconds.
+        They may hold flows, and get no new ones.
         """
-        removed = self._removed.at(address)
-        if not removed:
-            return ()
-        listed = self._addresses.at(address)
-        services = self._routes.services_at(endpoint)
-        if any(server.service in services for server in listed):
-            return ()
-        ports = {server.port for server in listed}
-        left = tuple(r for r in removed if r.server.port not in ports)
-        known = tuple(r for r in left if r.server.service in services)
-        if known or (services and self._routes.is_complete(endpoint, time)):
-            return known
-        # A flow may be of a service that the route had before this process started.
-        return () if listed else left
+        return self._restored.servers
 
     def route(self, address: str, port: int) -> Route | None:
         """Return the route at an address, or None."""
@@ -268,10 +250,8 @@
             case ServerPublished(revision, server, created) if self._is_new(
                 server.name, revision
             ):
-                if self._is_outdated(server, revision):
-                    SERVER_REPORT_OUTDATED.log(
-                        _logger, server=server.name, revision=revision
-                    )
+                if self._restored.hold_outdated(record, time):
+                    self._on_change()
                 else:
                     self._apply_server(server, revision, created, time)
             case ServerRemoved(revision, name) if self._is_new(name, revision):
@@ -303,6 +283,7 @@
             # read. The record of such a server is newer, so the server is kept.
             if name not in listed and self._revisions[name] <= snapshot.revision:
                 self._remove_or_delay(name, snapshot.revision, time)
+        self._restored.retain(listed, snapshot.revision)
         if self._cordons.retain(cordoned, snapshot.revision, time, RELISTING_SECONDS):
             self._on_change()
 
@@ -317,23 +298,14 @@
             self._on_change()
         for name, revision in self._delayed.due(time):
             self._remove_now(name, revision, time)
+        for report in self._restored.take_due(time):
+            self._apply_server(report.server, report.revision, report.created, time)
         if self._removed.expire(time):
             self._on_change()
 
     def _is_new(self, name: str, revision: Revision) -> bool:
         return revision > self._revisions.get(name, NO_REVISION)
 
-    def _is_outdated(self, server: BackendServer, revision: Revision) -> bool:
-        """Return whether a restored catalog contains an older report than is known."""
-        known = Revision(self._revisions.get(server.name, NO_REVISION))
-        if known.era == Revision(revision).era:
-            return False
-        listed = self._servers.get(server.name)
-        if listed is not None:
-            return is_older_report(server, listed)
-        removed = self._removed.get(server.name)
-        return removed is not None and not is_newer_report(server, removed.server)
-
     def _apply_server(
         self,
         server: BackendServer,
@@ -345,6 +317,7 @@
         self._revisions[server.name] = revision
         self._delayed.discard(server.name)
         self._removed.discard(server.name)
+        self._restored.discard(server.name)
         if before is not None:
             self._addresses.discard(before)
         self._servers[server.name] = server
@@ -366,6 +339,7 @@
 
     def _remove_or_delay(self, name: str, revision: Revision, time: float) -> None:
         server = self._servers.get(name)
+        self._restored.discard(name)
         if server is None:
             self._revisions[name] = max(
                 revision, self._revisions.get(name, NO_REVISION)
--- a/balsamspool/plugins/datagram_entry/holders.py
+++ b/balsamspool/plugins/datagram_entry/holders.py
@@ -93,11 +93,12 @@
         listed: list[BackendServer] = []
         departed: list[BackendServer] = []
         for service in services:
-            listed.extend(view.listed(service))
+            listed.extend(self._listed(service))
             departed.extend(
                 removed.server
                 for removed in view.recently_removed_from(service)
                 if self._presence.still_reports(removed)
+                and removed.server not in view.unconfirmed
             )
         found = order_lookup(
             packet.flow_from_caller,
@@ -121,7 +122,9 @@
         if view.knows_all_services(*endpoint, now()):
             return []
         listed = view.unknown_holders(*endpoint, now())
-        removed = view.recently_removed_except(view.services_at(*endpoint))
+        services = view.services_at(*endpoint)
+        removed = view.recently_removed_except(services)
+        listed += [s for s in view.unconfirmed if s.service not in services]
         return listed + [r.server for r in removed if self._presence.still_reports(r)]
 
     def further(self, packet: Packet, flow: EntryFlow) -> FurtherHosts:
@@ -157,5 +160,11 @@
         return all(
             socket.inet_aton(server.address) in flow.queried
             for service in view.services_at(*service_endpoint(packet))
-            for server in view.listed(service)
+            for server in self._listed(service)
         )
+
+    def _listed(self, service: str) -> list[BackendServer]:
+        """Return the listed backend servers of a service, confirmed or not."""
+        view = self._catalog.view
+        unconfirmed = (s for s in view.unconfirmed if s.service == service)
+        return [*view.listed(service), *unconfirmed]
--- a/balsamspool/plugins/datagram_entry/presence.py
+++ b/balsamspool/plugins/datagram_entry/presence.py
@@ -10,7 +10,7 @@
 from balsamspool.datagram.packet import Packet, service_endpoint
 from balsamspool.kernel.clock import now
 from balsamspool.placement.load import GONE_PERIODS, LoadBoard
-from balsamspool.plugins.catalog import CatalogPlugin, RemovedServer
+from balsamspool.plugins.catalog import CatalogPlugin, CatalogView, RemovedServer
 from balsamspool.plugins.datagram_entry.flow import EntryFlow
 from balsamspool.plugins.datagram_entry.subscriptions import REMOTE_PERIOD_SECONDS
 
@@ -41,8 +41,7 @@
             flow: The flow, whose host is confirmed.
         """
         address = socket.inet_ntoa(flow.hosts[0])
-        endpoint = service_endpoint(packet)
-        departed = self._catalog.view.departed_at(address, endpoint, now())
+        departed = departed_servers(self._catalog.view, address, packet)
         if not departed:
             return False
         if self._board.load(address) is None:
@@ -63,3 +62,35 @@
         if removed.left:
             return not self._board.silent(address)
         return not self._board.seems_gone(address)
+
+
+def departed_servers(
+    view: CatalogView, address: str, packet: Packet
+) -> tuple[RemovedServer, ...]:
+    """Return the backend servers at an address that held a flow and were removed.
+
+    There are none while one that is listed there may hold the flow. Other programs of
+    an instance may be listed at its address, so that one of them is listed, or was
+    removed, says nothing about a flow.
+
+    Args:
+        view: Catalog as this process knows it.
+        address: IPv4 address of an instance.
+        packet: Packet of the flow.
+    """
+    removed = view.removed_at(address)
+    if not removed:
+        return ()
+    listed = view.listed_at(address)
+    listed += [server for server in view.unconfirmed if server.address == address]
+    endpoint = service_endpoint(packet)
+    services = view.services_at(*endpoint)
+    if any(server.service in services for server in listed):
+        return ()
+    ports = {server.port for server in listed}
+    left = tuple(r for r in removed if r.server.port not in ports)
+    known = tuple(r for r in left if r.server.service in services)
+    if known or (services and view.knows_all_services(*endpoint, now())):
+        return known
+    # A flow may be of a service that the route had before this process started.
+    return () if listed else left
--- a/balsamspool/plugins/datagram_entry/reset_report.py
+++ b/balsamspool/plugins/datagram_entry/reset_report.py
@@ -11,6 +11,7 @@
 from balsamspool.placement.load import LoadBoard
 from balsamspool.plugins.catalog import BackendServer, CatalogPlugin
 from balsamspool.plugins.datagram_entry.flow import EntryFlow
+from balsamspool.plugins.datagram_entry.presence import departed_servers
 from balsamspool.plugins.datagram_entry.unlocated import UnlocatedFlow
 
 # Maximum number of names in one log line.
@@ -56,7 +57,7 @@
         view = self._catalog.view
         listed, removed = view.listed_at(address), view.removed_at(address)
         if packet is not None:
-            removed = view.departed_at(address, service_endpoint(packet), now())
+            removed = departed_servers(view, address, packet)
         if removed and (packet is not None or not listed):
             last = removed[-1]
             seconds = seconds_since(last.removed)
--- a/tests/test_catalog_restore.py
+++ b/tests/test_catalog_restore.py
@@ -2,13 +2,17 @@
 
 import asyncio
 import random
+import socket
 from types import SimpleNamespace
 from unittest import IsolatedAsyncioTestCase, TestCase
 
+from balsamspool.datagram._codec import encode_small
+from balsamspool.datagram.messages import FlowEnded
 from balsamspool.kernel.clock import now
 from balsamspool.kernel.counters import CounterSet
 from balsamspool.kernel.errors import ResultError
 from balsamspool.minihttp.client import HttpConnection
+from balsamspool.placement.load import GONE_SECONDS
 from balsamspool.plugins.catalog.calls import CallMetrics
 from balsamspool.plugins.catalog.codes import CATALOG_OUTDATED
 from balsamspool.plugins.catalog.completeness import Completeness
@@ -25,6 +29,8 @@
 )
 from balsamspool.plugins.catalog.peers import CatalogPeers
 from balsamspool.plugins.catalog.record_log import RecordLog
+from balsamspool.plugins.catalog.removals import REMOVED_RETENTION_SECONDS
+from balsamspool.plugins.catalog.restored_reports import CONFIRMATION_SECONDS
 from balsamspool.plugins.catalog.revision import Revision
 from balsamspool.plugins.catalog.upstream import (
     ReaderList,
@@ -35,10 +41,12 @@
 from balsamspool.plugins.catalog.view import CatalogView
 from standins.ports import ADDRESS, free_port
 from tests._clock import PausedClockTestCase
+from tests.datagram_entry_case import DATA, KEY, EntryCase
 from tests.datagram_fakes import (
     ADAPTER,  # noqa: F401  puts the adapter on the path
     FakePeers,
     FakeSource,
+    published,
     route,
     routes,
     server,
@@ -198,6 +206,59 @@
         self.publish(at(2, 60), report(1, 1, started_ms=9000))
         self.assertEqual(len(self.view.ready("portal")), 1)
 
+    def expire_and_restore(self, state=BackendState.READY):
+        """Let an entry expire, and list it again from a copy at 10 s."""
+        for number in range(1, 4):
+            self.publish(at(1, 40 + number), report(number, 5))
+        self.publish(at(1, 45), report(1, 7, state))
+        self.view.apply(ServerRemoved(at(1, 50), "i-1"), 9.0)
+        self.view.apply(ServerPublished(at(2, 45), report(1, 7), Revision(1)), 10.0)
+
+    def listed(self, time):
+        self.view.expire(time)
+        return {s.name: s.state for s in self.view.listed("portal")}
+
+    def test_a_removed_server_that_stands_in_the_copy_is_listed_again(self):
+        """Guards against a live host that is never used again (review, case 8)."""
+        self.expire_and_restore()
+        self.assertNotIn("i-1", self.listed(10.0 + CONFIRMATION_SECONDS - 0.1))
+        self.assertEqual([s.name for s in self.view.unconfirmed], ["i-1"])
+        # Another full read of the same copy does not begin the wait anew.
+        again = ServerPublished(at(2, 45), report(1, 7), Revision(1))
+        self.view.apply(again, 10.0 + CONFIRMATION_SECONDS - 0.1)
+        found = self.listed(10.0 + CONFIRMATION_SECONDS)
+        self.assertEqual(found["i-1"], BackendState.READY)
+        self.assertEqual(self.view.unconfirmed, [])
+
+    def test_a_stopped_server_that_stands_in_the_copy_is_not_listed(self):
+        """Guards against new flows at a host whose entry expires a second time."""
+        removal = ServerRemoved(at(2, 60), "i-1")
+        for end in (removal, Snapshot(at(2, 60), ())):
+            self.view = CatalogView()
+            self.expire_and_restore()
+            if end is removal:
+                self.view.apply(end, 12.0)
+            else:
+                self.view.replace(end, 12.0)
+            self.assertEqual(self.view.unconfirmed, [])
+            self.assertNotIn("i-1", self.listed(60.0))
+
+    def test_a_server_that_had_drained_is_listed_again_as_draining(self):
+        """Guards against new flows at a host whose drain report the copy lacks."""
+        self.expire_and_restore(BackendState.DRAINING)
+        found = self.listed(10.0 + CONFIRMATION_SECONDS)
+        self.assertEqual(found["i-1"], BackendState.DRAINING)
+
+    def test_an_older_report_of_the_copy_ends_a_delayed_removal(self):
+        """Guards against a listed host that a removal of the lost era takes out."""
+        for number in range(1, 4):
+            self.publish(at(1, 40 + number), report(number, 5))
+        self.view.record_outage(0.0)
+        self.view.apply(ServerRemoved(at(1, 50), "i-1"), 1.0)
+        self.assertTrue(self.view.has_delayed_removals)
+        self.publish(at(2, 45), report(1, 4))
+        self.assertIn("i-1", self.listed(60.0))
+
     def test_flows_that_open_under_an_older_table_of_the_copy_are_searched(self):
         """Guards against a reset of flows that entries opened by the older table."""
         self.view.apply(routes(at(1, 59), version=11), 0.0)
@@ -216,6 +277,46 @@
         self.assertEqual([s.name for s in holders], ["i-1"])
 
 
+class RestoredFlowTest(EntryCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.agent = self.open_flow()
+        self.name = f"i-{self.agent.rpartition('.')[2]}"
+        self.source.publish(ServerRemoved(50, self.name))
+        await asyncio.sleep(2.0)
+        self.source.revision = at(1, 20)
+        self.source.records = [routes(at(1, 1))]
+        self.source.records += published(at(1, 2), *self.servers)
+        self.source.queue.put_nowait(Changes(at(1, 20), ()))
+        await asyncio.sleep(1.0)
+        self.peers.take()
+
+    def unconfirmed(self):
+        return [server.name for server in self.catalog.view.unconfirmed]
+
+    async def test_a_flow_is_kept_while_its_host_is_not_confirmed(self):
+        """Guards against a reset of a flow whose host is listed in the copy."""
+        self.assertEqual(self.unconfirmed(), [self.name])
+        self.reporting.discard(self.agent)
+        await asyncio.sleep(GONE_SECONDS + 0.2)
+        self.assertEqual(self.unconfirmed(), [self.name])
+        self.receive(DATA)
+        self.assertEqual(self.resets(), [])
+        self.assertEqual(self.forwarded()[1], self.agent)
+
+    async def test_a_flow_is_searched_for_at_its_host(self):
+        """Guards against a search that leaves out a host of the copy, then or later."""
+        for seconds in (GONE_SECONDS + 0.2, REMOVED_RETENTION_SECONDS):
+            self.reporting.discard(self.agent)
+            await asyncio.sleep(seconds)
+            self.peers.receive(encode_small(FlowEnded(KEY)), (self.agent, 7720))
+            self.peers.take()
+            self.receive(DATA)
+            message, first = self.forwarded()
+            queried = [first, *map(socket.inet_ntoa, message.alternatives)]
+            self.assertIn(self.agent, queried)
+
+
 class RestoredRecordLogTest(TestCase):
     def setUp(self):
         self.log = RecordLog()
--- a/tests/test_shared_address.py
+++ b/tests/test_shared_address.py
@@ -20,8 +20,17 @@
 )
 from balsamspool.plugins.catalog.removals import REMOVED_RETENTION_SECONDS
 from balsamspool.plugins.catalog.view import CatalogView
+from balsamspool.plugins.datagram_entry.presence import departed_servers
 from tests.datagram_entry_case import DATA, KEY, EntryCase
-from tests.datagram_fakes import SERVICE, published, route, routes, server
+from tests.datagram_fakes import (
+    CODEC,
+    SYN,
+    packet,
+    published,
+    route,
+    routes,
+    server,
+)
 
 # Start of the host and of the programs beside it in Unix milliseconds.
 STARTED_MS = 1_000
@@ -95,7 +104,8 @@
         self.view.apply(ServerPublished(21, draining), 0.0)
         self.view.apply(ServerRemoved(22, "i-1"), 1.0)
         self.view.apply(routes(23, route("portal"), version=2), 1.0)
-        departed = self.view.departed_at("10.0.0.1", SERVICE, 1.0)
+        opening = CODEC.decode(packet(SYN))
+        departed = departed_servers(self.view, "10.0.0.1", opening)
         self.assertEqual([r.server.name for r in departed], ["i-1"])
 
     def test_a_successor_of_another_service_leaves_its_predecessor_searchable(self):
