--- a/scripts/regression.py
+++ b/scripts/regression.py
@@ -35,9 +35,6 @@
     Deployment("grown/kloofrand-lb-grown", LARGE_HUNT_DAYS),
     Deployment("grown/kmrhs-booking-grown", LARGE_HUNT_DAYS),
     Deployment("large/kloofrand-lb-large", LARGE_HUNT_DAYS),
-    Deployment("further/tankline-ktm", HUNT_DAYS),
-    Deployment("further-grown/tankline-ktm-grown", LARGE_HUNT_DAYS),
-    Deployment("shifted/kloofrand-lb-now-grown", LARGE_HUNT_DAYS),
     Deployment("demands/okv-lagos-grown", LARGE_HUNT_DAYS),
     Deployment("demands/tvh-channel-grown", LARGE_HUNT_DAYS),
 )
