Begin the wait for a held report anew after a second restore

test_a_second_restore_begins_the_wait_anew failed before. The end of the wait is kept only within an era, where a further full read repeats the same entry.

--- a/balsamspool/plugins/catalog/restored_reports.py
+++ b/balsamspool/plugins/catalog/restored_reports.py
@@ -89,11 +89,9 @@
         self._delayed.discard(name)
         removed = self._removed.get(name)
         if removed is not None:
-            held = self._held.get(name)
-            until = held.until if held is not None else time + CONFIRMATION_SECONDS
             # A server that drains does not become ready again, whatever the copy says.
             self._held[name] = HeldReport(
-                removed.server, record.revision, record.created, until
+                removed.server, record.revision, record.created, self._end(record, time)
             )
         return True
 
@@ -126,6 +124,14 @@
             )
         return due
 
+    def _end(self, record: ServerPublished, time: float) -> float:
+        """Return the end of the wait, which another read of the catalog keeps."""
+        held = self._held.get(record.server.name)
+        era = Revision(record.revision).era
+        if held is not None and Revision(held.revision).era == era:
+            return held.until
+        return time + CONFIRMATION_SECONDS
+
     def _is_outdated(self, server: BackendServer, revision: Revision) -> bool:
         """Return whether a restored catalog contains an older report than is known."""
         known = Revision(self._revisions.get(server.name, NO_REVISION))
--- a/tests/test_catalog_restore.py
+++ b/tests/test_catalog_restore.py
@@ -243,6 +243,13 @@
             self.assertEqual(self.view.unconfirmed, [])
             self.assertNotIn("i-1", self.listed(60.0))
 
+    def test_a_second_restore_begins_the_wait_anew(self):
+        """Guards against new flows at a stopped host that stands in two copies."""
+        self.expire_and_restore()
+        self.view.apply(ServerPublished(at(3, 45), report(1, 7), Revision(1)), 14.0)
+        self.assertNotIn("i-1", self.listed(14.0 + CONFIRMATION_SECONDS - 0.1))
+        self.assertIn("i-1", self.listed(14.0 + CONFIRMATION_SECONDS))
+
     def test_a_server_that_had_drained_is_listed_again_as_draining(self):
         """Guards against new flows at a host whose drain report the copy lacks."""
         self.expire_and_restore(BackendState.DRAINING)
