--- a/review/kit-3/lab3.py
+++ b/review/kit-3/lab3.py
@@ -243,6 +243,18 @@
             self._changed.notify_all()
             return self.revision
 
+    async def restore(
+        self, items: dict[str, Item], history: list[Item], revision: int, oldest: int
+    ) -> None:
+        """Come back from a copy, in the next era; waiting watches are cut."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+        async with self._changed:
+            self.items, self.history = dict(items), list(history)
+            self.revision, self.oldest = revision, oldest
+            self.era += 1
+            self._changed.notify_all()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
